--- /dev/null
+++ b/gingergap/__init__.py
@@ -0,0 +1,1 @@
+"""Routing and admission of dialogs at a signalling proxy."""
--- /dev/null
+++ b/gingergap/benchlink/proxy.py
@@ -0,0 +1,232 @@
+"""One simulated signalling proxy: its ids, its units and its controller, apart from all others."""
+
+from typing import Any
+
+from ..brain import CallController
+from ..host import GwState, LegEnd, ListEntry, TrafficType
+from .codec import BadLineError, encode, is_a
+
+UNIT = 100  # microseconds in a tenth of a millisecond
+SAFETY = 1  # a span between two rounded clocks may seem one unit longer than it was
+LEG_ENDS = {
+    "success": LegEnd.ENDED, "failure": LegEnd.BUSY, "overloaded": LegEnd.FULL, "timed_out": LegEnd.NO_ANSWER,
+    "unreachable": LegEnd.UNREACHABLE, "broken": LegEnd.CUT, "withdrawn": LegEnd.CANCELLED,
+    "void": LegEnd.NOT_SENT,
+}
+REDIALLED, IN_TRANSIT, WAS_CUT = 2, 8, 16
+IDLE, CIRCUITS, HOLD_BACK, WAIT_MS = "idle", "circuits", "reduce", "avg_ms"
+
+
+def at_least(us: float) -> int:
+    """A span that must have passed."""
+    return -(-int(us) // UNIT) + SAFETY
+
+
+def at_most(us: float) -> int:
+    """A span that must not have passed yet."""
+    return int(us) // UNIT
+
+
+class Facts:
+    """Reads the start message, naming the field when something is missing or ill-typed."""
+
+    def __init__(self, values: Any, where: str) -> None:
+        self.values, self.where = values, where
+
+    def part(self, name: str) -> "Facts":
+        return Facts(self.get(name, dict), f"{self.where}.{name}")
+
+    def get(self, name: str, kind: Any, default: Any = None) -> Any:
+        value = self.values.get(name, default)
+        if value is None:
+            raise BadLineError(f"field {self.where}.{name} is missing")
+        if not is_a(value, kind):
+            raise BadLineError(f"field {self.where}.{name} is ill-typed")
+        return value
+
+
+def traffic_types(facts: Facts, family: Facts) -> list[TrafficType]:
+    number = (int, float)
+    holds, widths = family.get("ClassHold", list, []), family.get("ClassWidth", list, [])
+    pools = family.get("PoolsByClass", list, [])
+    types = []
+    for place, lane in enumerate(facts.get("Lanes", list)):
+        if not isinstance(lane, dict):
+            raise BadLineError(f"field Facts.Lanes[{place}] is ill-typed")
+        lane = Facts(lane, f"Facts.Lanes[{place}]")
+        types.append(TrafficType(
+            setup_objective=at_most(lane.get("OnTime", number)),
+            late_share=float(lane.get("LateShare", number, 0.0)),
+            importance=float(lane.get("Value", number, 1.0)),
+            width=int(widths[place]) if place < len(widths) else 1,
+            hold=at_most(holds[place]) if place < len(holds) else at_most(10_000_000),
+            repeatable=lane.get("Repeat", str, "safe") == "safe",
+            pools=frozenset(pools[place]) if place < len(pools) and pools[place] is not None else None,
+        ))
+    if not types:
+        raise BadLineError("field Facts.Lanes is empty")
+    return types
+
+
+class Proxy:
+    """The host of one controller. Ids turn into small indices here, and back."""
+
+    def __init__(self, name: str, seed: int, facts: dict[str, Any], now_us: int, out: list[str]) -> None:
+        self.name, self.out = name, out
+        self.switch_of: list[str] = []
+        self.gw_of: dict[str, int] = {}
+        self.rid_of: dict[int, int] = {}
+        self.dialog_of: dict[int, int] = {}
+        self.legs_out: dict[int, int] = {}
+        self.ended: set[int] = set()
+        self.dialogs = 0
+        number = (int, float)
+        start = Facts(facts, "Facts")
+        family, ceilings, rules = start.part("Specifics"), start.part("Ceilings"), start.part("Rules")
+        self.tells_wait = family.get("GivesWait", bool, False)
+        self.controller = CallController(
+            self, seed, family.get("Here", int, -1), start.get("NInstances", int),
+            traffic_types(start, family),
+            release_guard=at_least(family.get("Guard", number, 0)),
+            most_legs=ceilings.get("MostTries", int, 1),
+            longest_hold_off=(at_most(ceilings.get("MaxRetryAfter", number, 0))
+                              if ceilings.get("RetryAfter", bool, False) else 0),
+            may_cancel=ceilings.get("Cancelling", bool, False),
+            must_ask=start.get("MembershipMode", str, "push") == "ask",
+            cold_from=float(rules.get("ColdFrom", number, 1.0)),
+            warm_after=at_least(rules.get("WarmAfter", number, 0)),
+            multiple=float(rules.get("OverloadFactor", number, 1.0)),
+            fall_span=at_least(rules.get("Fall", number, 0)),
+        )
+        self.controller.begin(now_us // UNIT)
+
+    # --- what the controller asks for ---
+
+    def send_leg(self, dialog: int, gw: int, limit: int) -> None:
+        self.legs_out[dialog] += 1
+        self._act("CallOut", Rid=self.rid_of[dialog], Switch=self.switch_of[gw], Timeout=limit * UNIT)
+
+    def cancel_leg(self, dialog: int, leg: int) -> None:
+        self._act("UndoSend", Rid=self.rid_of[dialog], Attempt=leg)
+
+    def decline(self, dialog: int, hold_off: int) -> None:
+        self._act("NotNow", Rid=self.rid_of[dialog], HoldOff=hold_off * UNIT)
+        self._ended(dialog)
+
+    def abort(self, dialog: int) -> None:
+        self._act("Abort", Rid=self.rid_of[dialog])
+        self._ended(dialog)
+
+    def wake_after(self, delay: int) -> None:
+        self._act("Remind", FromNow=delay * UNIT, Cookie="beat")
+
+    def probe(self, gw: int) -> None:
+        self._act("Inspect", Switch=self.switch_of[gw])
+
+    def subscribe(self) -> None:
+        self._act("Watch", Want=True)
+
+    def journal(self, text: str) -> None:
+        self._act("JournalLine", Message=text)
+
+    # --- what the wire tells ---
+
+    def take(self, msg: dict[str, Any], now_us: int, lists: dict[int, list[dict[str, Any]]]) -> None:
+        now = now_us // UNIT
+        match msg["t"]:
+            case "Knock":
+                self._knock(msg, now)
+            case "Headers":
+                dialog = self.dialog_of.get(msg["Rid"])
+                if dialog is not None:
+                    self.controller.dialog_stands(now, dialog, at_most(msg.get("TimeTaken") or 0))
+            case "Result":
+                self._result(msg, now)
+            case "CancelledByClient":
+                dialog = self.dialog_of.get(msg["Rid"])
+                if dialog is not None:
+                    self.controller.dialog_gone(now, dialog)
+                    self._ended(dialog)
+            case "Elapsed":
+                self.controller.beat(now)
+            case "ProbeResult":
+                gw = self._gw(msg["Switch"])
+                free, size, _, _ = self._stats(msg)
+                if size >= 0:
+                    self.controller.group_told(now, gw, free, size)
+            case "BackendsChanged" if msg["Kind"] == 3:
+                self.controller.list_failed(now)
+            case "BackendsChanged":
+                entries = lists.get(msg.get("SetId"))
+                if entries is None:
+                    raise BadLineError("field SetId names no list that has come")
+                self.controller.list_pushed(now, [self._entry(entry) for entry in entries], msg["Kind"] != 0)
+            case "Message":
+                pass  # the module sends none and so expects none
+
+    def _knock(self, msg: dict[str, Any], now: int) -> None:
+        dialog = self.dialogs
+        self.dialogs += 1
+        self.rid_of[dialog] = msg["Rid"]
+        self.dialog_of[msg["Rid"]] = dialog
+        self.legs_out[dialog] = 0
+        marks = msg.get("Bitmap") or 0
+        kind = msg.get("Class") or 0
+        if not 0 <= kind < len(self.controller.types):
+            raise BadLineError("field Class names no class")
+        self.controller.dialog_came(
+            now, dialog, kind, int(msg["FarEnd"]), int(msg["SlotsNeeded"]), msg.get("Subject") or "",
+            at_most(msg["ExpiresIn"]), bool(marks & IN_TRANSIT), bool(marks & REDIALLED),
+            bool(marks & WAS_CUT))
+
+    def _result(self, msg: dict[str, Any], now: int) -> None:
+        dialog = self.dialog_of.get(msg["Rid"])
+        how = LEG_ENDS.get(msg["Outcome"])
+        if how is None:
+            raise BadLineError("field Outcome names no outcome")
+        if dialog is None:
+            return
+        self.legs_out[dialog] -= 1
+        free, size, _, _ = self._stats(msg)
+        rsn = msg.get("Reason") or 0
+        wait = 0
+        if self.tells_wait and rsn >= 16 and rsn % 16 == 3:
+            rsn, wait = 3, rsn // 16 * 10
+        self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, wait,
+                                  bool(msg.get("Ended")), at_most(msg.get("TimeTaken") or 0), free, size)
+        if msg.get("Ended"):
+            self._ended(dialog)
+        else:
+            self._forget(dialog)
+
+    def _entry(self, entry: dict[str, Any]) -> ListEntry:
+        state = entry["Availability"]
+        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"], entry.get("Dc") or 0,
+                         GwState(state) if state in (0, 1, 2) else GwState.GONE,
+                         (entry.get("Born") or 0) // UNIT)
+
+    def _stats(self, msg: dict[str, Any]) -> tuple[int, int, float, float]:
+        """Free circuits and size of the group, hold-back share and wait; -1 where not told."""
+        stats = msg.get("ServerStats") or {}
+        return (int(stats.get(IDLE, -1)), int(stats.get(CIRCUITS, -1)), float(stats.get(HOLD_BACK, -1)),
+                float(stats.get(WAIT_MS, -1)))
+
+    def _gw(self, switch: str) -> int:
+        if switch not in self.gw_of:
+            self.gw_of[switch] = len(self.switch_of)
+            self.switch_of.append(switch)
+        return self.gw_of[switch]
+
+    def _ended(self, dialog: int) -> None:
+        self.ended.add(dialog)
+        self._forget(dialog)
+
+    def _forget(self, dialog: int) -> None:
+        """A dialog's ids go once it has ended and no leg of it is out."""
+        if dialog in self.ended and self.legs_out.get(dialog) == 0:
+            self.ended.discard(dialog)
+            del self.legs_out[dialog]
+            del self.dialog_of[self.rid_of.pop(dialog)]
+
+    def _act(self, action: str, **fields: Any) -> None:
+        self.out.append(encode(action, Proxy=self.name, **fields))
--- /dev/null
+++ b/gingergap/brain.py
@@ -0,0 +1,419 @@
+"""All routing and admission decisions of one signalling proxy.
+
+A proxy makes one `CallController` with its `Host` (see host.py), calls `begin` once and then one method for
+each thing that happens, with the time now. The controller acts by calling the host before it returns.
+Times are whole tenths of a millisecond.
+"""
+
+from heapq import heappop, heappush
+
+from .host import GwState, Host, LegEnd, ListEntry, Rsn, TrafficType
+
+SECOND = 10_000
+BEAT = SECOND // 50  # the one periodic timer of an instance
+IN_DOUBT = (LegEnd.NO_ANSWER, LegEnd.CUT, LegEnd.CANCELLED)
+
+
+class Chance:
+    """A linear congruential generator of which the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & (1 << 64) - 1
+        self.draw()
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.state >> 33) / (1 << 31)
+
+
+class TrunkGroup:
+    """One own group, guarded against two-leg dialogs by the paper's TBCA-BP."""
+
+    def __init__(self, chance: Chance, patience: int = 5, steps: tuple[float, float] = (2, 1)) -> None:
+        self.chance, self.patience = chance, patience
+        self.cap_step, self.threshold_step = steps
+        self.free = 1 << 20  # until told: a direct leg may try its luck, a tandem needs a known size
+        self.resize(0)
+
+    def resize(self, size: int) -> None:
+        """Start the levels anew: what was learned of another size says nothing of this one."""
+        self.size = size
+        self.floor = max(size / 2, size - 4)
+        self.cap = max(size - 2, self.floor)
+        self.accept_below = self.cap - max(1, size / 10)
+        self.lower_below = min(self.cap / 2, self.accept_below - 1)
+        self.declines = self.idles = 0
+
+    def told(self, free: int, size: int) -> None:
+        if size != self.size:
+            self.resize(size)
+        self.free = free
+
+    def fits(self, width: int) -> bool:
+        return width <= self.free
+
+    def judge(self, width: int, fresh: bool) -> bool:
+        """The paper's judgement of a two-leg dialog; one dialled again is no fresh sign of demand."""
+        after = self.size - self.free + width
+        if width > self.free or after > self.cap:
+            accepted = False
+            self.idles = 0
+        elif after < self.accept_below:
+            accepted = True
+            self.idles = self.idles + 1 if after < self.lower_below else 0
+        else:
+            accepted = self.chance.draw() >= (after - self.accept_below) / (self.cap - self.accept_below)
+            self.idles = 0
+        if accepted:
+            self.declines = 0
+        elif fresh:
+            self.declines += 1
+        if self.declines > self.patience:
+            self.declines = 0
+            self._move(1)
+        elif self.idles > self.patience:
+            self.idles = 0
+            self._move(-1)
+        return accepted
+
+    def _move(self, way: int) -> None:
+        cap = self.cap + way * self.cap_step
+        if self.floor <= cap <= self.size:
+            self.accept_below += way * self.threshold_step
+            self.lower_below += way * self.threshold_step
+        self.cap = min(max(cap, self.floor), self.size)
+        self.accept_below = min(self.accept_below, self.cap - 1)
+        self.lower_below = min(self.lower_below, self.accept_below - 1)
+
+
+class Exchange:
+    """A far end as this proxy knows it: the list's word, the cold budget, the processor's pressure."""
+
+    def __init__(self, gw: int, group: TrunkGroup, cold_from: float, warm_after: int, multiple: float,
+                 span: int, proxies: int) -> None:
+        self.gw, self.group, self.number = gw, group, -1
+        self.cold_share = cold_from * multiple / proxies
+        self.warm_after, self.span = warm_after, span
+        self.ready = False
+        self.started = 0
+        self.pressed_until = 0
+        self.cold_until = 0
+        self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
+        self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
+        self.quickest = SECOND // 10
+        self.took, self.took_at = 0, 0
+        self.waiting: list[tuple[float, int]] = []  # (less worth for what it holds, dialog)
+
+    def listed(self, now: int, entry: ListEntry) -> None:
+        self.number = entry.number
+        self.ready = entry.state == GwState.READY
+        if entry.started > self.started:
+            self.started = entry.started
+            self.cold_until = entry.started + self.warm_after
+            self.sent.clear()
+
+    def cold_room(self, now: int, usual: float) -> bool:
+        """Whether a cold exchange may get one more leg from here. `usual` is what one warm far end gets
+        from all proxies a tenth of a millisecond: a low guess of its capacity, held until it must be warm."""
+        if now >= self.cold_until:
+            return True
+        while self.sent and self.sent[0] <= now - self.span:
+            del self.sent[0]
+        return len(self.sent) < max(1, int(0.8 * self.cold_share * usual * self.span))
+
+    def answered(self, now: int, took: int) -> None:
+        self.quickest = min(took, self.quickest + 10)
+        self.took = took if took > self.took else (self.took + took) // 2
+        self.took_at = now
+
+    def expected(self, now: int) -> int:
+        """The set-up time to expect now: of late, halved for each second without news, and no less
+        than the longest that a leg has been out here."""
+        took = self.quickest
+        if self.took > took:
+            took += int((self.took - took) * 0.5 ** ((now - self.took_at) / SECOND))
+        if self.out:
+            took = max(took, now - next(iter(self.out.values())))
+        return took
+
+
+class Dialog:
+    """A dialog from its arrival to its last word."""
+
+    __slots__ = ("at", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
+                 "legs", "leg_to", "leg_at", "not_before", "answered", "doubt", "tried", "waits", "stands")
+
+    def __init__(self, at: int, kind: int, far: int, width: int, number: str, transit: bool,
+                 redialled: bool, expires: int, objective_at: int) -> None:
+        self.at, self.kind, self.far, self.width, self.number = at, kind, far, width, number
+        self.transit, self.redialled = transit, redialled
+        self.expires, self.objective_at = expires, objective_at
+        self.legs = 0
+        self.leg_to: Exchange | None = None
+        self.leg_at = self.not_before = 0
+        self.answered = self.doubt = self.stands = False
+        self.waits: Exchange | None = None
+        self.tried: set[int] = set()
+
+
+class CallController:
+    """Decides for one proxy. `here` is the own exchange's number, -1 where far ends are pools of agents."""
+
+    def __init__(self, host: Host, seed: int, here: int, proxies: int, types: list[TrafficType], *,
+                 release_guard: int, most_legs: int, longest_hold_off: int, may_cancel: bool, must_ask: bool,
+                 cold_from: float, warm_after: int, multiple: float, fall_span: int) -> None:
+        self.host, self.here, self.proxies, self.types = host, here, proxies, types
+        self.release_guard, self.most_legs = release_guard, most_legs
+        self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
+        self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
+        self.chance = Chance(seed)
+        self.gws: dict[int, Exchange] = {}
+        self.by_number: dict[int, Exchange] = {}
+        self.dialogs: dict[int, Dialog] = {}
+        self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
+        self.now = 0
+        self.sent_rate = 0.0
+        self.top_importance = max(t.importance for t in types)
+        self.refused_legs: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
+
+    # --- what can happen -----------------------------------------------------------------------------
+
+    def begin(self, now: int) -> None:
+        self.now = now
+        if self.must_ask:
+            self.host.subscribe()
+        self.host.wake_after(BEAT)
+
+    def beat(self, now: int) -> None:
+        self.now = now
+        self.sent_rate *= 1 - BEAT / (10 * SECOND)
+        while self.due and self.due[0][0] <= now:
+            _, dialog, what = heappop(self.due)
+            if what == "subscribe":
+                self.host.subscribe()
+                continue
+            d = self.dialogs.get(dialog)
+            if d is None or d.answered or d.stands:
+                continue
+            if what == "answer":  # no dialog outlives the client's time: answer, whatever is still out
+                self._abort(dialog, d)
+            elif what == "give up" and d.waits is not None:
+                self._decline(dialog, d)
+            elif what == "again" and d.leg_to is None and d.waits is None:
+                self._route(dialog, d)
+        for ex in self.gws.values():
+            if ex.waiting:
+                self._serve(ex)
+        self.host.wake_after(BEAT)
+
+    def list_pushed(self, now: int, entries: list[ListEntry], whole: bool) -> None:
+        self.now = now
+        if whole:
+            named = {entry.gw for entry in entries}
+            for gw, ex in self.gws.items():
+                ex.ready = ex.ready and gw in named
+        for entry in entries:
+            ex = self._exchange(entry.gw)
+            ex.listed(now, entry)
+            self.by_number[entry.number] = ex
+
+    def list_failed(self, now: int) -> None:
+        self.now = now
+        heappush(self.due, (now + SECOND, -1, "subscribe"))
+
+    def group_told(self, now: int, gw: int, free: int, size: int) -> None:
+        self.now = now
+        ex = self._exchange(gw)
+        ex.group.told(free, size)
+        if ex.waiting:
+            self._serve(ex)
+
+    def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str,
+                    expires_in: int, transit: bool, redialled: bool, cut: bool) -> None:
+        self.now = now
+        expires = now + expires_in - 2 * BEAT
+        objective_at = min(now + self.types[kind].setup_objective, expires)
+        d = Dialog(now, kind, far, width, number, transit, redialled, expires, objective_at)
+        self.dialogs[dialog] = d
+        heappush(self.due, (expires, dialog, "answer"))
+        self._route(dialog, d)
+
+    def dialog_stands(self, now: int, dialog: int, took: int) -> None:
+        self.now = now
+        d = self.dialogs.get(dialog)
+        if d is None:
+            return
+        d.stands = True
+        if d.leg_to is not None:
+            d.leg_to.out.pop(dialog, None)
+            if d.leg_to.number == d.far:
+                d.leg_to.answered(now, took)
+
+    def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, full_wait: int,
+                  over: bool, took: int, free: int, size: int) -> None:
+        self.now = now
+        ex = self._exchange(gw)
+        if size >= 0:
+            ex.group.told(free, size)
+        d = self.dialogs.get(dialog)
+        if d is None:
+            return
+        ex.out.pop(dialog, None)
+        d.leg_to = None
+        if rsn == Rsn.PROCESSOR_FULL and how == LegEnd.FULL or rsn == Rsn.BEYOND_TANDEM_FULL:
+            ex.pressed_until = now + 2 * SECOND
+        if how in IN_DOUBT:
+            d.doubt = True
+            d.not_before = now + self.release_guard
+            if how == LegEnd.NO_ANSWER:
+                ex.pressed_until = now + 2 * SECOND
+        if over:
+            d.answered = True
+        if d.answered or d.stands:
+            if not d.answered:
+                self._abort(dialog, d)
+            del self.dialogs[dialog]
+            return
+        if how == LegEnd.BUSY:
+            self._decline(dialog, d)
+        elif d.not_before > now:
+            heappush(self.due, (d.not_before, dialog, "again"))
+        else:
+            self._route(dialog, d)
+
+    def dialog_gone(self, now: int, dialog: int) -> None:
+        self.now = now
+        d = self.dialogs.get(dialog)
+        if d is None:
+            return
+        d.answered = True
+        self._drop(dialog, d)
+
+    # --- the ordinary path -----------------------------------------------------------------------------
+
+    def _route(self, dialog: int, d: Dialog) -> None:
+        """A dialog's way, top to bottom: transit by judgement; direct if it fits; the better of two random
+        tandems, then the other; then it waits for a circuit of its own group, or is declined."""
+        if d.doubt and not self.types[d.kind].repeatable:
+            self._abort(dialog, d)
+            return
+        direct = self.by_number.get(d.far)
+        if d.transit:
+            if not (direct is not None and direct.group.judge(d.width, not d.redialled)
+                    and self._send(dialog, d, direct)):
+                self._decline(dialog, d)
+            return
+        if direct is None or not direct.ready:
+            self._decline(dialog, d)
+            return
+        if self._kept_back(d, direct):
+            self._wait(dialog, d, direct)
+            return
+        if direct.group.fits(d.width) and self._send(dialog, d, direct):
+            return
+        for ex in self._tandems(d):
+            if ex.group.judge(d.width, not d.redialled) and self._send(dialog, d, ex):
+                return
+        self._wait(dialog, d, direct)
+
+    def _tandems(self, d: Dialog) -> list[Exchange]:
+        """Two random tandems with own groups, the one with more free first-leg circuits first."""
+        if d.redialled:
+            return []
+        pools = self.types[d.kind].pools
+        able = [ex for ex in self.gws.values()
+                if ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
+                and ex.pressed_until <= self.now and self.refused_legs.get((ex.gw, d.far), 0) <= self.now
+                and (pools is None or ex.number in pools)]
+        if len(able) > 2:
+            first = able.pop(int(self.chance.draw() * len(able)))
+            able = [first, able[int(self.chance.draw() * len(able))]]
+        able.sort(key=lambda ex: -ex.group.free)
+        return able
+
+    def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
+        """Whether the far processor is too pressed for this dialog: cheap ones are kept back first."""
+        kind = self.types[d.kind]
+        left = max(d.objective_at - self.now, 1)
+        rank = kind.importance / self.top_importance * (kind.late_share if d.redialled else 1)
+        low = 0.3 + 0.4 * rank
+        over = (ex.expected(self.now) / left - low) / 0.3
+        return over > 0 and self.chance.draw() < over
+
+    # --- waiting ---------------------------------------------------------------------------------------
+
+    def _wait(self, dialog: int, d: Dialog, ex: Exchange) -> None:
+        """Hold a dialog that nothing would take while it can still stand within its setup objective."""
+        until = d.objective_at - max(2 * ex.quickest, ex.expected(self.now))
+        if d.redialled or until <= self.now:
+            self._decline(dialog, d)
+            return
+        if d.waits is None:
+            d.waits = ex
+            kind = self.types[d.kind]
+            worth = kind.importance / (d.width * kind.hold)
+            ex.waiting.append((-worth, dialog))
+            ex.waiting.sort()
+            heappush(self.due, (until, dialog, "give up"))
+
+    def _serve(self, ex: Exchange) -> None:
+        """Freed circuits go to those who wait, the more important for what it holds first."""
+        for entry in list(ex.waiting):
+            d = self.dialogs[entry[1]]
+            if ex.group.fits(d.width) and not self._kept_back(d, ex) and self._send(entry[1], d, ex):
+                d.waits = None
+                ex.waiting.remove(entry)
+
+    # --- the only ways out -----------------------------------------------------------------------------
+
+    def _send(self, dialog: int, d: Dialog, ex: Exchange) -> bool:
+        """The one place from which a leg can leave: every rule is checked here."""
+        if (d.answered or d.stands or d.leg_to is not None or self.now < d.not_before
+                or d.legs >= self.most_legs or self.now >= d.expires
+                or (d.doubt and not self.types[d.kind].repeatable)
+                or not ex.ready or ex.number == self.here or (d.transit and ex.number != d.far)
+                or not ex.group.fits(d.width)
+                or not ex.cold_room(self.now, self._usual())):
+            return False
+        if self.now < ex.cold_until:
+            ex.sent.append(self.now)
+        self.sent_rate += 1
+        d.legs += 1
+        d.leg_to, d.leg_at = ex, self.now
+        d.tried.add(ex.gw)
+        ex.out[dialog] = self.now
+        ex.group.free -= d.width
+        self.host.send_leg(dialog, ex.gw, d.expires - self.now)
+        return True
+
+    def _decline(self, dialog: int, d: Dialog) -> None:
+        if d.doubt and not self.types[d.kind].repeatable:
+            self._abort(dialog, d)
+            return
+        self.host.decline(dialog, 0 if d.transit else self.longest_hold_off)
+        d.answered = True
+        self._drop(dialog, d)
+
+    def _abort(self, dialog: int, d: Dialog) -> None:
+        if d.leg_to is not None and self.may_cancel:
+            self.host.cancel_leg(dialog, d.legs - 1)
+        self.host.abort(dialog)
+        d.answered = True
+        self._drop(dialog, d)
+
+    def _drop(self, dialog: int, d: Dialog) -> None:
+        """Forget an answered dialog, but not a leg that is still out: its end is yet to come."""
+        if d.waits is not None:
+            d.waits.waiting = [entry for entry in d.waits.waiting if entry[1] != dialog]
+            d.waits = None
+        if d.leg_to is None:
+            del self.dialogs[dialog]
+
+    def _usual(self) -> float:
+        """Legs that one far end gets from all proxies a tenth of a millisecond, as far as seen from here."""
+        return self.sent_rate / (10 * SECOND) / max(1, len(self.gws)) * self.proxies
+
+    def _exchange(self, gw: int) -> Exchange:
+        if gw not in self.gws:
+            self.gws[gw] = Exchange(gw, TrunkGroup(self.chance), *self.cold_figures)
+        return self.gws[gw]
