--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -172,9 +172,9 @@
         self.dialogs: dict[int, Dialog] = {}
         self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
         self.now = 0
-        self.sent_rate = 0.0
+        self.stood_rate = 0.0
         self.top_importance = max(t.importance for t in types)
-        self.refused_legs: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
+        self.turned_back: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
 
     # --- what can happen -----------------------------------------------------------------------------
 
@@ -186,7 +186,7 @@
 
     def beat(self, now: int) -> None:
         self.now = now
-        self.sent_rate *= 1 - BEAT / (10 * SECOND)
+        self.stood_rate *= 1 - BEAT / (10 * SECOND)
         while self.due and self.due[0][0] <= now:
             _, dialog, what = heappop(self.due)
             if what == "subscribe":
@@ -244,6 +244,7 @@
         if d is None:
             return
         d.stands = True
+        self.stood_rate += 1
         if d.leg_to is not None:
             d.leg_to.out.pop(dialog, None)
             if d.leg_to.number == d.far:
@@ -260,8 +261,13 @@
             return
         ex.out.pop(dialog, None)
         d.leg_to = None
-        if rsn == Rsn.PROCESSOR_FULL and how == LegEnd.FULL or rsn == Rsn.BEYOND_TANDEM_FULL:
-            ex.pressed_until = now + 2 * SECOND
+        if how == LegEnd.FULL and rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL):
+            # Full processors: what they turned away costs them work too, so nobody asks again at once.
+            full = ex if rsn == Rsn.PROCESSOR_FULL else self.by_number[d.far]
+            full.answered(now, max(took, self.types[d.kind].setup_objective))
+            full.pressed_until = now + 2 * SECOND
+        elif how == LegEnd.FULL and ex.number != d.far:
+            self.turned_back[(ex.gw, d.far)] = now + 2 * SECOND
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
@@ -323,7 +329,7 @@
         pools = self.types[d.kind].pools
         able = [ex for ex in self.gws.values()
                 if ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
-                and ex.pressed_until <= self.now and self.refused_legs.get((ex.gw, d.far), 0) <= self.now
+                and not self._pressed(ex, d) and self.turned_back.get((ex.gw, d.far), 0) <= self.now
                 and (pools is None or ex.number in pools)]
         if len(able) > 2:
             first = able.pop(int(self.chance.draw() * len(able)))
@@ -331,6 +337,9 @@
         able.sort(key=lambda ex: -ex.group.free)
         return able
 
+    def _pressed(self, ex: Exchange, d: Dialog) -> bool:
+        return ex.pressed_until > self.now or ex.expected(self.now) > (d.objective_at - self.now) // 4
+
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
         """Whether the far processor is too pressed for this dialog: cheap ones are kept back first."""
         kind = self.types[d.kind]
@@ -377,7 +386,6 @@
             return False
         if self.now < ex.cold_until:
             ex.sent.append(self.now)
-        self.sent_rate += 1
         d.legs += 1
         d.leg_to, d.leg_at = ex, self.now
         d.tried.add(ex.gw)
@@ -410,8 +418,9 @@
             del self.dialogs[dialog]
 
     def _usual(self) -> float:
-        """Legs that one far end gets from all proxies a tenth of a millisecond, as far as seen from here."""
-        return self.sent_rate / (10 * SECOND) / max(1, len(self.gws)) * self.proxies
+        """Legs that one far end sets up for all proxies a tenth of a millisecond, as far as seen from here.
+        Sends that came to nothing don't count: they would swell the budget of a cold exchange in a jam."""
+        return self.stood_rate / (10 * SECOND) / max(1, len(self.gws)) * self.proxies
 
     def _exchange(self, gw: int) -> Exchange:
         if gw not in self.gws:
