Remember unserved callers by number: a redial keeps its first try's setup objective

Cause: redials passed for fresh dialogs where callers don't mark them, and waited and went over tandems for a worth long gone. It also covers marked redials, whose true objective was unknown; it harms where several callers dial one number in turn.

--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -56,6 +56,7 @@
         lane = Facts(lane, f"Facts.Lanes[{place}]")
         types.append(TrafficType(
             setup_objective=at_most(lane.get("OnTime", number)),
+            no_answer_time=at_most(lane.get("Deadline", number)),
             late_share=float(lane.get("LateShare", number, 0.0)),
             importance=float(lane.get("Value", number, 1.0)),
             width=int(widths[place]) if place < len(widths) else 1,
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -140,12 +140,12 @@
 class Dialog:
     """A dialog from its arrival to its last word."""
 
-    __slots__ = ("at", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
+    __slots__ = ("first", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
                  "legs", "leg_to", "leg_at", "not_before", "answered", "doubt", "tried", "waits", "stands")
 
-    def __init__(self, at: int, kind: int, far: int, width: int, number: str, transit: bool,
+    def __init__(self, first: int, kind: int, far: int, width: int, number: str, transit: bool,
                  redialled: bool, expires: int, objective_at: int) -> None:
-        self.at, self.kind, self.far, self.width, self.number = at, kind, far, width, number
+        self.first, self.kind, self.far, self.width, self.number = first, kind, far, width, number
         self.transit, self.redialled = transit, redialled
         self.expires, self.objective_at = expires, objective_at
         self.legs = 0
@@ -174,6 +174,7 @@
         self.now = 0
         self.stood_rate = 0.0
         self.top_importance = max(t.importance for t in types)
+        self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
         self.turned_back: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
 
     # --- what can happen -----------------------------------------------------------------------------
@@ -201,6 +202,11 @@
                 self._decline(dialog, d)
             elif what == "again" and d.leg_to is None and d.waits is None:
                 self._route(dialog, d)
+        while self.first_tried:
+            key = next(iter(self.first_tried))
+            if now - self.first_tried[key] < self.types[key[1]].no_answer_time:
+                break
+            del self.first_tried[key]
         for ex in self.gws.values():
             if ex.waiting:
                 self._serve(ex)
@@ -232,8 +238,10 @@
                     expires_in: int, transit: bool, redialled: bool, cut: bool) -> None:
         self.now = now
         expires = now + expires_in - 2 * BEAT
-        objective_at = min(now + self.types[kind].setup_objective, expires)
-        d = Dialog(now, kind, far, width, number, transit, redialled, expires, objective_at)
+        first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
+        redialled = redialled or first < now
+        objective_at = min(first + self.types[kind].setup_objective, expires)
+        d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at)
         self.dialogs[dialog] = d
         heappush(self.due, (expires, dialog, "answer"))
         self._route(dialog, d)
@@ -398,6 +406,7 @@
         if d.doubt and not self.types[d.kind].repeatable:
             self._abort(dialog, d)
             return
+        self._remember(d)
         self.host.decline(dialog, 0 if d.transit else self.longest_hold_off)
         d.answered = True
         self._drop(dialog, d)
@@ -405,10 +414,16 @@
     def _abort(self, dialog: int, d: Dialog) -> None:
         if d.leg_to is not None and self.may_cancel:
             self.host.cancel_leg(dialog, d.legs - 1)
+        self._remember(d)
         self.host.abort(dialog)
         d.answered = True
         self._drop(dialog, d)
 
+    def _remember(self, d: Dialog) -> None:
+        """An unserved caller may dial again: the setup objective still counts from the first try."""
+        if not d.transit:
+            self.first_tried[d.number, d.kind, d.far] = d.first
+
     def _drop(self, dialog: int, d: Dialog) -> None:
         """Forget an answered dialog, but not a leg that is still out: its end is yet to come."""
         if d.waits is not None:
--- a/gingergap/host.py
+++ b/gingergap/host.py
@@ -45,6 +45,7 @@
     """What is known at start of one traffic type."""
 
     setup_objective: int
+    no_answer_time: int
     late_share: float
     importance: float
     width: int
