--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -275,7 +275,7 @@
             full.answered(now, max(took, self.types[d.kind].setup_objective))
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
-            self.turned_back[(ex.gw, d.far)] = now + 2 * SECOND
+            self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
@@ -353,7 +353,7 @@
         kind = self.types[d.kind]
         left = max(d.objective_at - self.now, 1)
         rank = kind.importance / self.top_importance * (kind.late_share if d.redialled else 1)
-        low = 0.3 + 0.4 * rank
+        low = 0.15 + 0.4 * rank
         over = (ex.expected(self.now) / left - low) / 0.3
         return over > 0 and self.chance.draw() < over
 
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,125 @@
+"""Each rule's guard, and each failure found on the bench."""
+
+import pytest
+
+from gingergap.host import GwState, LegEnd, ListEntry, Rsn
+
+
+def ended(mesh, dialog, gw, how, now, rsn=0, over=False):
+    mesh.controller.leg_ended(now, dialog, gw, how, rsn, 0, over, 100, 20, 20)
+
+
+def test_every_dialog_is_answered_before_the_client_gives_up(mesh):
+    mesh.came(0, expires_in=30_000)
+    mesh.beats(30_000)
+    assert mesh.host.asked("abort") == [(0,)]
+    assert mesh.host.asked("cancel_leg") == [(0, 0)]
+    ended(mesh, 0, 1, LegEnd.CANCELLED, 30_050)
+    mesh.beats(60_000, 30_200)
+    assert len(mesh.host.asked("send_leg")) == 1
+    assert not mesh.host.asked("decline")
+
+
+def test_a_transit_dialog_goes_to_its_destination_or_back(mesh):
+    mesh.gws[2].group.told(0, 20)
+    mesh.came(0, far=2, transit=True)
+    mesh.came(1, far=1, transit=True)
+    assert mesh.host.asked("decline") == [(0, 0)]
+    assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(1, 1)]
+
+
+def test_never_two_legs_out(mesh):
+    mesh.came(0)
+    d = mesh.controller.dialogs[0]
+    assert not mesh.controller._send(0, d, mesh.gws[2])
+
+
+@pytest.mark.parametrize("state", [GwState.DRAINING, GwState.GONE])
+def test_nothing_goes_to_a_draining_or_gone_exchange(mesh, state):
+    mesh.controller.list_pushed(10, [ListEntry(1, 1, 0, state, 0)], False)
+    mesh.came(0, now=10)
+    assert not mesh.host.asked("send_leg")
+    assert mesh.host.asked("decline")
+
+
+def test_what_a_whole_list_leaves_out_is_gone(mesh):
+    mesh.controller.list_pushed(10, [ListEntry(0, 0, 0, GwState.READY, 0)], True)
+    mesh.came(0, now=10)
+    assert not mesh.host.asked("send_leg")
+
+
+def test_a_cold_exchange_gets_its_share_and_no_more(mesh):
+    mesh.controller.stood_rate = 60.0  # 6 a second over 4 listed far ends, so 1.5 a second each
+    mesh.controller.list_pushed(10, [ListEntry(1, 1, 0, GwState.READY, 10)], False)
+    for dialog in range(20):
+        mesh.came(dialog, now=10)
+    assert len([leg for leg in mesh.host.asked("send_leg") if leg[1] == 1]) <= 2
+
+
+def test_the_release_guard_passes_before_the_next_leg(mesh):
+    mesh.came(0)
+    ended(mesh, 0, 1, LegEnd.CUT, 1_000)
+    mesh.beats(3_000, 1_200)
+    assert len(mesh.host.asked("send_leg")) == 1
+    mesh.beats(3_400, 3_000)
+    assert len(mesh.host.asked("send_leg")) == 2
+
+
+def test_a_dialog_in_doubt_that_must_not_repeat_is_aborted(mesh):
+    mesh.came(0, kind=2)
+    ended(mesh, 0, 1, LegEnd.NO_ANSWER, 1_000)
+    mesh.beats(4_000, 1_200)
+    assert mesh.host.asked("abort") == [(0,)]
+    assert len(mesh.host.asked("send_leg")) == 1
+
+
+def test_a_full_processor_is_not_asked_again_at_once(mesh):
+    mesh.came(0)
+    ended(mesh, 0, 1, LegEnd.FULL, 100, rsn=Rsn.PROCESSOR_FULL)
+    assert len(mesh.host.asked("send_leg")) == 1
+
+
+def test_a_turned_back_dialog_tries_the_other_tandem(mesh):
+    mesh.gws[1].group.told(0, 20)
+    mesh.came(0)
+    first = mesh.host.asked("send_leg")[0][1]
+    ended(mesh, 0, first, LegEnd.FULL, 100, rsn=Rsn.TANDEM_DECLINED)
+    assert [leg[1] for leg in mesh.host.asked("send_leg")] == [first, 5 - first]
+
+
+def test_a_cut_dialog_that_stood_is_over(mesh):
+    mesh.came(0)
+    mesh.controller.dialog_stands(100, 0, 100)
+    ended(mesh, 0, 1, LegEnd.CUT, 1_000, over=True)
+    assert not mesh.controller.dialogs
+    assert not mesh.host.asked("abort")
+
+
+def test_a_redial_keeps_the_first_tries_objective(mesh):
+    mesh.controller.first_tried["same", 0, 1] = 0
+    mesh.controller.dialog_came(9_000, 1, 0, 1, 1, "same", 30_000, False, False, False)
+    assert mesh.controller.dialogs[1].objective_at == 15_000
+    assert mesh.controller.dialogs[1].redialled
+
+
+def test_a_blocked_dialog_waits_for_a_circuit_and_is_declined_within_its_objective(mesh):
+    for gw in (1, 2, 3):
+        mesh.gws[gw].group.told(0, 20)
+    mesh.came(0)
+    mesh.came(1)
+    assert not mesh.host.asked("decline")
+    mesh.controller.group_told(5_000, 1, 1, 20)
+    assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 1)]
+    mesh.beats(15_000, 5_200)
+    assert mesh.host.asked("decline") == [(1, 20_000)]
+
+
+def test_the_far_end_list_may_change_while_a_dialog_waits(mesh):
+    for gw in (1, 2, 3):
+        mesh.gws[gw].group.told(0, 20)
+    mesh.came(0)
+    mesh.controller.list_pushed(100, [ListEntry(9, 1, 0, GwState.READY, 0)], False)  # a new machine
+    mesh.beats(31_000, 200)
+    mesh.controller.group_told(31_000, 1, 20, 20)
+    assert mesh.host.asked("decline") == [(0, 20_000)]
+    assert not mesh.host.asked("send_leg")
