One draw a dialog for keeping back, not one a beat while it waits

Cause: a waiting dialog drew anew each beat and so always won within a few of them; all then left together.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -141,13 +141,15 @@
     """A dialog from its arrival to its last word."""
 
     __slots__ = ("first", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
-                 "legs", "leg_to", "leg_at", "not_before", "answered", "doubt", "tried", "waits", "stands")
+                 "legs", "leg_to", "leg_at", "not_before", "answered", "doubt", "tried", "waits", "stands",
+                 "luck")
 
     def __init__(self, first: int, kind: int, far: int, width: int, number: str, transit: bool,
-                 redialled: bool, expires: int, objective_at: int) -> None:
+                 redialled: bool, expires: int, objective_at: int, luck: float) -> None:
         self.first, self.kind, self.far, self.width, self.number = first, kind, far, width, number
         self.transit, self.redialled = transit, redialled
         self.expires, self.objective_at = expires, objective_at
+        self.luck = luck  # drawn once: a dialog that waits must not draw until it wins
         self.legs = 0
         self.leg_to: Exchange | None = None
         self.leg_at = self.not_before = 0
@@ -241,7 +243,8 @@
         first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
         redialled = redialled or first < now
         objective_at = min(first + self.types[kind].setup_objective, expires)
-        d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at)
+        d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at,
+                   self.chance.draw())
         self.dialogs[dialog] = d
         heappush(self.due, (expires, dialog, "answer"))
         self._route(dialog, d)
@@ -355,7 +358,7 @@
         rank = kind.importance / self.top_importance * (kind.late_share if d.redialled else 1)
         low = 0.15 + 0.4 * rank
         over = (ex.expected(self.now) / left - low) / 0.3
-        return over > 0 and self.chance.draw() < over
+        return over > d.luck
 
     # --- waiting ---------------------------------------------------------------------------------------
 
