--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -100,8 +100,9 @@
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
+        self.window = 4.0  # legs that may be out unanswered: halved by slow answers, grown by quick ones
         self.quickest = SECOND // 10
-        self.took, self.took_at = 0, 0
+        self.took = self.took_at = self.narrowed_at = 0
         self.waiting: list[tuple[float, int]] = []  # (less worth for what it holds, dialog)
 
     def listed(self, now: int, entry: ListEntry) -> None:
@@ -121,7 +122,12 @@
             del self.sent[0]
         return len(self.sent) < max(1, int(0.8 * self.cold_share * usual * self.span))
 
-    def answered(self, now: int, took: int) -> None:
+    def answered(self, now: int, took: int, objective: int) -> None:
+        if 3 * took < objective:
+            self.window = min(16.0, self.window + 1 / self.window)
+        elif now - self.narrowed_at > took:
+            self.window, self.narrowed_at = max(1.0, self.window / 2), now
+        self.window = 4.0  # legs that may be out unanswered: halved by slow answers, grown by quick ones
         self.quickest = min(took, self.quickest + 10)
         self.took = took if took > self.took else (self.took + took) // 2
         self.took_at = now
@@ -259,7 +265,7 @@
         if d.leg_to is not None:
             d.leg_to.out.pop(dialog, None)
             if d.leg_to.number == d.far:
-                d.leg_to.answered(now, took)
+                d.leg_to.answered(now, took, self.types[d.kind].setup_objective)
 
     def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, full_wait: int,
                   over: bool, took: int, free: int, size: int) -> None:
@@ -275,7 +281,8 @@
         if how == LegEnd.FULL and rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL):
             # Full processors: what they turned away costs them work too, so nobody asks again at once.
             full = ex if rsn == Rsn.PROCESSOR_FULL else self.by_number[d.far]
-            full.answered(now, max(took, self.types[d.kind].setup_objective))
+            objective = self.types[d.kind].setup_objective
+            full.answered(now, max(took, objective), objective)
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
             self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
@@ -353,6 +360,8 @@
 
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
         """Whether the far processor is too pressed for this dialog: cheap ones are kept back first."""
+        if len(ex.out) >= ex.window:
+            return True
         kind = self.types[d.kind]
         left = max(d.objective_at - self.now, 1)
         rank = kind.importance / self.top_importance * (kind.late_share if d.redialled else 1)
