Late redials are judged on their own group as two-leg dialogs, no longer always kept back

Cause: a redial past its objective had no time left to compare with, so the slightest expected set-up time kept it back for ever, against direct-first admission.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -103,7 +103,7 @@
         self.window = 4.0  # legs that may be out unanswered: halved by slow answers, grown by quick ones
         self.quickest = SECOND // 10
         self.took = self.took_at = self.narrowed_at = 0
-        self.waiting: list[tuple[float, int]] = []  # (less worth for what it holds, dialog)
+        self.waiting: list[tuple[float, int]] = []  # (less importance, dialog)
 
     def listed(self, now: int, entry: ListEntry) -> None:
         self.number = entry.number
@@ -333,7 +333,10 @@
         if self._kept_back(d, direct):
             self._wait(dialog, d, direct)
             return
-        if direct.group.fits(d.width) and self._send(dialog, d, direct):
+        # A redial past its objective takes circuits only as a two-leg dialog would: fresh ones come first.
+        late = self.now >= d.objective_at
+        takes = direct.group.judge(d.width, False) if late else direct.group.fits(d.width)
+        if takes and self._send(dialog, d, direct):
             return
         for ex in self._tandems(d):
             if ex.group.judge(d.width, not d.redialled) and self._send(dialog, d, ex):
@@ -363,8 +366,9 @@
         if len(ex.out) >= ex.window:
             return True
         kind = self.types[d.kind]
-        left = max(d.objective_at - self.now, 1)
-        rank = kind.importance / self.top_importance * (kind.late_share if d.redialled else 1)
+        late = self.now >= d.objective_at
+        left = kind.setup_objective // 4 if late else d.objective_at - self.now
+        rank = kind.importance / self.top_importance * (kind.late_share if late else 1)
         low = 0.15 + 0.4 * rank
         over = (ex.expected(self.now) / left - low) / 0.3
         return over > d.luck
@@ -379,14 +383,12 @@
             return
         if d.waits is None:
             d.waits = ex
-            kind = self.types[d.kind]
-            worth = kind.importance / (d.width * kind.hold)
-            ex.waiting.append((-worth, dialog))
+            ex.waiting.append((-self.types[d.kind].importance, dialog))
             ex.waiting.sort()
             heappush(self.due, (until, dialog, "give up"))
 
     def _serve(self, ex: Exchange) -> None:
-        """Freed circuits go to those who wait, the more important for what it holds first."""
+        """Freed circuits go to those who wait, the more important first."""
         for entry in list(ex.waiting):
             d = self.dialogs[entry[1]]
             if ex.group.fits(d.width) and not self._kept_back(d, ex) and self._send(entry[1], d, ex):
