--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -229,7 +229,10 @@
         for entry in entries:
             ex = self._exchange(entry.gw)
             ex.listed(now, entry)
-            self.by_number[entry.number] = ex
+            # The new machine may hold the number already when the old one's drain is told: it keeps it.
+            held = self.by_number.get(entry.number)
+            if held is None or ex.ready and ex.started >= held.started or not held.ready:
+                self.by_number[entry.number] = ex
 
     def list_failed(self, now: int) -> None:
         self.now = now
@@ -391,7 +394,8 @@
         """Freed circuits go to those who wait, the more important first."""
         for entry in list(ex.waiting):
             d = self.dialogs[entry[1]]
-            if ex.group.fits(d.width) and not self._kept_back(d, ex) and self._send(entry[1], d, ex):
+            to = self.by_number[d.far]
+            if to.group.fits(d.width) and not self._kept_back(d, to) and self._send(entry[1], d, to):
                 d.waits = None
                 ex.waiting.remove(entry)
 
@@ -449,7 +453,7 @@
     def _usual(self) -> float:
         """Legs that one far end sets up for all proxies a tenth of a millisecond, as far as seen from here.
         Sends that came to nothing don't count: they would swell the budget of a cold exchange in a jam."""
-        return self.stood_rate / (10 * SECOND) / max(1, len(self.gws)) * self.proxies
+        return self.stood_rate / (10 * SECOND) / max(1, len(self.by_number)) * self.proxies
 
     def _exchange(self, gw: int) -> Exchange:
         if gw not in self.gws:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,3 +123,12 @@
     mesh.controller.group_told(31_000, 1, 20, 20)
     assert mesh.host.asked("decline") == [(0, 20_000)]
     assert not mesh.host.asked("send_leg")
+
+
+def test_a_replaced_machines_drain_does_not_take_the_number_from_the_new_one(mesh):
+    mesh.controller.list_pushed(10, [ListEntry(9, 1, 0, GwState.READY, 10)], False)
+    mesh.controller.list_pushed(20, [ListEntry(1, 1, 0, GwState.DRAINING, 0)], False)
+    mesh.controller.list_pushed(30, [ListEntry(1, 1, 0, GwState.GONE, 0)], False)
+    mesh.controller.group_told(30, 9, 20, 20)
+    mesh.came(0, now=40)
+    assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 9)]
