--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -120,7 +120,7 @@
             return True
         while self.sent and self.sent[0] <= now - self.span:
             del self.sent[0]
-        return len(self.sent) < max(1, int(0.8 * self.cold_share * usual * self.span))
+        return len(self.sent) < max(1, int(2.0 * self.cold_share * usual * self.span))
 
     def answered(self, now: int, took: int, objective: int) -> None:
         if 3 * took < objective:
