--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -100,9 +100,8 @@
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
-        self.window = 4.0  # legs that may be out unanswered: halved by slow answers, grown by quick ones
         self.quickest = SECOND // 10
-        self.took = self.took_at = self.narrowed_at = 0
+        self.took = self.took_at = 0
         self.waiting: list[tuple[float, int]] = []  # (less importance, dialog)
 
     def listed(self, now: int, entry: ListEntry) -> None:
@@ -122,14 +121,9 @@
             del self.sent[0]
         return len(self.sent) < max(1, int(2.0 * self.cold_share * usual * self.span))
 
-    def answered(self, now: int, took: int, objective: int) -> None:
-        if 3 * took < objective:
-            self.window = min(16.0, self.window + 1 / self.window)
-        elif now - self.narrowed_at > took:
-            self.window, self.narrowed_at = max(1.0, self.window / 2), now
-        self.window = 4.0  # legs that may be out unanswered: halved by slow answers, grown by quick ones
+    def answered(self, now: int, took: int) -> None:
         self.quickest = min(took, self.quickest + 10)
-        self.took = took if took > self.took else (self.took + took) // 2
+        self.took = (self.took + took) // 2  # one slow answer may be a short stall: it counts half
         self.took_at = now
 
     def expected(self, now: int) -> int:
@@ -147,7 +141,7 @@
     """A dialog from its arrival to its last word."""
 
     __slots__ = ("first", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
-                 "legs", "leg_to", "leg_at", "not_before", "answered", "doubt", "tried", "waits", "stands",
+                 "legs", "leg_to", "not_before", "answered", "doubt", "tried", "waits", "stands",
                  "luck")
 
     def __init__(self, first: int, kind: int, far: int, width: int, number: str, transit: bool,
@@ -158,7 +152,7 @@
         self.luck = luck  # drawn once: a dialog that waits must not draw until it wins
         self.legs = 0
         self.leg_to: Exchange | None = None
-        self.leg_at = self.not_before = 0
+        self.not_before = 0
         self.answered = self.doubt = self.stands = False
         self.waits: Exchange | None = None
         self.tried: set[int] = set()
@@ -268,7 +262,7 @@
         if d.leg_to is not None:
             d.leg_to.out.pop(dialog, None)
             if d.leg_to.number == d.far:
-                d.leg_to.answered(now, took, self.types[d.kind].setup_objective)
+                d.leg_to.answered(now, took)
 
     def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, full_wait: int,
                   over: bool, took: int, free: int, size: int) -> None:
@@ -284,8 +278,7 @@
         if how == LegEnd.FULL and rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL):
             # Full processors: what they turned away costs them work too, so nobody asks again at once.
             full = ex if rsn == Rsn.PROCESSOR_FULL else self.by_number[d.far]
-            objective = self.types[d.kind].setup_objective
-            full.answered(now, max(took, objective), objective)
+            full.answered(now, max(took, self.types[d.kind].setup_objective))
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
             self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
@@ -366,8 +359,6 @@
 
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
         """Whether the far processor is too pressed for this dialog: cheap ones are kept back first."""
-        if len(ex.out) >= ex.window:
-            return True
         kind = self.types[d.kind]
         late = self.now >= d.objective_at
         left = kind.setup_objective // 4 if late else d.objective_at - self.now
@@ -413,7 +404,7 @@
         if self.now < ex.cold_until:
             ex.sent.append(self.now)
         d.legs += 1
-        d.leg_to, d.leg_at = ex, self.now
+        d.leg_to = ex
         d.tried.add(ex.gw)
         ex.out[dialog] = self.now
         ex.group.free -= d.width
