--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -278,7 +278,7 @@
         if how == LegEnd.FULL and rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL):
             # Full processors: what they turned away costs them work too, so nobody asks again at once.
             full = ex if rsn == Rsn.PROCESSOR_FULL else self.by_number[d.far]
-            full.answered(now, max(took, self.types[d.kind].setup_objective))
+            full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
             self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
