Cold budget: thrice the best rate of the last minute

Cause: the guess sank with service during a rolling release and starved each batch more (write-up in docs/incidents/rolling-release.md). It could harm if the traffic of all proxies grew far beyond the last minute's while an exchange is cold.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -114,12 +114,13 @@
 
     def cold_room(self, now: int, usual: float) -> bool:
         """Whether a cold exchange may get one more leg from here. `usual` is what one warm far end gets
-        from all proxies a tenth of a millisecond: a low guess of its capacity, held until it must be warm."""
+        from all proxies a tenth of a millisecond. Its own dialogs, looks, answers and releases come on top,
+        so thrice as much is still a low guess of its capacity; the cold share holds until it must be warm."""
         if now >= self.cold_until:
             return True
         while self.sent and self.sent[0] <= now - self.span:
             del self.sent[0]
-        return len(self.sent) < max(1, int(2.0 * self.cold_share * usual * self.span))
+        return len(self.sent) < max(1, int(3 * self.cold_share * usual * self.span))
 
     def answered(self, now: int, took: int) -> None:
         self.quickest = min(took, self.quickest + 10)
@@ -174,7 +175,7 @@
         self.dialogs: dict[int, Dialog] = {}
         self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
         self.now = 0
-        self.stood_rate = 0.0
+        self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
         self.top_importance = max(t.importance for t in types)
         self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
         self.turned_back: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
@@ -189,6 +190,8 @@
 
     def beat(self, now: int) -> None:
         self.now = now
+        # The best of the last minute: a guess that falls with service would starve cold exchanges for good.
+        self.best_rate = max(self.best_rate * (1 - BEAT / (60 * SECOND)), self.stood_rate)
         self.stood_rate *= 1 - BEAT / (10 * SECOND)
         while self.due and self.due[0][0] <= now:
             _, dialog, what = heappop(self.due)
@@ -444,7 +447,7 @@
     def _usual(self) -> float:
         """Legs that one far end sets up for all proxies a tenth of a millisecond, as far as seen from here.
         Sends that came to nothing don't count: they would swell the budget of a cold exchange in a jam."""
-        return self.stood_rate / (10 * SECOND) / max(1, len(self.by_number)) * self.proxies
+        return self.best_rate / (10 * SECOND) / max(1, len(self.by_number)) * self.proxies
 
     def _exchange(self, gw: int) -> Exchange:
         if gw not in self.gws:
