Unreachable far ends and a down own processor count as pressed

A leg without connection was followed by the next in the same instant until all legs were used. Folded into the defence against full processors: whoever can take nothing is not asked again at once. It harms when a single connection fails by chance: that destination's cheap dialogs wait about a second.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -278,9 +278,10 @@
             return
         ex.out.pop(dialog, None)
         d.leg_to = None
-        if how == LegEnd.FULL and rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL):
-            # Full processors: what they turned away costs them work too, so nobody asks again at once.
-            full = ex if rsn == Rsn.PROCESSOR_FULL else self.by_number[d.far]
+        if rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL) or how == LegEnd.UNREACHABLE:
+            # Full processors (what they turn away costs them work too), the own one down, or nobody there:
+            # whatever the cause, nobody asks again at once.
+            full = self.by_number[d.far] if rsn == Rsn.BEYOND_TANDEM_FULL else ex
             full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -73,9 +73,11 @@
     assert len(mesh.host.asked("send_leg")) == 1
 
 
-def test_a_full_processor_is_not_asked_again_at_once(mesh):
+@pytest.mark.parametrize(("how", "rsn"), [
+    (LegEnd.FULL, Rsn.PROCESSOR_FULL), (LegEnd.NOT_SENT, Rsn.PROCESSOR_FULL), (LegEnd.UNREACHABLE, Rsn.NONE)])
+def test_who_can_take_nothing_is_not_asked_again_at_once(mesh, how, rsn):
     mesh.came(0)
-    ended(mesh, 0, 1, LegEnd.FULL, 100, rsn=Rsn.PROCESSOR_FULL)
+    ended(mesh, 0, 1, how, 100, rsn=rsn)
     assert len(mesh.host.asked("send_leg")) == 1
 
 
