--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -14,7 +14,6 @@
     "void": LegEnd.NOT_SENT,
 }
 REDIALLED, IN_TRANSIT, WAS_CUT = 2, 8, 16
-IDLE, CIRCUITS, HOLD_BACK, WAIT_MS = "idle", "circuits", "reduce", "avg_ms"
 
 
 def at_least(us: float) -> int:
@@ -47,7 +46,6 @@
 
 def traffic_types(facts: Facts, family: Facts) -> list[TrafficType]:
     number = (int, float)
-    holds, widths = family.get("ClassHold", list, []), family.get("ClassWidth", list, [])
     pools = family.get("PoolsByClass", list, [])
     types = []
     for place, lane in enumerate(facts.get("Lanes", list)):
@@ -59,8 +57,6 @@
             no_answer_time=at_most(lane.get("Deadline", number)),
             late_share=float(lane.get("LateShare", number, 0.0)),
             importance=float(lane.get("Value", number, 1.0)),
-            width=int(widths[place]) if place < len(widths) else 1,
-            hold=at_most(holds[place]) if place < len(holds) else at_most(10_000_000),
             repeatable=lane.get("Repeat", str, "safe") == "safe",
             pools=frozenset(pools[place]) if place < len(pools) and pools[place] is not None else None,
         ))
@@ -121,15 +117,9 @@
     def wake_after(self, delay: int) -> None:
         self._act("Remind", FromNow=delay * UNIT, Cookie="beat")
 
-    def probe(self, gw: int) -> None:
-        self._act("Inspect", Switch=self.switch_of[gw])
-
     def subscribe(self) -> None:
         self._act("Watch", Want=True)
 
-    def journal(self, text: str) -> None:
-        self._act("JournalLine", Message=text)
-
     # --- what the wire tells ---
 
     def take(self, msg: dict[str, Any], now_us: int, lists: dict[int, list[dict[str, Any]]]) -> None:
@@ -152,7 +142,7 @@
                 self.controller.beat(now)
             case "ProbeResult":
                 gw = self._gw(msg["Switch"])
-                free, size, _, _ = self._stats(msg)
+                free, size = self._stats(msg)
                 if size >= 0:
                     self.controller.group_told(now, gw, free, size)
             case "BackendsChanged" if msg["Kind"] == 3:
@@ -188,13 +178,12 @@
         if dialog is None:
             return
         self.legs_out[dialog] -= 1
-        free, size, _, _ = self._stats(msg)
+        free, size = self._stats(msg)
         rsn = msg.get("Reason") or 0
-        wait = 0
         if self.tells_wait and rsn >= 16 and rsn % 16 == 3:
-            rsn, wait = 3, rsn // 16 * 10
-        self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, wait,
-                                  bool(msg.get("Ended")), at_most(msg.get("TimeTaken") or 0), free, size)
+            rsn = 3  # a stated wait is added to "processor full"
+        self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, bool(msg.get("Ended")),
+                                  free, size)
         if msg.get("Ended"):
             self._ended(dialog)
         else:
@@ -202,15 +191,14 @@
 
     def _entry(self, entry: dict[str, Any]) -> ListEntry:
         state = entry["Availability"]
-        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"], entry.get("Dc") or 0,
+        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"],
                          GwState(state) if state in (0, 1, 2) else GwState.GONE,
                          (entry.get("Born") or 0) // UNIT)
 
-    def _stats(self, msg: dict[str, Any]) -> tuple[int, int, float, float]:
-        """Free circuits and size of the group, hold-back share and wait; -1 where not told."""
+    def _stats(self, msg: dict[str, Any]) -> tuple[int, int]:
+        """Free circuits and size of the group; -1 where not told."""
         stats = msg.get("ServerStats") or {}
-        return (int(stats.get(IDLE, -1)), int(stats.get(CIRCUITS, -1)), float(stats.get(HOLD_BACK, -1)),
-                float(stats.get(WAIT_MS, -1)))
+        return int(stats.get("idle", -1)), int(stats.get("circuits", -1))
 
     def _gw(self, switch: str) -> int:
         if switch not in self.gw_of:
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -267,8 +267,8 @@
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
 
-    def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, full_wait: int,
-                  over: bool, took: int, free: int, size: int) -> None:
+    def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, over: bool,
+                  free: int, size: int) -> None:
         self.now = now
         ex = self._exchange(gw)
         if size >= 0:
@@ -285,11 +285,12 @@
             full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
+            # The second group can't be seen from here: each turn-back tells of it for a while.
             self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
-            if how == LegEnd.NO_ANSWER:
+            if how == LegEnd.NO_ANSWER:  # silent, whatever the cause: no tandem for now
                 ex.pressed_until = now + 2 * SECOND
         if over:
             d.answered = True
@@ -359,10 +360,12 @@
         return able
 
     def _pressed(self, ex: Exchange, d: Dialog) -> bool:
+        """Whether a tandem is skipped: it was full or silent of late, or too slow for a way through it."""
         return ex.pressed_until > self.now or ex.expected(self.now) > (d.objective_at - self.now) // 4
 
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
-        """Whether the far processor is too pressed for this dialog: cheap ones are kept back first."""
+        """Whether the way there is too slow for this dialog, be the far processor pressed, paused or silent
+        or the own one flooded: cheap dialogs are kept back first. It harms where stalls end by themselves."""
         kind = self.types[d.kind]
         late = self.now >= d.objective_at
         left = kind.setup_objective // 4 if late else d.objective_at - self.now
@@ -433,7 +436,8 @@
         self._drop(dialog, d)
 
     def _remember(self, d: Dialog) -> None:
-        """An unserved caller may dial again: the setup objective still counts from the first try."""
+        """An unserved caller may dial again, marked or not, and its objective counts from the first try: taken
+        for fresh, redials displaced dialogs in time. It harms callers who share a number."""
         if not d.transit:
             self.first_tried[d.number, d.kind, d.far] = d.first
 
--- a/gingergap/host.py
+++ b/gingergap/host.py
@@ -48,8 +48,6 @@
     no_answer_time: int
     late_share: float
     importance: float
-    width: int
-    hold: int
     repeatable: bool  # a leg in doubt may be followed by another, and the dialog may be declined
     pools: frozenset[int] | None  # the only far ends allowed, where far ends are pools of agents
 
@@ -59,7 +57,6 @@
 
     gw: int
     number: int
-    zone: int
     state: GwState
     started: int  # 0: long ago
 
@@ -82,11 +79,5 @@
     def wake_after(self, delay: int) -> None:
         """Call `beat` after `delay`."""
 
-    def probe(self, gw: int) -> None:
-        """Ask an exchange for its state."""
-
     def subscribe(self) -> None:
         """Ask for the exchange list's changes."""
-
-    def journal(self, text: str) -> None:
-        """Write a line for the operators."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,8 +19,8 @@
         return [entry[1:] for entry in self.done if entry[0] == name]
 
 
-VOICE = TrafficType(15_000, 90_000, 0.1, 1.0, 1, 100_000, True, None)
-VIDEO = TrafficType(25_000, 90_000, 0.1, 3.0, 2, 100_000, True, None)
+VOICE = TrafficType(15_000, 90_000, 0.1, 1.0, True, None)
+VIDEO = TrafficType(25_000, 90_000, 0.1, 3.0, True, None)
 KEYED = VOICE._replace(repeatable=False)
 
 
@@ -31,7 +31,7 @@
     controller = CallController(
         host, 7, 0, 4, [VOICE, VIDEO, KEYED], release_guard=2_000, most_legs=4, longest_hold_off=20_000,
         may_cancel=True, must_ask=False, cold_from=0.4, warm_after=140_000, multiple=2.5, fall_span=20_000)
-    controller.list_pushed(0, [ListEntry(gw, gw, 0, GwState.READY, 0) for gw in range(4)], True)
+    controller.list_pushed(0, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4)], True)
     for gw in (1, 2, 3):
         controller.group_told(0, gw, 20, 20)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 
 def ended(mesh, dialog, gw, how, now, rsn=0, over=False):
-    mesh.controller.leg_ended(now, dialog, gw, how, rsn, 0, over, 100, 20, 20)
+    mesh.controller.leg_ended(now, dialog, gw, how, rsn, over, 20, 20)
 
 
 def test_every_dialog_is_answered_before_the_client_gives_up(mesh):
@@ -36,21 +36,21 @@
 
 @pytest.mark.parametrize("state", [GwState.DRAINING, GwState.GONE])
 def test_nothing_goes_to_a_draining_or_gone_exchange(mesh, state):
-    mesh.controller.list_pushed(10, [ListEntry(1, 1, 0, state, 0)], False)
+    mesh.controller.list_pushed(10, [ListEntry(1, 1, state, 0)], False)
     mesh.came(0, now=10)
     assert not mesh.host.asked("send_leg")
     assert mesh.host.asked("decline")
 
 
 def test_what_a_whole_list_leaves_out_is_gone(mesh):
-    mesh.controller.list_pushed(10, [ListEntry(0, 0, 0, GwState.READY, 0)], True)
+    mesh.controller.list_pushed(10, [ListEntry(0, 0, GwState.READY, 0)], True)
     mesh.came(0, now=10)
     assert not mesh.host.asked("send_leg")
 
 
 def test_a_cold_exchange_gets_its_share_and_no_more(mesh):
     mesh.controller.best_rate = 61.0  # 6.1 a second to each far end from all; in 2 s, three times 0.25 of it
-    mesh.controller.list_pushed(10, [ListEntry(1, 1, 0, GwState.READY, 10)], False)
+    mesh.controller.list_pushed(10, [ListEntry(1, 1, GwState.READY, 10)], False)
     for dialog in range(20):
         mesh.came(dialog, now=10)
     assert len([leg for leg in mesh.host.asked("send_leg") if leg[1] == 1]) == 9
@@ -120,8 +120,8 @@
     for gw in (1, 2, 3):
         mesh.gws[gw].group.told(0, 20)
     mesh.came(0)
-    mesh.controller.list_pushed(100, [ListEntry(1, 1, 0, GwState.DRAINING, 0),
-                                      ListEntry(9, 1, 0, GwState.READY, 0)], False)
+    mesh.controller.list_pushed(100, [ListEntry(1, 1, GwState.DRAINING, 0),
+                                      ListEntry(9, 1, GwState.READY, 0)], False)
     mesh.controller.group_told(100, 9, 1, 20)
     mesh.beats(600, 200)
     assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 9)]
@@ -139,9 +139,9 @@
 
 
 def test_a_replaced_machines_drain_does_not_take_the_number_from_the_new_one(mesh):
-    mesh.controller.list_pushed(10, [ListEntry(9, 1, 0, GwState.READY, 10)], False)
-    mesh.controller.list_pushed(20, [ListEntry(1, 1, 0, GwState.DRAINING, 0)], False)
-    mesh.controller.list_pushed(30, [ListEntry(1, 1, 0, GwState.GONE, 0)], False)
+    mesh.controller.list_pushed(10, [ListEntry(9, 1, GwState.READY, 10)], False)
+    mesh.controller.list_pushed(20, [ListEntry(1, 1, GwState.DRAINING, 0)], False)
+    mesh.controller.list_pushed(30, [ListEntry(1, 1, GwState.GONE, 0)], False)
     mesh.controller.group_told(30, 9, 20, 20)
     mesh.came(0, now=40)
     assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 9)]
