--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -436,7 +436,7 @@
         self._drop(dialog, d)
 
     def _remember(self, d: Dialog) -> None:
-        """An unserved caller may dial again, marked or not, and the objective counts from the first try. Taken
+        """An unserved caller may dial again, marked or not, and the objective counts from the first. Taken
         for fresh, redials displaced dialogs in time. It harms callers who share a number."""
         if not d.transit:
             self.first_tried[d.number, d.kind, d.far] = d.first
