--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -415,7 +415,12 @@
         d.tried.add(ex.gw)
         ex.out[dialog] = self.now
         ex.group.free -= d.width
-        self.host.send_leg(dialog, ex.gw, d.expires - self.now)
+        limit = d.expires - self.now
+        if ex.number != d.far:
+            # A silent tandem is given up while release guard and another leg still fit the objective.
+            spare = d.objective_at - self.now - self.release_guard - 4 * ex.quickest
+            limit = spare if spare > 3 * ex.expected(self.now) else limit
+        self.host.send_leg(dialog, ex.gw, limit)
         return True
 
     def _decline(self, dialog: int, d: Dialog) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -151,3 +151,14 @@
     mesh.controller.stood_rate = 60.0
     mesh.beats(100_000)
     assert mesh.controller.best_rate > 45 > mesh.controller.stood_rate
+
+
+def test_a_tandem_leg_leaves_time_for_the_guard_and_another_leg(mesh):
+    mesh.gws[1].group.told(0, 20)
+    mesh.came(0)
+    (_, tandem, limit), = mesh.host.asked("send_leg")
+    assert limit + 2_000 < 15_000
+    ended(mesh, 0, tandem, LegEnd.NO_ANSWER, limit)
+    mesh.beats(15_000, limit + 200)
+    later = mesh.host.asked("send_leg")[1:]
+    assert [leg[1] for leg in later] == [1]  # the test host's word: its group is free again
