Tandems that carried a dialog there come first; skips double in a row

Cause: with sixty exchanges and up to 46% of pairs without a group, two random tandems mostly lack a second leg; a 6 s memory of single pairs is gone before the pair comes up again. Those that carried come first, a turn-back in a row is remembered twice as long (a minute at most), and the pick looks at no more exchanges than it needs. Covers any lasting lack behind a tandem; harms when a tandem's second group frees within the doubled skip and all others are full.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -178,7 +178,9 @@
         self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
         self.top_importance = max(t.importance for t in types)
         self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
-        self.turned_back: dict[tuple[int, int], int] = {}  # (tandem, destination): skipped until
+        self.far_ends: list[Exchange] = []  # in the order of the last random picks
+        self.carried: dict[int, list[Exchange]] = {}  # destination: tandems that brought a dialog there
+        self.turned_back: dict[tuple[int, int], tuple[int, int]] = {}  # (tandem, destination): until, span
 
     # --- what can happen -----------------------------------------------------------------------------
 
@@ -266,6 +268,9 @@
             d.leg_to.out.pop(dialog, None)
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
+            elif d.leg_to not in self.carried.setdefault(d.far, []):
+                self.carried[d.far].append(d.leg_to)
+                self.turned_back.pop((d.leg_to.gw, d.far), None)
 
     def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, over: bool,
                   free: int, size: int) -> None:
@@ -285,8 +290,12 @@
             full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
             full.pressed_until = now + 2 * SECOND
         elif how == LegEnd.FULL and ex.number != d.far:
-            # The second group can't be seen from here: each turn-back tells of it for a while.
-            self.turned_back[(ex.gw, d.far)] = now + 6 * SECOND
+            # The second group can't be seen from here: each turn-back tells of it for a while, and for twice
+            # as long where the last one told the same, since in large fleets many pairs have no group at all.
+            span = min(2 * self.turned_back.get((ex.gw, d.far), (0, 3 * SECOND))[1], 60 * SECOND)
+            self.turned_back[(ex.gw, d.far)] = (now + span, span)
+            if ex in self.carried.get(d.far, ()):
+                self.carried[d.far].remove(ex)
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
@@ -345,20 +354,33 @@
         self._wait(dialog, d, direct)
 
     def _tandems(self, d: Dialog) -> list[Exchange]:
-        """Two random tandems with own groups, the one with more free first-leg circuits first."""
+        """Two random tandems with own groups, the one with more free first-leg circuits first. Those that
+        have brought a dialog there since they last turned one back come before the rest: in a large fleet
+        most others have no second group, or a full one, and each turn-back is work at two processors."""
         if d.redialled:
             return []
-        pools = self.types[d.kind].pools
-        able = [ex for ex in self.gws.values()
-                if ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
-                and not self._pressed(ex, d) and self.turned_back.get((ex.gw, d.far), 0) <= self.now
-                and (pools is None or ex.number in pools)]
-        if len(able) > 2:
-            first = able.pop(int(self.chance.draw() * len(able)))
-            able = [first, able[int(self.chance.draw() * len(able))]]
+        able = self._two(self.carried.get(d.far, []), d, [])
+        if len(able) < 2:
+            able = self._two(self.far_ends, d, able)
         able.sort(key=lambda ex: -ex.group.free)
         return able
 
+    def _two(self, pool: list[Exchange], d: Dialog, able: list[Exchange]) -> list[Exchange]:
+        """Fill up to two with random ones of the pool, looking at no more of them than it takes."""
+        allowed = self.types[d.kind].pools
+        for place in range(len(pool)):
+            other = place + int(self.chance.draw() * (len(pool) - place))
+            ex = pool[other]
+            pool[place], pool[other] = ex, pool[place]
+            if (ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
+                    and ex not in able and not self._pressed(ex, d)
+                    and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
+                    and (allowed is None or ex.number in allowed)):
+                able.append(ex)
+                if len(able) == 2:
+                    break
+        return able
+
     def _pressed(self, ex: Exchange, d: Dialog) -> bool:
         """Whether a tandem is skipped: it was full or silent of late, or too slow for a way through it."""
         return ex.pressed_until > self.now or ex.expected(self.now) > (d.objective_at - self.now) // 4
@@ -462,4 +484,5 @@
     def _exchange(self, gw: int) -> Exchange:
         if gw not in self.gws:
             self.gws[gw] = Exchange(gw, TrunkGroup(self.chance), *self.cold_figures)
+            self.far_ends.append(self.gws[gw])
         return self.gws[gw]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -162,3 +162,23 @@
     mesh.beats(15_000, limit + 200)
     later = mesh.host.asked("send_leg")[1:]
     assert [leg[1] for leg in later] == [5 - tandem]
+
+
+def test_a_tandem_that_carried_there_is_picked_before_others(mesh):
+    controller = mesh.controller
+    mesh.gws[1].group.told(0, 20)
+    controller.carried[1] = [mesh.gws[3], mesh.gws[2]]
+    controller.turned_back[3, 1] = (60_000, 60_000)
+    mesh.came(0)
+    assert mesh.host.asked("send_leg")[0][1] == 2
+    ended(mesh, 0, 2, LegEnd.FULL, 100, rsn=Rsn.TANDEM_DECLINED)
+    assert mesh.gws[2] not in controller.carried[1]
+
+
+def test_each_turn_back_in_a_row_is_remembered_twice_as_long(mesh):
+    mesh.gws[1].group.told(0, 20)
+    mesh.controller.turned_back[2, 1] = mesh.controller.turned_back[3, 1] = (0, 60_000)
+    mesh.came(0)
+    tandem = mesh.host.asked("send_leg")[0][1]
+    ended(mesh, 0, tandem, LegEnd.FULL, 100, rsn=Rsn.TANDEM_DECLINED)
+    assert mesh.controller.turned_back[tandem, 1] == (120_100, 120_000)
