An answer clears earlier unanswered legs of the same far end

Cause: the age of the oldest unanswered leg stood for the far end's set-up time, so one lost answer kept every dialog for it back until the caller's time was up. A processor with one line answers in order, so an answer to a later leg tells lost from late. Covers resets on the way and forgotten legs too; it harms where a far end answers out of order while it hangs for some.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -122,6 +122,13 @@
             del self.sent[0]
         return len(self.sent) < max(1, int(3 * self.cold_share * usual * self.span))
 
+    def overtaken(self, dialog: int) -> None:
+        """A leg is over. A processor with one line answers in order: an answer to it means that those for
+        earlier legs are lost, not late, and a lost answer must not make a running exchange look silent."""
+        left = self.out.pop(dialog, None)
+        while left is not None and self.out and next(iter(self.out.values())) < left:
+            del self.out[next(iter(self.out))]
+
     def answered(self, now: int, took: int) -> None:
         self.quickest = min(took, self.quickest + 10)
         self.took = (self.took + took) // 2  # one slow answer may be a short stall: it counts half
@@ -265,7 +272,7 @@
         d.stands = True
         self.stood_rate += 1
         if d.leg_to is not None:
-            d.leg_to.out.pop(dialog, None)
+            d.leg_to.overtaken(dialog)
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
             elif d.leg_to not in self.carried.setdefault(d.far, []):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -182,3 +182,12 @@
     tandem = mesh.host.asked("send_leg")[0][1]
     ended(mesh, 0, tandem, LegEnd.FULL, 100, rsn=Rsn.TANDEM_DECLINED)
     assert mesh.controller.turned_back[tandem, 1] == (120_100, 120_000)
+
+
+def test_a_lost_answer_does_not_make_a_far_end_look_silent(mesh):
+    far = mesh.gws[1]
+    mesh.came(0)
+    mesh.came(1, now=5_000)
+    assert far.expected(15_000) == 15_000
+    mesh.controller.dialog_stands(6_000, 1, 1_000)
+    assert far.expected(15_000) < 2_000
