A silent leg ends in time for another while later legs elsewhere are answered

Cause: with lost answers a direct leg lay out until the caller gave up; a limit set at sending told lost from slow wrongly. Judged when due: most legs sent after it, to any far end, have been answered and it is three times older than what answers take. Covers vanished and cut-off far ends (another try or tandem while in time); harms a lone slow far end, which does one set-up for nothing until it answers.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -97,6 +97,7 @@
         self.ready = False
         self.started = 0
         self.pressed_until = 0
+        self.heard = True  # an answer came since the last leg that ended without one
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
@@ -183,6 +184,9 @@
         self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
         self.now = 0
         self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
+        self.legs_sent = 0
+        self.legs_out: dict[int, int] = {}  # dialogs with an unanswered leg, numbered as sent
+        self.pace = 0.0  # set-up time of late, over all far ends
         self.top_importance = max(t.importance for t in types)
         self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
         self.far_ends: list[Exchange] = []  # in the order of the last random picks
@@ -214,6 +218,8 @@
                 self._abort(dialog, d)
             elif what == "give up" and d.waits is not None:
                 self._decline(dialog, d)
+            elif what == "silent" and d.leg_to is not None:
+                self._end_silent(dialog, d, d.leg_to)
             elif what == "again" and d.leg_to is None and d.waits is None:
                 self._route(dialog, d)
         while self.first_tried:
@@ -272,7 +278,10 @@
         d.stands = True
         self.stood_rate += 1
         if d.leg_to is not None:
+            self.legs_out.pop(dialog, None)
             d.leg_to.overtaken(dialog)
+            d.leg_to.heard = True
+            self.pace += (took - self.pace) / 8
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
             elif d.leg_to not in self.carried.setdefault(d.far, []):
@@ -289,6 +298,7 @@
         if d is None:
             return
         ex.out.pop(dialog, None)
+        self.legs_out.pop(dialog, None)
         d.leg_to = None
         if rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL) or how == LegEnd.UNREACHABLE:
             # Full processors (what they turn away costs them work too), the own one down, or nobody there:
@@ -306,8 +316,9 @@
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
-            if how == LegEnd.NO_ANSWER:  # silent, whatever the cause: no tandem for now
+            if how != LegEnd.CUT:  # silent, whatever the cause: no tandem for now
                 ex.pressed_until = now + 2 * SECOND
+                ex.heard = False
         if over:
             d.answered = True
         if d.answered or d.stands:
@@ -444,14 +455,23 @@
         d.tried.add(ex.gw)
         ex.out[dialog] = self.now
         ex.group.free -= d.width
-        limit = d.expires - self.now
-        if ex.number != d.far:
-            # A silent tandem is given up while release guard and another leg still fit the objective.
-            spare = d.objective_at - self.now - self.release_guard - 4 * ex.quickest
-            limit = spare if spare > 3 * ex.expected(self.now) else limit
-        self.host.send_leg(dialog, ex.gw, limit)
+        self.legs_sent += 1
+        self.legs_out[dialog] = self.legs_sent
+        heappush(self.due, (d.objective_at - self.release_guard - 4 * ex.quickest, dialog, "silent"))
+        self.host.send_leg(dialog, ex.gw, d.expires - self.now)
         return True
 
+    def _end_silent(self, dialog: int, d: Dialog, ex: Exchange) -> None:
+        """End a leg that is still out when release guard and a further leg just fit the objective, if its
+        answer is lost or nobody is there: most legs sent after it, wherever, have been answered, and quickly.
+        Else processors are slow, and giving up would leave them with work for nothing. A lone slow far end
+        looks the same once, but not again before it has answered."""
+        later = self.legs_sent - self.legs_out[dialog]
+        silent = list(reversed(self.legs_out)).index(dialog)
+        if (self.may_cancel and ex.heard and later > 1 and 2 * silent <= later
+                and self.now - ex.out.get(dialog, 0) > 3 * self.pace):
+            self.host.cancel_leg(dialog, d.legs - 1)
+
     def _decline(self, dialog: int, d: Dialog) -> None:
         if d.doubt and not self.types[d.kind].repeatable:
             self._abort(dialog, d)
