--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -97,7 +97,6 @@
         self.ready = False
         self.started = 0
         self.pressed_until = 0
-        self.heard = True  # an answer came since the last leg that ended without one
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
@@ -280,7 +279,6 @@
         if d.leg_to is not None:
             self.legs_out.pop(dialog, None)
             d.leg_to.overtaken(dialog)
-            d.leg_to.heard = True
             self.pace += (took - self.pace) / 8
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
@@ -318,7 +316,6 @@
             d.not_before = now + self.release_guard
             if how != LegEnd.CUT:  # silent, whatever the cause: no tandem for now
                 ex.pressed_until = now + 2 * SECOND
-                ex.heard = False
         if over:
             d.answered = True
         if d.answered or d.stands:
@@ -464,11 +461,11 @@
     def _end_silent(self, dialog: int, d: Dialog, ex: Exchange) -> None:
         """End a leg that is still out when release guard and a further leg just fit the objective, if its
         answer is lost or nobody is there: most legs sent after it, wherever, have been answered, and quickly.
-        Else processors are slow, and giving up would leave them with work for nothing. A lone slow far end
-        looks the same once, but not again before it has answered."""
+        Else processors are slow, and giving up would leave them with work for nothing, as it does at a lone
+        slow far end, which looks the same from here."""
         later = self.legs_sent - self.legs_out[dialog]
         silent = list(reversed(self.legs_out)).index(dialog)
-        if (self.may_cancel and ex.heard and later > 1 and 2 * silent <= later
+        if (self.may_cancel and later > 1 and 2 * silent <= later
                 and self.now - ex.out.get(dialog, 0) > 3 * self.pace):
             self.host.cancel_leg(dialog, d.legs - 1)
 
