Caps start by the group's size; tandems are pressed by the pace of all far ends

Cause: among sixty exchanges most groups hold a few circuits, and a cap 2 below the size shuts them to two-leg dialogs. Covers any slowness shared by many; harms healthy tandems while many others are slow.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -39,7 +39,7 @@
         """Start the levels anew: what was learned of another size says nothing of this one."""
         self.size = size
         self.floor = max(size / 2, size - 4)
-        self.cap = max(size - 2, self.floor)
+        self.cap = size - min(2, size / 20)
         self.accept_below = self.cap - max(1, size / 10)
         self.lower_below = min(self.cap / 2, self.accept_below - 1)
         self.declines = self.idles = 0
@@ -398,7 +398,8 @@
 
     def _pressed(self, ex: Exchange, d: Dialog) -> bool:
         """Whether a tandem is skipped: it was full or silent of late, or too slow for a way through it."""
-        return ex.pressed_until > self.now or ex.expected(self.now) > (d.objective_at - self.now) // 4
+        return (ex.pressed_until > self.now
+                or max(self.pace, ex.expected(self.now)) > (d.objective_at - self.now) // 4)
 
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
         """Whether the way there is too slow for this dialog, be the far processor pressed, paused or silent
