--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -39,7 +39,7 @@
         """Start the levels anew: what was learned of another size says nothing of this one."""
         self.size = size
         self.floor = max(size / 2, size - 4)
-        self.cap = size - min(2, size / 20)
+        self.cap = size - min(2, size / 10)
         self.accept_below = self.cap - max(1, size / 10)
         self.lower_below = min(self.cap / 2, self.accept_below - 1)
         self.declines = self.idles = 0
