The centre's advised tandem is one of the two; a cold share under one leg is stretched

Covers second groups that nobody here can see; harms where the centre looks seldom. Cold share: one leg a proxy and span is 60 legs among 60 proxies, which passes the budget of all; it is now one leg in span/share from a random moment on, tested up to 1,000 proxies.

--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -168,7 +168,7 @@
         self.controller.dialog_came(
             now, dialog, kind, int(msg["FarEnd"]), int(msg["SlotsNeeded"]), msg.get("Subject") or "",
             at_most(msg["ExpiresIn"]), bool(marks & IN_TRANSIT), bool(marks & REDIALLED),
-            bool(marks & WAS_CUT))
+            bool(marks & WAS_CUT), -1 if marks & IN_TRANSIT else int(msg.get("AdvisedRoute", -1)))
 
     def _result(self, msg: dict[str, Any], now: int) -> None:
         dialog = self.dialog_of.get(msg["Rid"])
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -93,12 +93,14 @@
                  span: int, proxies: int) -> None:
         self.gw, self.group, self.number = gw, group, -1
         self.cold_share = cold_from * multiple / proxies
+        self.least = 1 / proxies / SECOND  # all together a leg a second until service has been seen
         self.warm_after, self.span = warm_after, span
         self.ready = False
         self.started = 0
         self.pressed_until = 0
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
+        self.unspread = False  # a start whose first moment is still to be drawn
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
         self.quickest = SECOND // 10
         self.took = self.took_at = 0
@@ -111,16 +113,24 @@
             self.started = entry.started
             self.cold_until = entry.started + self.warm_after
             self.sent.clear()
+            self.unspread = True
 
     def cold_room(self, now: int, usual: float) -> bool:
         """Whether a cold exchange may get one more leg from here. `usual` is what one warm far end gets
         from all proxies a tenth of a millisecond. Its own dialogs, looks, answers and releases come on top,
-        so thrice as much is still a low guess of its capacity; the cold share holds until it must be warm."""
+        so thrice as much is still a low guess of its capacity; the cold share holds until it must be warm.
+        Among many proxies a share is under one leg a span. One leg each would add up to more than the budget
+        of all, so it is then one in as many spans as that takes, from a random moment on."""
         if now >= self.cold_until:
             return True
-        while self.sent and self.sent[0] <= now - self.span:
+        share = max(3 * self.cold_share * usual, self.least) * self.span
+        span = int(self.span / min(1, share))
+        if self.unspread and share < 1:
+            self.sent.append(now - int(self.group.chance.draw() * span))
+        self.unspread = False
+        while self.sent and self.sent[0] <= now - span:
             del self.sent[0]
-        return len(self.sent) < max(1, int(3 * self.cold_share * usual * self.span))
+        return len(self.sent) < max(1, int(share))
 
     def overtaken(self, dialog: int) -> None:
         """A leg is over. A processor with one line answers in order: an answer to it means that those for
@@ -149,14 +159,15 @@
     """A dialog from its arrival to its last word."""
 
     __slots__ = ("first", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
-                 "legs", "leg_to", "not_before", "answered", "doubt", "tried", "waits", "stands",
-                 "luck")
+                 "legs", "leg_to", "not_before", "answered", "doubt", "tried", "waits", "stands", "luck",
+                 "advised")
 
     def __init__(self, first: int, kind: int, far: int, width: int, number: str, transit: bool,
-                 redialled: bool, expires: int, objective_at: int, luck: float) -> None:
+                 redialled: bool, expires: int, objective_at: int, luck: float, advised: int) -> None:
         self.first, self.kind, self.far, self.width, self.number = first, kind, far, width, number
         self.transit, self.redialled = transit, redialled
         self.expires, self.objective_at = expires, objective_at
+        self.advised = advised  # a tandem's number, or -1
         self.luck = luck  # drawn once: a dialog that waits must not draw until it wins
         self.legs = 0
         self.leg_to: Exchange | None = None
@@ -257,14 +268,14 @@
             self._serve(ex)
 
     def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str,
-                    expires_in: int, transit: bool, redialled: bool, cut: bool) -> None:
+                    expires_in: int, transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
         self.now = now
         expires = now + expires_in - 2 * BEAT
         first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
         redialled = redialled or first < now
         objective_at = min(first + self.types[kind].setup_objective, expires)
         d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at,
-                   self.chance.draw())
+                   self.chance.draw(), advised)
         self.dialogs[dialog] = d
         heappush(self.due, (expires, dialog, "answer"))
         self._route(dialog, d)
@@ -371,10 +382,14 @@
     def _tandems(self, d: Dialog) -> list[Exchange]:
         """Two random tandems with own groups, the one with more free first-leg circuits first. Those that
         have brought a dialog there since they last turned one back come before the rest: in a large fleet
-        most others have no second group, or a full one, and each turn-back is work at two processors."""
+        most others have no second group, or a full one, and each turn-back is work at two processors. Where
+        a centre advises a tandem, that one, which had most room on both groups, stands for the first."""
         if d.redialled:
             return []
-        able = self._two(self.carried.get(d.far, []), d, [])
+        advised = self.by_number.get(d.advised)
+        able = self._two([advised], d, []) if advised is not None else []
+        if len(able) < 2:
+            able = self._two(self.carried.get(d.far, []), d, able)
         if len(able) < 2:
             able = self._two(self.far_ends, d, able)
         able.sort(key=lambda ex: -ex.group.free)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gingergap.brain import Chance, Dialog, Exchange, TrunkGroup
 from gingergap.host import GwState, LegEnd, ListEntry, Rsn
 
 
@@ -139,6 +140,7 @@
 
 
 def test_a_replaced_machines_drain_does_not_take_the_number_from_the_new_one(mesh):
+    mesh.controller.best_rate = 100.0
     mesh.controller.list_pushed(10, [ListEntry(9, 1, GwState.READY, 10)], False)
     mesh.controller.list_pushed(20, [ListEntry(1, 1, GwState.DRAINING, 0)], False)
     mesh.controller.list_pushed(30, [ListEntry(1, 1, GwState.GONE, 0)], False)
@@ -191,3 +193,24 @@
     assert far.expected(15_000) == 15_000
     mesh.controller.dialog_stands(6_000, 1, 1_000)
     assert far.expected(15_000) < 2_000
+
+
+def test_an_advised_tandem_is_one_of_the_two(mesh):
+    mesh.controller.list_pushed(0, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4, 9)], False)
+    for gw in range(4, 9):
+        mesh.controller.group_told(0, gw, 20, 20)
+    d = Dialog(0, 0, 1, 1, "n", False, False, 30_000, 15_000, 0.5, 6)
+    assert all(mesh.gws[6] in mesh.controller._tandems(d) for _ in range(10))
+
+
+def test_the_cold_budget_of_all_proxies_holds_for_any_number_of_them():
+    for proxies in (1, 3, 10, 60, 1_000):
+        legs, usual, span = 0, 0.01, 10_000  # a hundred legs a second to each warm exchange
+        for proxy in range(proxies):
+            ex = Exchange(1, TrunkGroup(Chance(proxy)), 0.4, 140_000, 2.5, span, proxies)
+            ex.listed(0, ListEntry(1, 1, GwState.READY, 1))
+            for now in range(1, 60_001, 500):
+                if ex.cold_room(now, usual):
+                    ex.sent.append(now)
+                    legs += 1
+        assert 0 < legs / 6 <= 3 * 0.4 * 2.5 * usual * span * 1.1
