Proxies tell which groups have room where no centre advises; one waiting room

Nothing leans on a message: without word an exchange counts as reaching all. Harms while a told lack of room is stale. The waiting room is one list, served each beat.

--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -21,6 +21,13 @@
     return -(-int(us) // UNIT) + SAFETY
 
 
+def _hex(text: str) -> bytes:
+    try:
+        return bytes.fromhex(text)
+    except ValueError:
+        raise BadLineError("field Bytes is ill-typed") from None
+
+
 def at_most(us: float) -> int:
     """A span that must not have passed yet."""
     return int(us) // UNIT
@@ -89,6 +96,8 @@
             longest_hold_off=(at_most(ceilings.get("MaxRetryAfter", number, 0))
                               if ceilings.get("RetryAfter", bool, False) else 0),
             may_cancel=ceilings.get("Cancelling", bool, False),
+            may_tell=ceilings.get("PeerMessages", bool, False),
+            centre_advises=family.get("RouteAdvice", bool, False),
             must_ask=start.get("MembershipMode", str, "push") == "ask",
             cold_from=float(rules.get("ColdFrom", number, 1.0)),
             warm_after=at_least(rules.get("WarmAfter", number, 0)),
@@ -117,6 +126,9 @@
     def wake_after(self, delay: int) -> None:
         self._act("Remind", FromNow=delay * UNIT, Cookie="beat")
 
+    def tell_all(self, told: bytes) -> None:
+        self._act("Say", To=-1, Bytes=told.hex())
+
     def subscribe(self) -> None:
         self._act("Watch", Want=True)
 
@@ -138,6 +150,8 @@
                 if dialog is not None:
                     self.controller.dialog_gone(now, dialog)
                     self._ended(dialog)
+            case "Message":
+                self.controller.peer_told(now, _hex(msg["Bytes"]))
             case "Elapsed":
                 self.controller.beat(now)
             case "ProbeResult":
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -5,6 +5,7 @@
 Times are whole tenths of a millisecond.
 """
 
+from bisect import insort
 from heapq import heappop, heappush
 
 from .host import GwState, Host, LegEnd, ListEntry, Rsn, TrafficType
@@ -49,6 +50,9 @@
             self.resize(size)
         self.free = free
 
+    def room(self) -> bool:
+        return self.size - self.free + 1 < self.cap
+
     def fits(self, width: int) -> bool:
         return width <= self.free
 
@@ -98,13 +102,13 @@
         self.ready = False
         self.started = 0
         self.pressed_until = 0
+        self.reach = -1  # a bit for each number that it has room to; all until its proxy has told
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.unspread = False  # a start whose first moment is still to be drawn
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
         self.quickest = SECOND // 10
         self.took = self.took_at = 0
-        self.waiting: list[tuple[float, int]] = []  # (less importance, dialog)
 
     def listed(self, now: int, entry: ListEntry) -> None:
         self.number = entry.number
@@ -172,8 +176,7 @@
         self.legs = 0
         self.leg_to: Exchange | None = None
         self.not_before = 0
-        self.answered = self.doubt = self.stands = False
-        self.waits: Exchange | None = None
+        self.answered = self.doubt = self.stands = self.waits = False
         self.tried: set[int] = set()
 
 
@@ -182,16 +185,19 @@
 
     def __init__(self, host: Host, seed: int, here: int, proxies: int, types: list[TrafficType], *,
                  release_guard: int, most_legs: int, longest_hold_off: int, may_cancel: bool, must_ask: bool,
+                 may_tell: bool, centre_advises: bool,
                  cold_from: float, warm_after: int, multiple: float, fall_span: int) -> None:
         self.host, self.here, self.proxies, self.types = host, here, proxies, types
         self.release_guard, self.most_legs = release_guard, most_legs
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
+        self.tell_at = 0 if may_tell and not centre_advises else None  # a centre knows it, and at no cost
         self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
         self.chance = Chance(seed)
         self.gws: dict[int, Exchange] = {}
         self.by_number: dict[int, Exchange] = {}
         self.dialogs: dict[int, Dialog] = {}
         self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
+        self.waiting: list[tuple[float, int]] = []  # (less importance, dialog): none would take it
         self.now = 0
         self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
         self.legs_sent = 0
@@ -226,22 +232,31 @@
                 continue
             if what == "answer":  # no dialog outlives the client's time: answer, whatever is still out
                 self._abort(dialog, d)
-            elif what == "give up" and d.waits is not None:
+            elif what == "give up" and d.waits:
                 self._decline(dialog, d)
             elif what == "silent" and d.leg_to is not None:
                 self._end_silent(dialog, d, d.leg_to)
-            elif what == "again" and d.leg_to is None and d.waits is None:
+            elif what == "again" and d.leg_to is None and not d.waits:
                 self._route(dialog, d)
         while self.first_tried:
             key = next(iter(self.first_tried))
             if now - self.first_tried[key] < self.types[key[1]].no_answer_time:
                 break
             del self.first_tried[key]
-        for ex in self.gws.values():
-            if ex.waiting:
-                self._serve(ex)
+        self._serve()
+        if self.tell_at is not None and now >= self.tell_at:
+            # Eight tellings a second reach each proxy whatever their number: each is work for its processor.
+            self.tell_at = now + int((0.5 + self.chance.draw()) * self.proxies * SECOND / 8)
+            reach = sum(1 << number for number, ex in self.by_number.items() if number < 2000 and ex.group.room())
+            self.host.tell_all(self.here.to_bytes(2) + reach.to_bytes((reach.bit_length() + 7) // 8))
         self.host.wake_after(BEAT)
 
+    def peer_told(self, now: int, told: bytes) -> None:
+        """Which groups of another proxy have room. Until it has told, its exchange counts as reaching all."""
+        ex = self.by_number.get(int.from_bytes(told[:2]))
+        if ex is not None and len(told) > 2:
+            ex.reach = int.from_bytes(told[2:])
+
     def list_pushed(self, now: int, entries: list[ListEntry], whole: bool) -> None:
         self.now = now
         if whole:
@@ -262,10 +277,7 @@
 
     def group_told(self, now: int, gw: int, free: int, size: int) -> None:
         self.now = now
-        ex = self._exchange(gw)
-        ex.group.told(free, size)
-        if ex.waiting:
-            self._serve(ex)
+        self._exchange(gw).group.told(free, size)
 
     def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str,
                     expires_in: int, transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
@@ -403,7 +415,7 @@
             ex = pool[other]
             pool[place], pool[other] = ex, pool[place]
             if (ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
-                    and ex not in able and not self._pressed(ex, d)
+                    and ex not in able and ex.reach >> d.far & 1 and not self._pressed(ex, d)
                     and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
                     and (allowed is None or ex.number in allowed)):
                 able.append(ex)
@@ -435,20 +447,19 @@
         if d.redialled or until <= self.now:
             self._decline(dialog, d)
             return
-        if d.waits is None:
-            d.waits = ex
-            ex.waiting.append((-self.types[d.kind].importance, dialog))
-            ex.waiting.sort()
+        if not d.waits:
+            d.waits = True
+            insort(self.waiting, (-self.types[d.kind].importance, dialog))
             heappush(self.due, (until, dialog, "give up"))
 
-    def _serve(self, ex: Exchange) -> None:
+    def _serve(self) -> None:
         """Freed circuits go to those who wait, the more important first."""
-        for entry in list(ex.waiting):
+        for entry in list(self.waiting):
             d = self.dialogs[entry[1]]
             to = self.by_number[d.far]
             if to.group.fits(d.width) and not self._kept_back(d, to) and self._send(entry[1], d, to):
-                d.waits = None
-                ex.waiting.remove(entry)
+                d.waits = False
+                self.waiting.remove(entry)
 
     # --- the only ways out -----------------------------------------------------------------------------
 
@@ -510,9 +521,9 @@
 
     def _drop(self, dialog: int, d: Dialog) -> None:
         """Forget an answered dialog, but not a leg that is still out: its end is yet to come."""
-        if d.waits is not None:
-            d.waits.waiting = [entry for entry in d.waits.waiting if entry[1] != dialog]
-            d.waits = None
+        if d.waits:
+            self.waiting.remove((-self.types[d.kind].importance, dialog))
+            d.waits = False
         if d.leg_to is None:
             del self.dialogs[dialog]
 
--- a/gingergap/host.py
+++ b/gingergap/host.py
@@ -79,5 +79,8 @@
     def wake_after(self, delay: int) -> None:
         """Call `beat` after `delay`."""
 
+    def tell_all(self, told: bytes) -> None:
+        """Send other proxies a message, which may be lost; it ends up in their `peer_told`."""
+
     def subscribe(self) -> None:
         """Ask for the exchange list's changes."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,6 +112,7 @@
     mesh.came(1)
     assert not mesh.host.asked("decline")
     mesh.controller.group_told(5_000, 1, 1, 20)
+    mesh.controller.beat(5_000)
     assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 1)]
     mesh.beats(15_000, 5_200)
     assert mesh.host.asked("decline") == [(1, 20_000)]
@@ -214,3 +215,20 @@
                     ex.sent.append(now)
                     legs += 1
         assert 0 < legs / 6 <= 3 * 0.4 * 2.5 * usual * span * 1.1
+
+
+def test_a_tandem_whose_proxy_told_of_no_room_is_skipped_and_silence_is_room(mesh):
+    mesh.gws[1].group.told(0, 20)
+    d = Dialog(0, 0, 1, 1, "n", False, False, 30_000, 15_000, 0.5, -1)
+    mesh.controller.peer_told(0, bytes([0, 2, 0b1000]))
+    assert mesh.controller._tandems(d) == [mesh.gws[3]]
+    mesh.controller.peer_told(0, bytes([0, 2, 0b1010]))
+    assert len(mesh.controller._tandems(d)) == 2
+    mesh.controller.peer_told(0, b"")
+    mesh.controller.peer_told(0, bytes([9, 9, 1]))
+
+
+def test_groups_with_room_for_two_leg_dialogs_are_told(mesh):
+    mesh.gws[1].group.told(0, 20)
+    mesh.controller.beat(0)
+    assert mesh.host.asked("tell_all") == [(bytes([0, 0, 0b1100]),)]
