--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -51,7 +51,7 @@
         self.free = free
 
     def room(self) -> bool:
-        return self.size - self.free + 1 < self.cap
+        return 0 < self.size and self.size - self.free + 1 < self.cap
 
     def fits(self, width: int) -> bool:
         return width <= self.free
@@ -190,7 +190,8 @@
         self.host, self.here, self.proxies, self.types = host, here, proxies, types
         self.release_guard, self.most_legs = release_guard, most_legs
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
-        self.tell_at = 0 if may_tell and not centre_advises else None  # a centre knows it, and at no cost
+        tells = may_tell and not centre_advises and 0 <= here < 2000  # a centre knows it, and at no cost
+        self.tell_at = 0 if tells else None
         self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
         self.chance = Chance(seed)
         self.gws: dict[int, Exchange] = {}
@@ -247,7 +248,7 @@
         if self.tell_at is not None and now >= self.tell_at:
             # Eight tellings a second reach each proxy whatever their number: each is work for its processor.
             self.tell_at = now + int((0.5 + self.chance.draw()) * self.proxies * SECOND / 8)
-            reach = sum(1 << number for number, ex in self.by_number.items() if number < 2000 and ex.group.room())
+            reach = sum(1 << n for n, ex in self.by_number.items() if n < 2000 and ex.group.room())
             self.host.tell_all(self.here.to_bytes(2) + reach.to_bytes((reach.bit_length() + 7) // 8))
         self.host.wake_after(BEAT)
 
