--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -51,7 +51,7 @@
         self.free = free
 
     def room(self) -> bool:
-        return 0 < self.size and self.size - self.free + 1 < self.cap
+        return self.size > 0 and self.size - self.free + 1 < self.cap
 
     def fits(self, width: int) -> bool:
         return width <= self.free
