Only tandems with room for the dialog on the first leg are picked from

Cause: two random tandems among sixty thin groups mostly can't take a wide dialog at all. Harms where second legs are as full as first ones; covers any lopsided set of groups.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -415,7 +415,7 @@
             other = place + int(self.chance.draw() * (len(pool) - place))
             ex = pool[other]
             pool[place], pool[other] = ex, pool[place]
-            if (ex.ready and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
+            if (ex.ready and ex.group.fits(d.width) and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
                     and ex not in able and ex.reach >> d.far & 1 and not self._pressed(ex, d)
                     and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
                     and (allowed is None or ex.number in allowed)):
