--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -50,8 +50,8 @@
             self.resize(size)
         self.free = free
 
-    def room(self) -> bool:
-        return self.size > 0 and self.size - self.free + 1 < self.cap
+    def room(self, width: int) -> bool:
+        return self.size > 0 and self.size - self.free + width < self.cap
 
     def fits(self, width: int) -> bool:
         return width <= self.free
@@ -102,7 +102,7 @@
         self.ready = False
         self.started = 0
         self.pressed_until = 0
-        self.reach = -1  # a bit for each number that it has room to; all until its proxy has told
+        self.reach = -1, -1  # a bit for each number that it has room to, for narrow and for wide dialogs
         self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.unspread = False  # a start whose first moment is still to be drawn
@@ -110,7 +110,7 @@
         self.quickest = SECOND // 10
         self.took = self.took_at = 0
 
-    def listed(self, now: int, entry: ListEntry) -> None:
+    def listed(self, entry: ListEntry) -> None:
         self.number = entry.number
         self.ready = entry.state == GwState.READY
         if entry.started > self.started:
@@ -190,7 +190,7 @@
         self.host, self.here, self.proxies, self.types = host, here, proxies, types
         self.release_guard, self.most_legs = release_guard, most_legs
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
-        tells = may_tell and not centre_advises and 0 <= here < 2000  # a centre knows it, and at no cost
+        tells = may_tell and not centre_advises and 0 <= here < 1000  # a centre knows it, and at no cost
         self.tell_at = 0 if tells else None
         self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
         self.chance = Chance(seed)
@@ -204,6 +204,7 @@
         self.legs_sent = 0
         self.legs_out: dict[int, int] = {}  # dialogs with an unanswered leg, numbered as sent
         self.pace = 0.0  # set-up time of late, over all far ends
+        self.widest = 1
         self.top_importance = max(t.importance for t in types)
         self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
         self.far_ends: list[Exchange] = []  # in the order of the last random picks
@@ -248,15 +249,19 @@
         if self.tell_at is not None and now >= self.tell_at:
             # Eight tellings a second reach each proxy whatever their number: each is work for its processor.
             self.tell_at = now + int((0.5 + self.chance.draw()) * self.proxies * SECOND / 8)
-            reach = sum(1 << n for n, ex in self.by_number.items() if n < 2000 and ex.group.room())
-            self.host.tell_all(self.here.to_bytes(2) + reach.to_bytes((reach.bit_length() + 7) // 8))
+            self.host.tell_all(b"".join([self.here.to_bytes(2), self._reach(1), self._reach(self.widest)]))
         self.host.wake_after(BEAT)
 
     def peer_told(self, now: int, told: bytes) -> None:
         """Which groups of another proxy have room. Until it has told, its exchange counts as reaching all."""
         ex = self.by_number.get(int.from_bytes(told[:2]))
-        if ex is not None and len(told) > 2:
-            ex.reach = int.from_bytes(told[2:])
+        half = len(told) // 2 + 1
+        if ex is not None and half > 2:
+            ex.reach = int.from_bytes(told[2:half]), int.from_bytes(told[half:])
+
+    def _reach(self, width: int) -> bytes:
+        able = sum(1 << n for n, ex in self.by_number.items() if n < 1000 and ex.group.room(width))
+        return able.to_bytes(min(max(self.by_number), 999) // 8 + 1)
 
     def list_pushed(self, now: int, entries: list[ListEntry], whole: bool) -> None:
         self.now = now
@@ -266,7 +271,7 @@
                 ex.ready = ex.ready and gw in named
         for entry in entries:
             ex = self._exchange(entry.gw)
-            ex.listed(now, entry)
+            ex.listed(entry)
             # The new machine may hold the number already when the old one's drain is told: it keeps it.
             held = self.by_number.get(entry.number)
             if held is None or ex.ready and ex.started >= held.started or not held.ready:
@@ -287,6 +292,7 @@
         first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
         redialled = redialled or first < now
         objective_at = min(first + self.types[kind].setup_objective, expires)
+        self.widest = max(self.widest, width)
         d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at,
                    self.chance.draw(), advised)
         self.dialogs[dialog] = d
@@ -357,10 +363,8 @@
     def dialog_gone(self, now: int, dialog: int) -> None:
         self.now = now
         d = self.dialogs.get(dialog)
-        if d is None:
-            return
-        d.answered = True
-        self._drop(dialog, d)
+        if d is not None:
+            self._drop(dialog, d)
 
     # --- the ordinary path -----------------------------------------------------------------------------
 
@@ -415,9 +419,9 @@
             other = place + int(self.chance.draw() * (len(pool) - place))
             ex = pool[other]
             pool[place], pool[other] = ex, pool[place]
-            if (ex.ready and ex.group.fits(d.width) and ex.group.size and ex.number not in (d.far, self.here) and ex.gw not in d.tried
-                    and ex not in able and ex.reach >> d.far & 1 and not self._pressed(ex, d)
-                    and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
+            if (ex.ready and d.width <= ex.group.free <= ex.group.size and ex.number not in (d.far, self.here)
+                    and ex.gw not in d.tried and ex not in able and ex.reach[d.width > 1] >> d.far & 1
+                    and not self._pressed(ex, d) and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
                     and (allowed is None or ex.number in allowed)):
                 able.append(ex)
                 if len(able) == 2:
@@ -501,27 +505,22 @@
         if d.doubt and not self.types[d.kind].repeatable:
             self._abort(dialog, d)
             return
-        self._remember(d)
         self.host.decline(dialog, 0 if d.transit else self.longest_hold_off)
-        d.answered = True
         self._drop(dialog, d)
 
     def _abort(self, dialog: int, d: Dialog) -> None:
         if d.leg_to is not None and self.may_cancel:
             self.host.cancel_leg(dialog, d.legs - 1)
-        self._remember(d)
         self.host.abort(dialog)
-        d.answered = True
         self._drop(dialog, d)
 
-    def _remember(self, d: Dialog) -> None:
-        """An unserved caller may dial again, marked or not, and the objective counts from the first. Taken
-        for fresh, redials displaced dialogs in time. It harms callers who share a number."""
-        if not d.transit:
-            self.first_tried[d.number, d.kind, d.far] = d.first
-
     def _drop(self, dialog: int, d: Dialog) -> None:
-        """Forget an answered dialog, but not a leg that is still out: its end is yet to come."""
+        """Forget an answered dialog, but not a leg that is still out: its end is yet to come. An unserved
+        caller may dial again, marked or not, and the objective counts from the first: taken for fresh,
+        redials displaced dialogs in time. It harms callers who share a number."""
+        d.answered = True
+        if not (d.transit or d.stands):
+            self.first_tried[d.number, d.kind, d.far] = d.first
         if d.waits:
             self.waiting.remove((-self.types[d.kind].importance, dialog))
             d.waits = False
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -209,7 +209,7 @@
         legs, usual, span = 0, 0.01, 10_000  # a hundred legs a second to each warm exchange
         for proxy in range(proxies):
             ex = Exchange(1, TrunkGroup(Chance(proxy)), 0.4, 140_000, 2.5, span, proxies)
-            ex.listed(0, ListEntry(1, 1, GwState.READY, 1))
+            ex.listed(ListEntry(1, 1, GwState.READY, 1))
             for now in range(1, 60_001, 500):
                 if ex.cold_room(now, usual):
                     ex.sent.append(now)
@@ -220,15 +220,17 @@
 def test_a_tandem_whose_proxy_told_of_no_room_is_skipped_and_silence_is_room(mesh):
     mesh.gws[1].group.told(0, 20)
     d = Dialog(0, 0, 1, 1, "n", False, False, 30_000, 15_000, 0.5, -1)
-    mesh.controller.peer_told(0, bytes([0, 2, 0b1000]))
+    mesh.controller.peer_told(0, bytes([0, 2, 0b1000, 0]))
     assert mesh.controller._tandems(d) == [mesh.gws[3]]
-    mesh.controller.peer_told(0, bytes([0, 2, 0b1010]))
+    mesh.controller.peer_told(0, bytes([0, 2, 0b1010, 0]))
     assert len(mesh.controller._tandems(d)) == 2
     mesh.controller.peer_told(0, b"")
-    mesh.controller.peer_told(0, bytes([9, 9, 1]))
+    mesh.controller.peer_told(0, bytes([9, 9, 1, 1]))
 
 
 def test_groups_with_room_for_two_leg_dialogs_are_told(mesh):
     mesh.gws[1].group.told(0, 20)
+    mesh.gws[2].group.told(4, 20)
+    mesh.controller.widest = 2
     mesh.controller.beat(0)
-    assert mesh.host.asked("tell_all") == [(bytes([0, 0, 0b1100]),)]
+    assert mesh.host.asked("tell_all") == [(bytes([0, 0, 0b1100, 0b1000]),)]
