--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -190,8 +190,8 @@
         self.host, self.here, self.proxies, self.types = host, here, proxies, types
         self.release_guard, self.most_legs = release_guard, most_legs
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
-        tells = may_tell and not centre_advises and 0 <= here < 1000  # a centre knows it, and at no cost
-        self.tell_at = 0 if tells else None
+        self.centre_advises = centre_advises  # it knows at no cost what proxies would tell each other
+        self.tell_at = 0 if may_tell and not centre_advises and 0 <= here < 1000 else None
         self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
         self.chance = Chance(seed)
         self.gws: dict[int, Exchange] = {}
@@ -407,7 +407,7 @@
         able = self._two([advised], d, []) if advised is not None else []
         if len(able) < 2:
             able = self._two(self.carried.get(d.far, []), d, able)
-        if len(able) < 2:
+        if len(able) < 2 and not (self.centre_advises and d.legs):  # else a blind try after a known one
             able = self._two(self.far_ends, d, able)
         able.sort(key=lambda ex: -ex.group.free)
         return able
@@ -421,8 +421,8 @@
             pool[place], pool[other] = ex, pool[place]
             if (ex.ready and d.width <= ex.group.free <= ex.group.size and ex.number not in (d.far, self.here)
                     and ex.gw not in d.tried and ex not in able and ex.reach[d.width > 1] >> d.far & 1
-                    and not self._pressed(ex, d) and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
-                    and (allowed is None or ex.number in allowed)):
+                    and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
+                    and (allowed is None or ex.number in allowed) and not self._pressed(ex, d)):
                 able.append(ex)
                 if len(able) == 2:
                     break
