A more important dialog that waits for one more circuit is not overtaken there

Cause: wide dialogs never found three circuits free at once on thin groups, and are the worst-served type at every grown deployment. Harms narrow dialogs where the last circuit is not freed in time.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -346,8 +346,7 @@
             d.not_before = now + self.release_guard
             if how != LegEnd.CUT:  # silent, whatever the cause: no tandem for now
                 ex.pressed_until = now + 2 * SECOND
-        if over:
-            d.answered = True
+        d.answered = d.answered or over
         if d.answered or d.stands:
             if not d.answered:
                 self._abort(dialog, d)
@@ -371,16 +370,13 @@
     def _route(self, dialog: int, d: Dialog) -> None:
         """A dialog's way, top to bottom: transit by judgement; direct if it fits; the better of two random
         tandems, then the other; then it waits for a circuit of its own group, or is declined."""
-        if d.doubt and not self.types[d.kind].repeatable:
-            self._abort(dialog, d)
-            return
         direct = self.by_number.get(d.far)
         if d.transit:
             if not (direct is not None and direct.group.judge(d.width, not d.redialled)
                     and self._send(dialog, d, direct)):
                 self._decline(dialog, d)
             return
-        if direct is None or not direct.ready:
+        if direct is None or not direct.ready or d.doubt and not self.types[d.kind].repeatable:
             self._decline(dialog, d)
             return
         if self._kept_back(d, direct):
@@ -388,7 +384,8 @@
             return
         # A redial past its objective takes circuits only as a two-leg dialog would: fresh ones come first.
         late = self.now >= d.objective_at
-        takes = direct.group.judge(d.width, False) if late else direct.group.fits(d.width)
+        takes = (direct.group.judge(d.width, False) if late
+                 else direct.group.fits(d.width) and not self._claimed(d, direct.group))
         if takes and self._send(dialog, d, direct):
             return
         for ex in self._tandems(d):
@@ -457,12 +454,19 @@
             insort(self.waiting, (-self.types[d.kind].importance, dialog))
             heappush(self.due, (until, dialog, "give up"))
 
+    def _claimed(self, d: Dialog, group: TrunkGroup) -> bool:
+        """Whether a more important dialog waits for the group and lacks one circuit: narrow ones, which come
+        more often, took every circuit that was freed before three were free at once."""
+        return any(-rank > self.types[d.kind].importance and self.dialogs[other].far == d.far
+                   and group.free < self.dialogs[other].width <= group.free + 1 for rank, other in self.waiting)
+
     def _serve(self) -> None:
         """Freed circuits go to those who wait, the more important first."""
         for entry in list(self.waiting):
             d = self.dialogs[entry[1]]
             to = self.by_number[d.far]
-            if to.group.fits(d.width) and not self._kept_back(d, to) and self._send(entry[1], d, to):
+            if (to.group.fits(d.width) and not self._claimed(d, to.group) and not self._kept_back(d, to)
+                    and self._send(entry[1], d, to)):
                 d.waits = False
                 self.waiting.remove(entry)
 
@@ -479,8 +483,7 @@
             return False
         if self.now < ex.cold_until:
             ex.sent.append(self.now)
-        d.legs += 1
-        d.leg_to = ex
+        d.legs, d.leg_to = d.legs + 1, ex
         d.tried.add(ex.gw)
         ex.out[dialog] = self.now
         ex.group.free -= d.width
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -234,3 +234,14 @@
     mesh.controller.widest = 2
     mesh.controller.beat(0)
     assert mesh.host.asked("tell_all") == [(bytes([0, 0, 0b1100, 0b1000]),)]
+
+
+def test_a_waiting_wide_dialog_that_lacks_one_circuit_is_not_overtaken(mesh):
+    for gw in (1, 2, 3):
+        mesh.gws[gw].group.told(1, 20)
+    mesh.came(0, kind=1, width=2)
+    mesh.came(1)
+    assert not mesh.host.asked("send_leg")
+    mesh.controller.group_told(100, 1, 2, 20)
+    mesh.controller.beat(200)
+    assert [leg[0] for leg in mesh.host.asked("send_leg")] == [0]
