--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -384,8 +384,7 @@
             return
         # A redial past its objective takes circuits only as a two-leg dialog would: fresh ones come first.
         late = self.now >= d.objective_at
-        takes = (direct.group.judge(d.width, False) if late
-                 else direct.group.fits(d.width) and not self._claimed(d, direct.group))
+        takes = direct.group.judge(d.width, False) if late else direct.group.fits(d.width)
         if takes and self._send(dialog, d, direct):
             return
         for ex in self._tandems(d):
@@ -454,19 +453,19 @@
             insort(self.waiting, (-self.types[d.kind].importance, dialog))
             heappush(self.due, (until, dialog, "give up"))
 
-    def _claimed(self, d: Dialog, group: TrunkGroup) -> bool:
-        """Whether a more important dialog waits for the group and lacks one circuit: narrow ones, which come
-        more often, took every circuit that was freed before three were free at once."""
-        return any(-rank > self.types[d.kind].importance and self.dialogs[other].far == d.far
-                   and group.free < self.dialogs[other].width <= group.free + 1 for rank, other in self.waiting)
+    def _claimed(self, d: Dialog, ex: Exchange) -> bool:
+        """Whether a more important dialog waits for circuits to there, and more than are free: narrow ones,
+        which come more often, took every circuit that was freed before three were free at once."""
+        return any(-rank > self.types[d.kind].importance and self.dialogs[other].far == ex.number
+                   and ex.group.free < self.dialogs[other].width <= ex.group.size
+                   for rank, other in self.waiting)
 
     def _serve(self) -> None:
         """Freed circuits go to those who wait, the more important first."""
         for entry in list(self.waiting):
             d = self.dialogs[entry[1]]
             to = self.by_number[d.far]
-            if (to.group.fits(d.width) and not self._claimed(d, to.group) and not self._kept_back(d, to)
-                    and self._send(entry[1], d, to)):
+            if to.group.fits(d.width) and not self._kept_back(d, to) and self._send(entry[1], d, to):
                 d.waits = False
                 self.waiting.remove(entry)
 
@@ -478,7 +477,7 @@
                 or d.legs >= self.most_legs or self.now >= d.expires
                 or (d.doubt and not self.types[d.kind].repeatable)
                 or not ex.ready or ex.number == self.here or (d.transit and ex.number != d.far)
-                or not ex.group.fits(d.width)
+                or not ex.group.fits(d.width) or self._claimed(d, ex)
                 or not ex.cold_room(self.now, self._usual())):
             return False
         if self.now < ex.cold_until:
