Legs full in a row from anywhere hold back dialogs for every far end

More than three in a row without a dialog that stands between now count for all ways, halved each second. Covers a flooded own proxy and an own processor that is down; harms when four far ends happen to be full at once.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -101,9 +101,8 @@
         self.warm_after, self.span = warm_after, span
         self.ready = False
         self.started = 0
-        self.pressed_until = 0
+        self.pressed_until = self.cold_until = 0
         self.reach = -1, -1  # a bit for each number that it has room to, for narrow and for wide dialogs
-        self.cold_until = 0
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.unspread = False  # a start whose first moment is still to be drawn
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
@@ -203,8 +202,8 @@
         self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
         self.legs_sent = 0
         self.legs_out: dict[int, int] = {}  # dialogs with an unanswered leg, numbered as sent
-        self.pace = 0.0  # set-up time of late, over all far ends
-        self.widest = 1
+        self.pace, self.widest = 0.0, 1  # set-up time of late, over all far ends; of all dialogs
+        self.fulls = self.full_at = 0  # legs in a row that came back full, and the last of them
         self.top_importance = max(t.importance for t in types)
         self.first_tried: dict[tuple[str, int, int], int] = {}  # unserved callers: when they first tried
         self.far_ends: list[Exchange] = []  # in the order of the last random picks
@@ -226,13 +225,12 @@
         self.stood_rate *= 1 - BEAT / (10 * SECOND)
         while self.due and self.due[0][0] <= now:
             _, dialog, what = heappop(self.due)
+            d = self.dialogs.get(dialog)
             if what == "subscribe":
                 self.host.subscribe()
+            elif d is None or d.answered or d.stands:
                 continue
-            d = self.dialogs.get(dialog)
-            if d is None or d.answered or d.stands:
-                continue
-            if what == "answer":  # no dialog outlives the client's time: answer, whatever is still out
+            elif what == "answer":  # no dialog outlives the client's time: answer, whatever is still out
                 self._abort(dialog, d)
             elif what == "give up" and d.waits:
                 self._decline(dialog, d)
@@ -310,6 +308,7 @@
             self.legs_out.pop(dialog, None)
             d.leg_to.overtaken(dialog)
             self.pace += (took - self.pace) / 8
+            self.fulls = 0
             if d.leg_to.number == d.far:
                 d.leg_to.answered(now, took)
             elif d.leg_to not in self.carried.setdefault(d.far, []):
@@ -334,6 +333,7 @@
             full = self.by_number[d.far] if rsn == Rsn.BEYOND_TANDEM_FULL else ex
             full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
             full.pressed_until = now + 2 * SECOND
+            self.fulls, self.full_at = self.fulls + 1, now
         elif how == LegEnd.FULL and ex.number != d.far:
             # The second group can't be seen from here: each turn-back tells of it for a while, and for twice
             # as long where the last one told the same, since in large fleets many pairs have no group at all.
@@ -347,12 +347,11 @@
             if how != LegEnd.CUT:  # silent, whatever the cause: no tandem for now
                 ex.pressed_until = now + 2 * SECOND
         d.answered = d.answered or over
-        if d.answered or d.stands:
-            if not d.answered:
-                self._abort(dialog, d)
+        if d.answered:
             del self.dialogs[dialog]
-            return
-        if how == LegEnd.BUSY:
+        elif d.stands:
+            self._abort(dialog, d)
+        elif how == LegEnd.BUSY:
             self._decline(dialog, d)
         elif d.not_before > now:
             heappush(self.due, (d.not_before, dialog, "again"))
@@ -437,8 +436,10 @@
         left = kind.setup_objective // 4 if late else d.objective_at - self.now
         rank = kind.importance / self.top_importance * (kind.late_share if late else 1)
         low = 0.15 + 0.4 * rank
-        over = (ex.expected(self.now) / left - low) / 0.3
-        return over > d.luck
+        took = ex.expected(self.now)
+        if self.fulls > 3:  # far ends are not all full at once: it is the own processor
+            took = max(took, kind.setup_objective * 0.5 ** ((self.now - self.full_at) / SECOND))
+        return (took / left - low) / 0.3 > d.luck
 
     # --- waiting ---------------------------------------------------------------------------------------
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -245,3 +245,12 @@
     mesh.controller.group_told(100, 1, 2, 20)
     mesh.controller.beat(200)
     assert [leg[0] for leg in mesh.host.asked("send_leg")] == [0]
+
+
+def test_full_legs_in_a_row_from_anywhere_hold_back_dialogs_for_others_too(mesh):
+    for dialog in range(4):
+        mesh.came(dialog, far=1 + dialog % 2)
+    for dialog in range(4):
+        ended(mesh, dialog, 1 + dialog % 2, LegEnd.FULL, 100, rsn=Rsn.PROCESSOR_FULL)
+    mesh.came(8, far=3, now=200)
+    assert [leg for leg in mesh.host.asked("send_leg") if leg[1] == 3] == []
