--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -56,6 +56,7 @@
     ({k: v for k, v in KNOCK.items() if k != "FarEnd"}, "line 3: Knock: field FarEnd is missing"),
     ({**SPAWN, "Facts": {**FACTS, "Rules": 3}}, "line 3: Spawn: field Facts.Rules is ill-typed"),
     ({**KNOCK, "Rid": True}, "line 3: Knock: field Rid is ill-typed"),
+    ({"t": "Message", "Proxy": "proxy_0", "From": 1, "Bytes": "0g"}, "line 3: Message: field Bytes"),
 ])
 def test_bad_lines_are_named(message, words):
     with pytest.raises(BadLineError, match=words):
