Dialogs of pairs without a group try tandems again instead of waiting for nothing

Cause: what no tandem would take waited for a circuit of a group that does not exist, or can't hold it, until its objective had passed. Every quarter of the objective it now looks for a tandem, then is declined.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -435,11 +435,10 @@
         late = self.now >= d.objective_at
         left = kind.setup_objective // 4 if late else d.objective_at - self.now
         rank = kind.importance / self.top_importance * (kind.late_share if late else 1)
-        low = 0.15 + 0.4 * rank
         took = ex.expected(self.now)
         if self.fulls > 3:  # far ends are not all full at once: it is the own processor
             took = max(took, kind.setup_objective * 0.5 ** ((self.now - self.full_at) / SECOND))
-        return (took / left - low) / 0.3 > d.luck
+        return (took / left - 0.15 - 0.4 * rank) / 0.3 > d.luck
 
     # --- waiting ---------------------------------------------------------------------------------------
 
@@ -449,7 +448,9 @@
         if d.redialled or until <= self.now:
             self._decline(dialog, d)
             return
-        if not d.waits:
+        if ex.group.size < d.width:  # no own circuit will ever free: tandems are tried again, in time
+            heappush(self.due, (self.now + self.types[d.kind].setup_objective // 4, dialog, "again"))
+        elif not d.waits:
             d.waits = True
             insort(self.waiting, (-self.types[d.kind].importance, dialog))
             heappush(self.due, (until, dialog, "give up"))
@@ -487,8 +488,7 @@
         d.tried.add(ex.gw)
         ex.out[dialog] = self.now
         ex.group.free -= d.width
-        self.legs_sent += 1
-        self.legs_out[dialog] = self.legs_sent
+        self.legs_out[dialog] = self.legs_sent = self.legs_sent + 1
         heappush(self.due, (d.objective_at - self.release_guard - 4 * ex.quickest, dialog, "silent"))
         self.host.send_leg(dialog, ex.gw, d.expires - self.now)
         return True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -254,3 +254,14 @@
         ended(mesh, dialog, 1 + dialog % 2, LegEnd.FULL, 100, rsn=Rsn.PROCESSOR_FULL)
     mesh.came(8, far=3, now=200)
     assert [leg for leg in mesh.host.asked("send_leg") if leg[1] == 3] == []
+
+
+def test_a_dialog_without_an_own_group_tries_tandems_again_in_time(mesh):
+    mesh.gws[1].group.told(0, 0)
+    for gw in (2, 3):
+        mesh.gws[gw].group.told(0, 20)
+    mesh.came(0)
+    assert not mesh.host.asked("send_leg")
+    mesh.gws[2].group.told(20, 20)
+    mesh.beats(4_000, start=200)
+    assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 2)]
