--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -265,3 +265,11 @@
     mesh.gws[2].group.told(20, 20)
     mesh.beats(4_000, start=200)
     assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 2)]
+
+
+def test_tandems_without_room_or_in_a_slow_network_are_not_picked(mesh):
+    d = Dialog(0, 1, 1, 2, "n", False, False, 30_000, 15_000, 0.5, -1)
+    mesh.gws[2].group.told(1, 20)
+    assert mesh.controller._tandems(d) == [mesh.gws[3]]
+    mesh.controller.pace = 5_000.0
+    assert mesh.controller._tandems(d) == []
