--- /dev/null
+++ b/gingergap/cli/main.py
@@ -0,0 +1,179 @@
+"""All sub-commands. Heavy parts are imported where they are used, so that `--help` answers at once."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+from ..settings.forms import BadSettingsError, Form
+
+FILE = click.Path(path_type=Path)
+
+
+def _fail(lines: list[str], code: int = 2) -> NoReturn:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(code)
+
+
+def _read(path: Path, **kinds: type[Form]) -> Any:
+    from ..settings.forms import read
+    try:
+        return read(path, **kinds)
+    except BadSettingsError as bad:
+        _fail(bad.faults)
+
+
+@click.group()
+@click.version_option(package_name="gingergap")
+def main() -> None:
+    """A call router that sets calls up over trunk groups for private voice networks."""
+
+
+@main.group()
+def edge() -> None:
+    """The signalling proxy."""
+
+
+@edge.command("run")
+@click.option("--settings", required=True, type=FILE, help="The (edge ...) file.")
+def edge_run(settings: Path) -> None:
+    """Run one signalling proxy until it is told to end; SIGTERM drains it."""
+    from ..settings.edge import EdgeForm
+    form = _read(settings, edge=EdgeForm)
+    import gc
+
+    from ..edge.serve import EdgeProcess
+    from .logs import logger
+    gc.collect()
+    gc.freeze()
+    sys.exit(EdgeProcess(form, logger(form.log_level)).run())
+
+
+@main.group()
+def settings() -> None:
+    """Settings files."""
+
+
+@settings.command("check")
+@click.argument("file", type=FILE)
+def settings_check(file: Path) -> None:
+    """Check a settings file: exit 0, or 2 with a line for each fault."""
+    from ..settings.day import DayForm, StandinForm
+    from ..settings.edge import EdgeForm
+    form = _read(file, edge=EdgeForm, day=DayForm, standin=StandinForm)
+    click.echo(f"{file}: a whole ({type(form).__name__.removesuffix('Form').lower()} ...) form")
+
+
+@main.group()
+def standin() -> None:
+    """Stand-ins for what a proxy meets on a scripted day."""
+
+
+def _standin(path: Path) -> tuple[Any, Any]:
+    from ..settings.day import DayForm, StandinForm
+    from ..standins.script import Plan
+    form = _read(path, standin=StandinForm)
+    day = _read(Path(form.day), day=DayForm)
+    return form, Plan(day, form.seed)
+
+
+def _places(form: Any) -> tuple[list[tuple[str, int]], list[tuple[str, int]], dict[tuple[str, int], int]]:
+    """Proxies, exchanges' addresses, and which exchange number an address belongs to."""
+    from ..sip.fields import host_port
+    proxies = [host_port(text) for text in form.places.proxy]
+    exchanges = [host_port(text) for text in form.places.exchange]
+    homes = {address: number for number, address in enumerate(proxies)}
+    homes |= {address: place // 2 for place, address in enumerate(exchanges)}
+    return proxies, exchanges, homes
+
+
+SETTINGS = click.option("--settings", required=True, type=FILE, help="The (standin ...) file.")
+
+
+@standin.command("exchange")
+@SETTINGS
+def standin_exchange(settings: Path) -> None:
+    """Play one exchange's machines through a day."""
+    form, plan = _standin(settings)
+    from ..standins import exchange
+    proxies, exchanges, homes = _places(form)
+    number = form.number
+    exchange.play(plan, number, form.epoch, exchanges[2 * number:2 * number + 2], proxies[number],
+                  {address: place for place, address in enumerate(proxies)}, homes, Path(form.report), False)
+
+
+@standin.command("caller")
+@SETTINGS
+def standin_caller(settings: Path) -> None:
+    """Call from one exchange through a day."""
+    form, plan = _standin(settings)
+    from ..sip.fields import host_port
+    from ..standins import caller
+    proxies, _, _ = _places(form)
+    caller.play(plan, form.number, host_port(form.places.callers[form.number]), proxies[form.number], form.epoch,
+                Path(form.report))
+
+
+@standin.command("list")
+@SETTINGS
+def standin_list(settings: Path) -> None:
+    """Be the exchange list through a day."""
+    form, plan = _standin(settings)
+    from ..sip.fields import host_port
+    from ..standins import exchange_list
+    proxies, _, _ = _places(form)
+    addresses = {number: form.places.exchange[2 * number:2 * number + 2]
+                 for number in range(plan.day.exchanges)}
+    exchange_list.play(plan, host_port(form.places.exchange_list), addresses, form.epoch, frozenset(proxies),
+                       Path(form.report))
+
+
+@main.group()
+def day() -> None:
+    """Scripted days over real SIP on loopback, with the rules judged from the traffic."""
+
+
+@day.command("play")
+@click.argument("file", type=FILE)
+@click.option("--seed", type=int, default=None, help="Draws of the day; the file's own where left out.")
+@click.option("--report", type=FILE, default=None, help="Folder for capture.jsonl and report.json.")
+def day_play(file: Path, seed: int | None, report: Path | None) -> None:
+    """Play a day and judge it: exit 0 with all rules kept, 1 with one broken, 2 on bad input."""
+    import tempfile
+
+    from ..settings.day import DayForm
+    from ..standins.player import DayFailedError, Player
+    form = _read(file, day=DayForm)
+    with tempfile.TemporaryDirectory(prefix="gingergap-day-") as scratch:
+        folder = report if report is not None else Path(scratch)
+        try:
+            Player(form, file, form.seed if seed is None else seed, folder).play()
+        except DayFailedError as failed:
+            _fail([f"{file}: {failed}"])
+        except OSError as error:
+            _fail([f"{folder}: {error.strerror or error}"])
+        sys.exit(_judge(folder))
+
+
+@day.command("check")
+@click.argument("folder", type=FILE)
+def day_check(folder: Path) -> None:
+    """Judge the capture in a day's folder anew: exits as `day play`."""
+    sys.exit(_judge(folder))
+
+
+def _judge(folder: Path) -> int:
+    from ..standins.checker import BadCaptureError, check
+    from ..standins.report import offers_in, whole
+    from .tables import day_tables
+    try:
+        verdict = check(folder / "capture.jsonl")
+        report = whole(folder, verdict, offers_in(folder))
+    except BadCaptureError as bad:
+        _fail([str(bad)])
+    (folder / "report.json").write_text(json.dumps(report, indent=1) + "\n")
+    day_tables(report)
+    return 0 if verdict.kept else 1
--- /dev/null
+++ b/gingergap/edge/calls.py
@@ -0,0 +1,48 @@
+"""What the proxy keeps of a dialog and of its legs between messages."""
+
+from ..host import LegEnd
+from ..sip.message import Message
+from ..sip.transactions import Client, Server
+
+
+class Leg:
+    """One way tried: an INVITE sent on. `given_up` once its end has been told though it may still answer."""
+
+    __slots__ = ("call", "gw", "far", "place", "serial", "client", "started", "given_up", "over", "tag",
+                 "by_datagram")
+
+    def __init__(self, call: "Call", gw: int, far: int, place: int, serial: int, started: int) -> None:
+        self.call, self.gw, self.far, self.place, self.serial = call, gw, far, place, serial
+        self.started = started
+        self.client: Client | None = None
+        self.given_up = self.over = False
+        self.tag = ""  # the To tag of the 2xx that counts
+
+
+class Call:
+    """One dialog from its INVITE to its BYE. The INVITE goes once the dialog stands: it is the larger part of
+    what a standing dialog would take in memory."""
+
+    __slots__ = ("index", "server", "invite", "kind", "width", "far", "key", "transit", "redialled", "leg", "legs",
+                 "answered", "stands", "how", "rsn", "arrived")
+
+    def __init__(self, index: int, server: Server, invite: Message, kind: int, width: int, far: int,
+                 key: tuple[str, str], transit: bool, redialled: bool, arrived: int) -> None:
+        self.index, self.server, self.kind, self.width, self.far = index, server, kind, width, far
+        self.invite: Message | None = invite
+        self.key, self.transit, self.redialled, self.arrived = key, transit, redialled, arrived
+        self.leg: Leg | None = None
+        self.legs = 0
+        self.answered = self.stands = False
+        self.how: LegEnd | None = None
+        self.rsn = 0
+
+
+class Onward:
+    """A request within a dialog that is passed on: its server transaction, and the way onward."""
+
+    __slots__ = ("server", "client")
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.client: Client | None = None
--- /dev/null
+++ b/gingergap/edge/proxy.py
@@ -0,0 +1,727 @@
+"""The signalling proxy without sockets: a stateful proxy (RFC 3261 section 16) whose ways are chosen by brain.py.
+
+Everything that happens comes in through one of the public methods with the time now, one at a time; nothing in here
+waits. It is the `User` of the transactions and the `Host` of one `CallController`.
+"""
+
+from collections import deque
+from hashlib import blake2s
+from heapq import heappop, heappush
+from typing import Any
+
+import msgspec
+
+from ..brain import CallController
+from ..host import GwState, LegEnd, ListEntry, TrafficType
+from ..sip.dialogs import next_hop, release_of
+from ..sip.fields import address_of, seconds_of, tag_of, top_via, uri_of, via_of
+from ..sip.message import BadMessageError, Message, response
+from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, Wire
+from . import words
+from .calls import Call, Leg, Onward
+from .circuits import Circuits
+from .door import Door
+from .numbering import Numbering
+from .subscriptions import Ask, Body, Use, Watching
+
+SECOND = 10_000
+LIST, GROUPS = "exchange-list", "trunk-groups"  # event packages of ours (RFC 6665 section 7.2)
+MOST_MESSAGES = 3  # short messages to one exchange that may be unanswered at once; a newer one says more
+SWEEP = SECOND
+
+
+class ExchangeLine(msgspec.Struct):
+    """One exchange in a notified list; `started` in seconds of wall time, 0 for long ago."""
+
+    id: str
+    number: int
+    state: str
+    started: float = 0.0
+    address: str = ""
+    transport: str = "UDP"
+
+
+class GroupLine(msgspec.Struct):
+    """One own trunk group in a notification: circuits to exchange `number`."""
+
+    number: int
+    free: int
+    size: int
+
+
+class ListBody(msgspec.Struct):
+    version: int
+    state: str
+    epoch: str
+    exchanges: list[ExchangeLine]
+
+
+class GroupsBody(msgspec.Struct):
+    version: int
+    state: str
+    epoch: str
+    groups: list[GroupLine]
+
+
+LIST_BODY, GROUPS_BODY = msgspec.json.Decoder(ListBody), msgspec.json.Decoder(GroupsBody)
+STATES = {"gone": GwState.GONE, "draining": GwState.DRAINING, "ready": GwState.READY}
+
+
+class Subscriber:
+    """One subscription on the wire: its dialog, and what `Watching` decides of it."""
+
+    def __init__(self, event: str, lasts: int) -> None:
+        self.event = event
+        self.watching = Watching(lasts, 2 * SECOND)
+        self.call_id = self.tag = self.to = ""
+        self.cseq = 0
+        self.client: Client | None = None
+        self.again_at: int | None = None
+
+
+class EdgeProxy:
+    """`address` is where it can be reached, `exchanges` is (number, id, address) of each one known at start,
+    `kinds` maps Resource-Priority values to places in `types`, `widths` gives their circuits; `wall` is the wall
+    time in seconds at `now`, by which other clocks' starts are read. `fresh` draws unguessable text."""
+
+    def __init__(self, wire: Wire, now: int, wall: float, fresh: Any, log: Any, *, address: tuple[str, int],
+                 domain: str, here: int, seed: int, exchanges: list[tuple[int, str, tuple[str, int]]],
+                 exchange_list: tuple[str, int] | None, types: list[TrafficType], kinds: dict[str, int],
+                 widths: list[int], numbering: Numbering, door: Door, default_expires: int,
+                 most_transactions: int, t1: int, release_guard: int, most_legs: int, longest_hold_off: int,
+                 tells: bool, cold_from: float, warm_after: int, multiple: float, fall_span: int) -> None:
+        self.wire, self.log, self.fresh = wire, log, fresh
+        self.address, self.domain, self.here = address, domain, here
+        self.types, self.kinds, self.widths = types, kinds, widths
+        self.numbering, self.door, self.default_expires = numbering, door, default_expires
+        self.now, self.wall_at_start, self.started_at = now, wall, now
+        self.transactions = Transactions(self, wire, address, t1=t1, t2=8 * t1, t4=10 * t1,
+                                         most=most_transactions)
+        self.boot = fresh(6)
+        self.serial = 0
+        self.uri = f"sip:{address[0]}:{address[1]}"
+        self.calls: dict[int, Call] = {}
+        self.by_key: dict[tuple[str, str], Call] = {}
+        self.call_count = 0
+        self.open_dialogs = 0  # not yet answered
+        self.released: dict[tuple[str, str], int] = {}  # 2xx that nobody wanted: BYE sent, until when noted
+        self.circuits = Circuits()
+        self.due_legs: list[tuple[int, int, Leg]] = []
+        self.soon: deque[tuple[Leg, LegEnd, int]] = deque()
+        self.wake_at: int | None = None
+        self.sweep_at = now + SWEEP
+        self.counts: dict[str, int] = {}
+        self.ids: list[str] = []  # by gw
+        self.gws: dict[str, int] = {}
+        self.numbers: list[int] = []  # by gw
+        self.hops: list[Hop | None] = []  # by gw
+        self.starts: dict[tuple[int, float], int] = {}
+        self.messages_out: dict[int, int] = {}
+        self.list_at = exchange_list
+        self.subscribers = {LIST: Subscriber(LIST, 60 * SECOND), GROUPS: Subscriber(GROUPS, 20 * SECOND)}
+        self.controller = CallController(
+            self, seed, here, len(exchanges), types, release_guard=release_guard, most_legs=most_legs,
+            longest_hold_off=longest_hold_off, may_cancel=True, must_ask=exchange_list is not None,
+            may_tell=tells, centre_advises=False, cold_from=cold_from, warm_after=warm_after,
+            multiple=multiple, fall_span=fall_span)
+        known = []
+        for number, name, (host, port) in exchanges:
+            gw = self._gw(name, number)
+            self.hops[gw] = Hop("UDP", host, port)
+            known.append(ListEntry(gw, number, GwState.READY, 0))
+        self.controller.list_pushed(now, known, True)
+        self.controller.begin(now)
+        self._subscribe(now, self.subscribers[GROUPS], self.subscribers[GROUPS].watching.want(now))
+
+    # --- what can happen: messages ---------------------------------------------------------------------
+
+    def got(self, now: int, message: Message, hop: Hop) -> None:
+        self.now = now
+        try:
+            self.transactions.received(now, message, hop)
+        except BadMessageError as bad:
+            self.got_bad(now, bad, hop)
+        self._settle(now)
+
+    def got_bad(self, now: int, bad: BadMessageError, hop: Hop) -> None:
+        """Bytes or a request that can't be used: answered where the RFC gives a status and a way back."""
+        self.now = now
+        self._count("bad message")
+        message = bad.message
+        self.log.debug("bad-message", why=str(bad), peer=f"{hop.host}:{hop.port}", status=bad.status)
+        if message is not None and message.method and bad.status:
+            self.transactions.stateless(message, bad.status, self._still_tag(message), hop,
+                                        [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')])
+
+    def hop_failed(self, now: int, hop: Hop, reset: bool) -> None:
+        self.now = now
+        self.transactions.hop_failed(now, hop, reset)
+        self._settle(now)
+
+    def due(self, now: int) -> None:
+        """Time has passed: fire what is due."""
+        self.now = now
+        self.transactions.due(now)
+        self._settle(now)
+        while self.due_legs and self.due_legs[0][0] <= now:
+            leg = heappop(self.due_legs)[2]
+            if not leg.over and not leg.call.stands:
+                self._give_up(now, leg, LegEnd.NO_ANSWER)
+        self._settle(now)
+        if self.wake_at is not None and now >= self.wake_at:
+            self.wake_at = None
+            self.controller.beat(now)
+            self._settle(now)
+        if now >= self.sweep_at:
+            self.sweep_at = now + SWEEP
+            while self.released and next(iter(self.released.values())) <= now:
+                del self.released[next(iter(self.released))]
+        for sub in self.subscribers.values():
+            if sub.again_at is not None and now >= sub.again_at:
+                sub.again_at = None
+                self._subscribe(now, sub, sub.watching.want(now))
+            self._subscribe(now, sub, sub.watching.due(now))
+
+    def _settle(self, now: int) -> None:
+        """Ends that arose while the controller was at work are told once it is done."""
+        while self.soon:
+            leg, how, rsn = self.soon.popleft()
+            self._leg_over(now, leg, how, rsn)
+
+    # --- what can happen: the transactions' user ----------------------------------------------------------
+
+    def request_came(self, now: int, server: Server, message: Message) -> None:
+        method = message.method
+        if method == "INVITE" and not tag_of(message.get("To")):
+            self._invited(now, server, message)
+        elif method == "CANCEL":
+            self._cancelled(now, server, message)
+        elif method == "NOTIFY":
+            self._notified(now, server, message)
+        elif tag_of(message.get("To")):
+            self._within_dialog(now, server, message)
+        elif method == "OPTIONS":
+            if self.door.draining:
+                self._answer(now, server, 503, [("Retry-After", "5")])
+            else:
+                self._answer(now, server, 200, [("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, MESSAGE, NOTIFY"),
+                                                ("Accept", "application/sdp, application/octet-stream")])
+        elif method == "MESSAGE":
+            self._told(now, server, message)
+        elif method == "BYE":
+            self._answer(now, server, 481)
+        else:
+            self._answer(now, server, 405, [("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, MESSAGE, NOTIFY")])
+
+    def ack_came(self, now: int, message: Message, hop: Hop) -> None:
+        """The ACK of a 2xx goes end to end (section 16.11 forwards it without state)."""
+        try:
+            onward = self._prepared(message)
+        except BadMessageError:
+            return
+        branch = MAGIC + "a" + blake2s(top_via(message).branch.encode(errors="replace"),
+                                       digest_size=10).hexdigest()
+        if not self._is_own(onward):
+            self._send_stateless(onward, branch)
+
+    def door_shut(self, now: int, message: Message, hop: Hop) -> None:
+        self._count("transactions full")
+        self.transactions.stateless(message, 503, self._still_tag(message), hop, [("Retry-After", "1")])
+
+    def response_came(self, now: int, client: Client, message: Message) -> None:
+        owner = client.owner
+        if type(owner) is Leg:
+            self._leg_answered(now, owner, message)
+        elif type(owner) is Onward:
+            if message.status > 100:
+                message.pop_first("Via")
+                self.transactions.respond(now, owner.server, message)
+        elif type(owner) is Subscriber:
+            self._subscribe_answered(now, owner, client, message)
+        elif type(owner) is int:
+            self.messages_out[owner] -= 1
+
+    def stray_response(self, now: int, message: Message) -> None:
+        self._release(now, message)
+
+    def client_lost(self, now: int, client: Client, how: Lost) -> None:
+        owner = client.owner
+        if type(owner) is Leg:
+            if owner.over:
+                return
+            end = {Lost.TIMEOUT: LegEnd.NO_ANSWER, Lost.UNREACHABLE: LegEnd.UNREACHABLE,
+                   Lost.RESET: LegEnd.CUT}[how]
+            self.soon.append((owner, end, 0))
+        elif type(owner) is Onward:
+            self._answer(now, owner.server, 408 if how == Lost.TIMEOUT else 503)
+        elif type(owner) is Subscriber:
+            if client is owner.client:
+                self._subscribe(now, owner, owner.watching.refused(now))
+        elif type(owner) is int:
+            self.messages_out[owner] -= 1
+
+    def server_lost(self, now: int, server: Server) -> None:
+        self._count("answer never acknowledged")
+
+    # --- a dialog comes ----------------------------------------------------------------------------------
+
+    def _invited(self, now: int, server: Server, message: Message) -> None:
+        try:
+            told = words.marks_of(message)
+            expires = words.time_left(message, told, self.default_expires)
+            number = uri_of(message.uri).user
+            hops = self._hops_left(message)
+            vias = [via_of(value) for value in message.all("Via")[1:]]
+            contact = message.get("Contact")
+            if not contact:
+                raise BadMessageError("Contact is missing")
+            uri_of(address_of(message.all("Contact")[0])[0])
+        except BadMessageError as bad:
+            self._answer(now, server, bad.status or 400,
+                         [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')])
+            return
+        key = message.call_id, tag_of(message.get("From"))
+        if hops <= 0:
+            self._answer(now, server, 483)
+            return
+        if key in self.by_key or any((via.host, via.port) == self.address for via in vias):
+            self._answer(now, server, 482)  # it came round, or by two ways (sections 16.3 and 8.2.2.2)
+            return
+        if message.has("Proxy-Require"):
+            self._answer(now, server, 420, [("Unsupported", ", ".join(message.all("Proxy-Require")))])
+            return
+        far = self.numbering.exchange(number)
+        if far < 0:
+            self._answer(now, server, 404, [words.q850(1)])
+            return
+        kind = words.kind_of(message, self.kinds)
+        away = self.door.shut(kind, self.open_dialogs)
+        if away:
+            self._count("turned away at the door")
+            self._answer(now, server, 503, [("Retry-After", str(away)), words.q850(words.CONGESTION)])
+            return
+        call = Call(self.call_count, server, message, kind, self.widths[kind], far, key, told.transit,
+                    told.redialled, now)
+        self.call_count += 1
+        server.owner = call
+        self.calls[call.index] = self.by_key[key] = call
+        self.open_dialogs += 1
+        self._count("dialogs")
+        self.transactions.respond(now, server, response(message, 100))
+        self.controller.dialog_came(now, call.index, kind, far, call.width, number, expires, told.transit,
+                                    told.redialled, told.cut)
+
+    def _cancelled(self, now: int, server: Server, message: Message) -> None:
+        branch, sent_by, _ = server.key
+        invited = self.transactions.servers.get((branch, sent_by, "INVITE"))
+        if invited is None:
+            self._answer(now, server, 481)
+            return
+        self._answer(now, server, 200)
+        owner = invited.owner
+        if type(owner) is Onward and owner.client is not None:
+            self.transactions.cancel(now, owner.client)
+        elif type(owner) is Call and not owner.answered:
+            # Answered at once: a leg that is out is called off, and should its 2xx cross the CANCEL, released.
+            self._final(now, owner, 487, [])
+            self._count("given up by callers")
+            self.controller.dialog_gone(now, owner.index)
+            if owner.leg is not None:
+                self._give_up(now, owner.leg, LegEnd.CANCELLED)
+            else:
+                self._forget(owner)
+
+    # --- what the controller asks for -------------------------------------------------------------------
+
+    def send_leg(self, dialog: int, gw: int, limit: int) -> None:
+        call, now = self.calls[dialog], self.now
+        self.serial += 1
+        leg = Leg(call, gw, self.numbers[gw], call.legs, self.serial, now)
+        call.legs += 1
+        call.leg = leg
+        hop = self.hops[gw]
+        if hop is None or call.invite is None:
+            self.soon.append((leg, LegEnd.NOT_SENT, 0))
+            return
+        invite = self._leg_invite(call, leg, hop, limit)
+        self._count("legs")
+        self.circuits.leg_sent(leg.far, leg.serial, call.width)
+        leg.client = self.transactions.request(now, invite, hop, self._branch(), leg)
+        heappush(self.due_legs, (now + limit, leg.serial, leg))
+
+    def cancel_leg(self, dialog: int, leg: int) -> None:
+        call = self.calls.get(dialog)
+        if call is not None and call.leg is not None and call.leg.place == leg:
+            self._count("legs called off")
+            self._give_up(self.now, call.leg, LegEnd.CANCELLED)
+
+    def decline(self, dialog: int, hold_off: int) -> None:
+        call = self.calls[dialog]
+        self._count("declined")
+        self._final(self.now, call, *words.declined(call.transit, call.how, call.rsn, hold_off))
+        if call.leg is None:
+            self._forget(call)
+
+    def abort(self, dialog: int) -> None:
+        call = self.calls[dialog]
+        self._count("aborted")
+        self._final(self.now, call, *words.aborted())
+        if call.leg is None:
+            self._forget(call)
+
+    def wake_after(self, delay: int) -> None:
+        self.wake_at = self.now + delay
+
+    def tell_all(self, told: bytes) -> None:
+        for gw, number in enumerate(self.numbers):
+            hop = self.hops[gw]
+            ex = self.controller.by_number.get(number)
+            if (number == self.here or hop is None or ex is None or ex.gw != gw or not ex.ready
+                    or self.messages_out.get(gw, 0) >= MOST_MESSAGES):
+                continue
+            message = Message("MESSAGE", f"sip:proxy@{hop.host}:{hop.port}", body=told)
+            message.fields = [("From", f"<{self.uri}>;tag={self.fresh(8)}"), ("To", f"<{message.uri}>"),
+                              ("Call-ID", self.fresh(16)), ("CSeq", "1 MESSAGE"), ("Max-Forwards", "10"),
+                              ("Content-Type", "application/octet-stream")]
+            self.messages_out[gw] = self.messages_out.get(gw, 0) + 1
+            self.transactions.request(self.now, message, hop, self._branch(), gw)
+
+    def subscribe(self) -> None:
+        sub = self.subscribers[LIST]
+        self._subscribe(self.now, sub, sub.watching.want(self.now))
+
+    # --- legs --------------------------------------------------------------------------------------------
+
+    def _leg_invite(self, call: Call, leg: Leg, hop: Hop, limit: int) -> Message:
+        """The INVITE as it goes on (section 16.6), on the trunk group that the leg takes (RFC 4904)."""
+        invite = call.invite.copy()
+        user = uri_of(invite.uri).user
+        over = leg.far != call.far
+        way = ";transport=tcp" if hop.transport == "TCP" else ""
+        invite.uri = (f"sip:{user};tgrp=g{self.here}-{leg.far};trunk-context={self.domain}"
+                      f"@{hop.host}:{hop.port}{way}")
+        self._strip_routes(invite)
+        invite.put("Max-Forwards", str(self._hops_left(invite) - 1))
+        came = ";transport=tcp" if call.server.hop.transport == "TCP" else ""
+        if came != way:  # RFC 5658: each side is told the transport that it uses
+            invite.push("Record-Route", f"<{self.uri}{came};lr>")
+        invite.push("Record-Route", f"<{self.uri}{way};lr>")
+        invite.put("Expires", str(max(1, -(-limit // SECOND))))
+        invite.put(words.MARKS, words.marks(call.redialled, False, over, limit // 10))
+        return invite
+
+    def _leg_answered(self, now: int, leg: Leg, message: Message) -> None:
+        call, status = leg.call, message.status
+        self.circuits.leg_seen(leg.far, leg.serial)
+        if status < 200:
+            if status > 100 and not call.answered and not leg.over:
+                message.pop_first("Via")
+                self.transactions.respond(now, call.server, message)
+            return
+        if status < 300:
+            tag = tag_of(message.get("To"))
+            if leg.tag and tag == leg.tag:  # its ACK was lost
+                message.pop_first("Via")
+                self.transactions.respond(now, call.server, message)
+                return
+            if leg.over or leg.given_up or call.answered:
+                self._release(now, message)  # late, or a fork after the first
+                return
+            if not message.has("Contact"):
+                self.soon.append((leg, LegEnd.BUSY, 0))  # nothing within such a dialog could reach its end
+                return
+            message.pop_first("Via")
+            leg.tag = tag
+            call.stands = call.answered = True
+            self.open_dialogs -= 1
+            self._count("stand")
+            self.transactions.respond(now, call.server, message)
+            call.invite = None
+            leg.client.request = call.server.request = None
+            self.controller.dialog_stands(now, call.index, now - leg.started)
+            return
+        if not leg.over:
+            self.soon.append((leg, *words.leg_end(message, leg.far != call.far)))
+
+    def _give_up(self, now: int, leg: Leg, how: LegEnd) -> None:
+        """Nobody waits for this leg any more: called off, and its end told as soon as may be."""
+        if leg.over or leg.given_up:
+            return
+        leg.given_up = True
+        if leg.client is not None:
+            self.transactions.cancel(now, leg.client)
+        self.soon.append((leg, how, 0))
+
+    def _leg_over(self, now: int, leg: Leg, how: LegEnd, rsn: int) -> None:
+        if leg.over:
+            return
+        call = leg.call
+        leg.over = True
+        call.leg = None
+        call.how, call.rsn = how, rsn
+        self.circuits.leg_over(leg.far, leg.serial)
+        self._count(f"legs ended {how.name.lower()}")
+        over = call.answered
+        if over:
+            self._forget(call)
+        self.controller.leg_ended(now, call.index, leg.gw, how, rsn, over, *self.circuits.count(leg.far))
+
+    def _final(self, now: int, call: Call, status: int, fields: list[tuple[str, str]]) -> None:
+        call.answered = True
+        self.open_dialogs -= 1
+        self._answer(now, call.server, status, fields)
+
+    def _forget(self, call: Call) -> None:
+        self.calls.pop(call.index, None)
+        if self.by_key.get(call.key) is call:
+            del self.by_key[call.key]
+        call.server.owner = None
+
+    def _release(self, now: int, answer: Message) -> None:
+        """End a leg that answered when nobody wanted it any more: ACK each 2xx, BYE once."""
+        self._count("late answers released")
+        try:
+            dialog = release_of(answer, self.address)
+            ack = dialog.request("ACK")
+            key = dialog.call_id, tag_of(dialog.remote)
+            self._send_stateless(ack, self._branch())
+            if key not in self.released:
+                self.released[key] = self.now + 64 * self.transactions.t1
+                bye = dialog.request("BYE")
+                bye.fields.append(words.q850(words.NORMAL))
+                self.transactions.request(now, bye, next_hop(bye), self._branch())
+        except BadMessageError:
+            self._count("late answers without a way back")
+
+    # --- within dialogs ----------------------------------------------------------------------------------
+
+    def _within_dialog(self, now: int, server: Server, message: Message) -> None:
+        try:
+            onward = self._prepared(message)
+            if self._is_own(onward):
+                self._answer(now, server, 481)
+                return
+            hop = next_hop(onward)
+        except BadMessageError as bad:
+            self._answer(now, server, bad.status or 400)
+            return
+        link = Onward(server)
+        server.owner = link
+        if message.method == "INVITE":
+            self.transactions.respond(now, server, response(message, 100))
+        link.client = self.transactions.request(now, onward, hop, self._branch(), link)
+        if message.method == "BYE":
+            self._bye(now, message)
+
+    def _bye(self, now: int, message: Message) -> None:
+        call_id = message.call_id
+        by_caller = self.by_key.get((call_id, tag_of(message.get("From"))))
+        call = by_caller or self.by_key.get((call_id, tag_of(message.get("To"))))
+        if call is None or not call.stands or call.leg is None:
+            return  # the other end's BYE came before, or the dialog is older than this process
+        self.soon.append((call.leg, LegEnd.ENDED if by_caller else words.release_end(message), 0))
+
+    def _prepared(self, message: Message) -> Message:
+        """A request within a dialog as it goes on: own routes off, one hop less."""
+        hops = self._hops_left(message)
+        if hops <= 0:
+            raise BadMessageError("no hops are left", 483)
+        onward = message.copy()
+        self._strip_routes(onward)
+        onward.put("Max-Forwards", str(hops - 1))
+        return onward
+
+    def _strip_routes(self, message: Message) -> None:
+        while True:
+            first = message.get("Route")
+            if not first:
+                return
+            uri = uri_of(address_of(message.all("Route")[0])[0])
+            if (uri.host, uri.port) != self.address:
+                return
+            message.pop_first("Route")
+
+    def _is_own(self, message: Message) -> bool:
+        if message.has("Route"):
+            return False
+        uri = uri_of(message.uri)
+        return (uri.host, uri.port) == self.address
+
+    def _hops_left(self, message: Message) -> int:
+        text = message.get("Max-Forwards", "70").strip()
+        if not text.isascii() or not text.isdigit() or int(text) > 255:
+            raise BadMessageError("Max-Forwards is not a number up to 255", 400, message)
+        return int(text)
+
+    # --- lists and circuits ------------------------------------------------------------------------------
+
+    def _subscribe(self, now: int, sub: Subscriber, ask: Ask) -> None:
+        """Carry out what `Watching` asked for."""
+        if ask == Ask.NOTHING:
+            return
+        if ask == Ask.FAILED:
+            self.log.warning("subscription-failed", event_package=sub.event)
+            self._count("subscriptions failed")
+            if sub.event == LIST:
+                self.controller.list_failed(now)
+            else:
+                sub.again_at = now + SECOND
+            return
+        hop = self._notifier(sub)
+        if hop is None:
+            return
+        if ask == Ask.FIRST:
+            sub.call_id, sub.tag, sub.to, sub.cseq = self.fresh(16), self.fresh(8), "", 0
+        sub.cseq += 1
+        uri = f"sip:{sub.event}@{hop.host}:{hop.port}"
+        message = Message("SUBSCRIBE", uri)
+        message.fields = [("From", f"<{self.uri}>;tag={sub.tag}"), ("To", sub.to or f"<{uri}>"),
+                          ("Call-ID", sub.call_id), ("CSeq", f"{sub.cseq} SUBSCRIBE"), ("Max-Forwards", "70"),
+                          ("Contact", f"<{self.uri}>"), ("Event", sub.event),
+                          ("Expires", str(sub.watching.lasts // SECOND)), ("Accept", "application/json")]
+        sub.client = self.transactions.request(now, message, hop, self._branch(), sub)
+
+    def _notifier(self, sub: Subscriber) -> Hop | None:
+        if sub.event == LIST:
+            return None if self.list_at is None else Hop("UDP", *self.list_at)
+        ex = self.controller.by_number.get(self.here)
+        hop = self.hops[ex.gw] if ex is not None else None
+        return None if hop is None else Hop("UDP", hop.host, hop.port)
+
+    def _subscribe_answered(self, now: int, sub: Subscriber, client: Client, message: Message) -> None:
+        if client is not sub.client:
+            return
+        if message.status >= 300:
+            self._subscribe(now, sub, sub.watching.refused(now))
+            return
+        try:
+            lasts = seconds_of(message, "Expires", sub.watching.lasts // SECOND) * SECOND
+        except BadMessageError:
+            lasts = sub.watching.lasts
+        sub.to = message.get("To")
+        sub.watching.granted(now, min(lasts, sub.watching.lasts))
+
+    def _notified(self, now: int, server: Server, message: Message) -> None:
+        sub = self.subscribers.get(message.get("Event").partition(";")[0].strip())
+        if sub is None:
+            self._answer(now, server, 489)
+            return
+        if message.call_id != sub.call_id or tag_of(message.get("To")) != sub.tag:
+            self._answer(now, server, 481)  # of a subscription given up
+            return
+        try:
+            body = (LIST_BODY if sub.event == LIST else GROUPS_BODY).decode(message.body) if message.body else None
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._answer(now, server, 400, [("Warning", f'399 {self.domain} "{_plain(str(error))}"')])
+            return
+        self._answer(now, server, 200)
+        if body is not None:
+            use = sub.watching.notified(now, Body(body.epoch, body.version, body.state == "full"))
+            if use == Use.TAKE:
+                if sub.event == LIST:
+                    self._list_told(now, body)
+                else:
+                    self._groups_told(now, body)
+            elif use == Use.ASK:
+                self.log.info("notification-gap", event_package=sub.event, version=body.version)
+                self._count("notification gaps")
+                self._subscribe(now, sub, Ask.REFRESH if sub.to else sub.watching.want(now))
+        if message.get("Subscription-State").partition(";")[0].strip() == "terminated":
+            self._subscribe(now, sub, sub.watching.refused(now))
+
+    def _list_told(self, now: int, body: ListBody) -> None:
+        entries = []
+        own = self._own_exchange()
+        for line in body.exchanges:
+            gw = self._gw(line.id, line.number)
+            state = STATES.get(line.state, GwState.GONE)
+            hop = self.hops[gw]
+            if line.address:
+                try:
+                    uri = uri_of(f"sip:{line.address}")
+                    hop = Hop("TCP" if line.transport.upper() == "TCP" else "UDP", uri.host, uri.port)
+                except BadMessageError:
+                    self.log.warning("list-address-unusable", exchange=line.id, address=line.address)
+                    hop = None
+            self.hops[gw] = hop
+            if hop is None:
+                state = GwState.GONE
+            self.log.info("exchange-listed", exchange=line.id, number=line.number, state=line.state,
+                          started=line.started)
+            entries.append(ListEntry(gw, line.number, state, self._start(now, gw, line.started)))
+        self.controller.list_pushed(now, entries, body.state == "full")
+        self._settle(now)
+        for gw, number in enumerate(self.numbers):  # a machine that took a number over has its groups too
+            free, size = self.circuits.count(number)
+            if size >= 0:
+                self.controller.group_told(now, gw, free, size)
+        if self._own_exchange() != own:  # a machine that has just started knows of no subscription
+            groups = self.subscribers[GROUPS]
+            self._subscribe(now, groups, groups.watching.want(now))
+
+    def _own_exchange(self) -> tuple[int, int]:
+        ex = self.controller.by_number.get(self.here)
+        return (-1, 0) if ex is None else (ex.gw, ex.started)
+
+    def _start(self, now: int, gw: int, started: float) -> int:
+        """A start by the wall clock as a time here. Converted once: two conversions of one start would differ
+        and look like two starts."""
+        if started <= 0:
+            return 0
+        if (gw, started) not in self.starts:
+            local = self.started_at + int((started - self.wall_at_start) * SECOND)
+            self.starts[gw, started] = max(1, min(local, now))
+        return self.starts[gw, started]
+
+    def _groups_told(self, now: int, body: GroupsBody) -> None:
+        for line in body.groups:
+            free, size = self.circuits.told(line.number, line.free, line.size)
+            for gw, number in enumerate(self.numbers):
+                if number == line.number and gw in self.controller.gws:
+                    self.controller.group_told(now, gw, free, size)
+
+    def _told(self, now: int, server: Server, message: Message) -> None:
+        """Another proxy's word; one that is too short says nothing."""
+        self._answer(now, server, 200)
+        if len(message.body) >= 3:
+            self.controller.peer_told(now, message.body)
+
+    # --- small parts -------------------------------------------------------------------------------------
+
+    def _gw(self, name: str, number: int) -> int:
+        gw = self.gws.get(name)
+        if gw is None:
+            gw = self.gws[name] = len(self.ids)
+            self.ids.append(name)
+            self.numbers.append(number)
+            self.hops.append(None)
+        self.numbers[gw] = number
+        return gw
+
+    def _answer(self, now: int, server: Server, status: int,
+                fields: list[tuple[str, str]] | None = None) -> None:
+        if server.request is not None:
+            self.transactions.respond(now, server, response(server.request, status,
+                                                            self._still_tag(server.request), fields or ()))
+
+    def _still_tag(self, message: Message) -> str:
+        """A tag that is the same for the same request, with nothing kept (section 8.2.7)."""
+        text = f"{message.get('Via')} {message.call_id} {self.boot}"
+        return blake2s(text.encode("utf-8", "replace"), digest_size=6).hexdigest()
+
+    def _branch(self) -> str:
+        self.serial += 1
+        return f"{MAGIC}{self.boot}{self.serial:x}"
+
+    def _send_stateless(self, message: Message, branch: str) -> None:
+        hop = next_hop(message)
+        message.push("Via", f"SIP/2.0/{hop.transport} {self.address[0]}:{self.address[1]};branch={branch};rport")
+        self.wire.transmit(bytes(message), hop)
+
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
+def _plain(text: str) -> str:
+    """Text fit for a quoted string of a header field."""
+    return "".join(char if 32 <= ord(char) < 127 and char not in '"\\' else " " for char in text)[:120]
--- /dev/null
+++ b/gingergap/sip/framing.py
@@ -0,0 +1,61 @@
+"""Messages cut out of a stream by Content-Length (RFC 3261 section 18.3), in bounded memory."""
+
+from .message import MOST_HEAD, BadMessageError, Message, name_of, parse
+
+MOST_BODY = 65_536
+
+
+class Framer:
+    """Feed bytes as they come; whole messages come out. A stream whose framing is lost can't be mended:
+    BadMessageError is raised and the connection is to be closed."""
+
+    def __init__(self, most_body: int = MOST_BODY) -> None:
+        self.most_body = most_body
+        self.held = bytearray()
+        self.searched = 0  # no empty line ends before here: a slow sender must not cost a search each byte
+
+    def feed(self, data: bytes) -> list[Message | BadMessageError]:
+        """Messages that are now whole. One that is framed but unusable comes as its error, in its place."""
+        self.held += data
+        found: list[Message | BadMessageError] = []
+        while True:
+            if self.searched == 0:
+                blank = 0
+                while self.held[blank:blank + 2] == b"\r\n":  # keep-alives between messages (RFC 5626)
+                    blank += 2
+                if blank:
+                    del self.held[:blank]
+            cut = self.held.find(b"\r\n\r\n", self.searched)
+            if cut < 0:
+                if len(self.held) > MOST_HEAD:
+                    raise BadMessageError("header over the size limit", 513)
+                self.searched = max(0, len(self.held) - 3)
+                return found
+            self.searched = cut
+            if cut > MOST_HEAD:
+                raise BadMessageError("header over the size limit", 513)
+            end = cut + 4 + self._length(bytes(self.held[:cut]))
+            if len(self.held) < end:
+                return found
+            whole = bytes(self.held[:end])
+            del self.held[:end]
+            self.searched = 0
+            try:
+                found.append(parse(whole, stream=True))
+            except BadMessageError as bad:
+                found.append(bad)
+
+    def _length(self, head: bytes) -> int:
+        length = None
+        for line in head.split(b"\r\n")[1:]:
+            raw, colon, value = line.partition(b":")
+            if colon and name_of(raw.strip().decode("utf-8", "surrogateescape")) == "Content-Length":
+                text = value.strip()
+                if not text.isdigit() or length not in (None, int(text)):
+                    raise BadMessageError("Content-Length is not a number, or stands twice", 400)
+                length = int(text)
+        if length is None:
+            raise BadMessageError("a message in a stream lacks Content-Length", 400)
+        if length > self.most_body:
+            raise BadMessageError("the body is over the size limit", 513)
+        return length
--- /dev/null
+++ b/gingergap/standins/script.py
@@ -0,0 +1,186 @@
+"""What happens on a scripted day, drawn ahead from its seed: who is struck, which machine lives when, which groups
+are how large. Every stand-in process works it out alike. No I/O and no clock; times in seconds since the day began.
+"""
+
+import random
+from typing import NamedTuple
+
+from ..settings.day import DayForm, FaultForm
+
+LONG_AGO = -1e9
+DRAIN = 3.0  # seconds from the word that a machine drains to its stop
+BACK = 2.0  # seconds that a machine which died of age takes to start
+
+
+class Life(NamedTuple):
+    """One machine from its start to its stop. `drains` and `dies` are infinite where they don't come."""
+
+    id: str
+    number: int
+    slot: int  # which of the exchange's addresses it listens on
+    born: float
+    drains: float
+    dies: float
+    orderly: bool  # its standing dialogs are told that they are cut
+
+
+class Strike(NamedTuple):
+    """A fault with the exchanges it strikes."""
+
+    fault: FaultForm
+    members: frozenset[int]
+
+    def on(self, now: float) -> bool:
+        return self.fault.at <= now < self.fault.at + self.fault.lasts
+
+
+NEVER = float("inf")
+
+
+class Plan:
+    """A day drawn from its seed."""
+
+    def __init__(self, day: DayForm, seed: int) -> None:
+        self.day, self.seed = day, seed
+        draw = random.Random(f"{day.name} {seed}")
+        count = day.exchanges
+        self.strikes: list[Strike] = []
+        for fault in day.fault:
+            many = max(1, round(fault.share * count))
+            self.strikes.append(Strike(fault, frozenset(draw.sample(range(count), min(many, count)))))
+        self.sizes = self._sizes(draw)
+        self.weights = [[0.0 if a == b else 1 + day.skew * (2 * draw.random() - 1) for b in range(count)]
+                        for a in range(count)]
+        self.tcp = {number for number in range(count) if draw.random() < day.exchange_tcp}
+        if day.exchange_tcp > 0 and not self.tcp:
+            self.tcp = {count - 1}
+        self.lives: list[Life] = [Life(f"x{n}", n, 0, LONG_AGO, NEVER, NEVER, False) for n in range(count)]
+        for strike in sorted(self.strikes, key=lambda entry: entry.fault.at):
+            self._strike_lives(strike)
+
+    def _sizes(self, draw: random.Random) -> dict[tuple[int, int], int]:
+        groups, sizes = self.day.groups, {}
+        pairs = [(a, b) for a in range(self.day.exchanges) for b in range(a + 1, self.day.exchanges)]
+        for pair in pairs:
+            sizes[pair] = max(1, round(groups.mean * (1 + groups.spread * (2 * draw.random() - 1))))
+        for pair in draw.sample(pairs, round(groups.without * len(pairs))):
+            sizes[pair] = 0
+        return sizes
+
+    def _strike_lives(self, strike: Strike) -> None:
+        fault = strike.fault
+        if fault.kind == "rolling":
+            batches = -(-len(strike.members) // fault.batch)
+            for place, number in enumerate(sorted(strike.members)):
+                when = fault.at + (place // fault.batch) * fault.lasts / batches
+                self._replace(number, when)
+        elif fault.kind in ("vanish", "mass-restart", "kill-exchange"):
+            for number in sorted(strike.members):
+                self._restart(number, fault.at, fault.at + fault.lasts)
+        elif fault.kind == "ageing":
+            for number in sorted(strike.members):
+                self._restart(number, fault.at + fault.lasts, fault.at + fault.lasts + BACK)
+
+    def _alive(self, number: int, when: float) -> int | None:
+        found = None
+        for place, life in enumerate(self.lives):
+            if life.number == number and life.born <= when < min(life.drains, life.dies):
+                found = place
+        return found
+
+    def _restart(self, number: int, dies: float, back: float) -> None:
+        place = self._alive(number, dies)
+        if place is not None:
+            old = self.lives[place]
+            self.lives[place] = old._replace(dies=dies)
+            self.lives.append(Life(old.id, number, old.slot, back, NEVER, NEVER, False))
+
+    def _replace(self, number: int, when: float) -> None:
+        place = self._alive(number, when)
+        if place is not None:
+            old = self.lives[place]
+            self.lives[place] = old._replace(drains=when, dies=when + DRAIN, orderly=True)
+            count = sum(1 for life in self.lives if life.number == number)
+            self.lives.append(Life(f"x{number}r{count}", number, 1 - old.slot, when, NEVER, NEVER, False))
+
+    # --- what holds at a moment ---
+
+    def struck(self, kind: str, number: int, now: float) -> list[FaultForm]:
+        """Faults of a kind that strike an exchange now."""
+        return [strike.fault for strike in self.strikes
+                if strike.fault.kind == kind and number in strike.members and strike.on(now)]
+
+    def anywhere(self, kind: str, now: float) -> list[FaultForm]:
+        return [strike.fault for strike in self.strikes if strike.fault.kind == kind and strike.on(now)]
+
+    def size(self, a: int, b: int, now: float) -> int:
+        """Circuits of the group between two exchanges; lost ones are back when the fault is over."""
+        size = self.sizes[min(a, b), max(a, b)]
+        for strike in self.strikes:
+            if strike.fault.kind == "groups-shrink" and strike.on(now) and strike.members & {a, b}:
+                size = int(size / strike.fault.factor)
+        return size
+
+    def cut_off(self, a: int, b: int, now: float) -> bool:
+        """Whether nothing passes between two exchanges: one is in a district that is cut off."""
+        return any(strike.fault.kind == "district-cut" and strike.on(now)
+                   and (a in strike.members) != (b in strike.members) for strike in self.strikes)
+
+    def speed(self, life: Life, now: float) -> float:
+        """What a processor can do as a part of what a warm and well one can; 0 while it stands still."""
+        speed = 1.0
+        age = now - life.born
+        cold = self.day.cold
+        warm = cold.warm_after_ms / 1000
+        if age < warm:
+            speed *= cold.from_share + (1 - cold.from_share) * max(0.0, age) / warm
+        for fault in self.struck("slow", life.number, now):
+            speed /= fault.factor
+        for fault in self.anywhere("all-slow", now):
+            speed /= fault.factor
+        for fault in self.struck("ageing", life.number, now):
+            speed /= 1 + (fault.factor - 1) * (now - fault.at) / fault.lasts
+        for fault in self.struck("pauses", life.number, now):
+            if (now - fault.at) % (fault.every_ms / 1000) < fault.ms / 1000:
+                speed = 0.0
+        return speed
+
+    def rate(self, number: int, now: float) -> float:
+        """First tries a second at an exchange."""
+        rate = self.day.rate
+        for fault in self.anywhere("burst", now):
+            rate *= fault.factor
+        for fault in self.struck("flood", number, now):
+            rate *= fault.factor
+        return rate
+
+    def capacity(self) -> float:
+        """Set-ups a second of a warm and well processor."""
+        return 1000 / (self.day.processor.setup_ms + self.day.processor.release_ms)
+
+    def list_news(self) -> list[tuple[float, str, int, str, float]]:
+        """(when told, id, number, state, start) in order of telling; starts long ago are 0."""
+        told = self.day.list_
+        news = []
+        for life in self.lives:
+            if life.born > LONG_AGO:
+                news.append((life.born + self._late(life.born, told.add_ms), life.id, life.number, "ready", life.born))
+            start = life.born if life.born > LONG_AGO else 0.0
+            if life.drains < NEVER:
+                news.append((life.drains + self._late(life.drains, told.notice_ms / 4), life.id, life.number,
+                             "draining", start))
+            if life.dies < NEVER:
+                late = told.notice_ms if life.drains < NEVER else told.silent_notice_ms
+                news.append((life.dies + self._late(life.dies, late), life.id, life.number, "gone", start))
+        # The source of a list learns things in the order in which they happened, however late it is.
+        news.sort()
+        latest: dict[str, float] = {}
+        kept = []
+        for entry in news:
+            if entry[4] >= latest.get(entry[1], 0.0):
+                latest[entry[1]] = entry[4]
+                kept.append(entry)
+        return kept
+
+    def _late(self, when: float, ms: float) -> float:
+        return (ms + sum(fault.ms for fault in self.anywhere("stale-list", when))) / 1000
