--- a/days/bad-monday.sexp
+++ b/days/bad-monday.sexp
@@ -7,7 +7,7 @@
   (exchanges 5)
   (rate 7)
   (skew 0.4)
-  (exchange-tcp 0.3)
+  (exchange-tcp 0.5)
   (traffic-type (name "part-lookup") (share 0.89) (circuits 1) (importance 1) (hold-s 2.5)
                 (setup-objective-ms 1500) (no-answer-time-ms 9000) (late-share 0.1) (patience-s 3))
   (traffic-type (name "photo-match") (share 0.11) (circuits 2) (importance 3) (hold-s 2.5)
@@ -37,6 +37,7 @@
   (fault (kind vanish) (at 14) (lasts 3) (share 0.2))
   (fault (kind cut) (at 16) (share 0.4))
   (fault (kind messages-lost) (at 10) (lasts 10) (factor 0.5))
+  (fault (kind resets) (at 4) (lasts 24) (share 1) (every-ms 700))
   ; killed outright: a proxy, an exchange
   (fault (kind kill-proxy) (at 17) (lasts 1.5) (share 0.2))
   (fault (kind kill-exchange) (at 19) (lasts 2) (share 0.2))
--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -166,8 +166,6 @@
                 if entries is None:
                     raise BadLineError("field SetId names no list that has come")
                 self.controller.list_pushed(now, [self._entry(entry) for entry in entries], msg["Kind"] != 0)
-            case "Message":
-                pass  # the module sends none and so expects none
 
     def _knock(self, msg: dict[str, Any], now: int) -> None:
         dialog = self.dialogs
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ..brain import CallController
-from ..host import GwState, LegEnd, ListEntry, TrafficType
+from ..host import GwState, LegEnd, ListEntry, Rsn, TrafficType
 from ..sip.dialogs import next_hop, release_of
 from ..sip.fields import address_of, seconds_of, tag_of, top_via, uri_of, via_of
 from ..sip.message import BadMessageError, Message, response
@@ -27,7 +27,7 @@
 SECOND = 10_000
 LIST, GROUPS = "exchange-list", "trunk-groups"  # event packages of ours (RFC 6665 section 7.2)
 MOST_MESSAGES = 3  # short messages to one exchange that may be unanswered at once; a newer one says more
-SWEEP = SECOND
+SWEEP = SECOND // 4
 
 
 class ExchangeLine(msgspec.Struct):
@@ -176,6 +176,8 @@
             self.sweep_at = now + SWEEP
             while self.released and next(iter(self.released.values())) <= now:
                 del self.released[next(iter(self.released))]
+            for number, free, size in self.circuits.no_longer_doubted(now):
+                self._group_told(now, number, free, size)
         for sub in self.subscribers.values():
             if sub.again_at is not None and now >= sub.again_at:
                 sub.again_at = None
@@ -412,7 +414,7 @@
 
     def _leg_answered(self, now: int, leg: Leg, message: Message) -> None:
         call, status = leg.call, message.status
-        self.circuits.leg_seen(leg.far, leg.serial)
+        self.circuits.leg_over(leg.far, leg.serial)
         if status < 200:
             if status > 100 and not call.answered and not leg.over:
                 message.pop_first("Via")
@@ -460,6 +462,8 @@
         call.leg = None
         call.how, call.rsn = how, rsn
         self.circuits.leg_over(leg.far, leg.serial)
+        if how == LegEnd.FULL and rsn == Rsn.NO_CIRCUIT:
+            self.circuits.turned_back(now, leg.far, call.width)
         self._count(f"legs ended {how.name.lower()}")
         over = call.answered
         if over:
@@ -675,10 +679,12 @@
 
     def _groups_told(self, now: int, body: GroupsBody) -> None:
         for line in body.groups:
-            free, size = self.circuits.told(line.number, line.free, line.size)
-            for gw, number in enumerate(self.numbers):
-                if number == line.number and gw in self.controller.gws:
-                    self.controller.group_told(now, gw, free, size)
+            self._group_told(now, line.number, *self.circuits.told(line.number, line.free, line.size))
+
+    def _group_told(self, now: int, number: int, free: int, size: int) -> None:
+        for gw, held in enumerate(self.numbers):
+            if held == number and gw in self.controller.gws:
+                self.controller.group_told(now, gw, free, size)
 
     def _told(self, now: int, server: Server, message: Message) -> None:
         """Another proxy's word; one that is too short says nothing."""
--- a/gingergap/settings/day.py
+++ b/gingergap/settings/day.py
@@ -12,7 +12,7 @@
 
 KINDS = (
     "burst", "flood", "slow", "all-slow", "ageing", "pauses", "silence", "vanish", "mass-restart", "rolling",
-    "kill-exchange", "kill-proxy", "answers-lost", "district-cut", "groups-shrink", "cut",
+    "kill-exchange", "kill-proxy", "resets", "answers-lost", "district-cut", "groups-shrink", "cut",
     "stale-list", "list-silent", "messages-lost", "loss", "duplication", "reordering", "delay",
 )
 
--- a/gingergap/standins/checker.py
+++ b/gingergap/standins/checker.py
@@ -2,7 +2,8 @@
 
 A capture has one JSON object a line in time order: messages (`at`, `transport`, `from`, `to`, `message`; `lost` where
 the network lost it, `late_by` where it held it up) and lines with a `note`: `rules` (the figures), `proxy` (an
-address that is judged), `list`, `exchange` (a machine started there, with what it can do), `stopped`, `killed`.
+address that is judged), `list`, `exchange` (a machine started there, with what it can do), `stopped`,
+`reset` (its connections were dropped), `killed`.
 
 What counts as the end of a leg, seen from outside: a final response that reached the proxy; the CANCEL that the proxy
 sent; the stop of the machine. A leg of which the proxy has heard nothing can't be cancelled yet (RFC 3261 section
@@ -72,8 +73,8 @@
 class LegSeen:
     """One INVITE that a proxy sent on."""
 
-    def __init__(self, branch: str, target: str, at: float, line: int) -> None:
-        self.branch, self.target, self.at, self.line = branch, target, at, line
+    def __init__(self, branch: str, target: str, at: float, line: int, stream: bool) -> None:
+        self.branch, self.target, self.at, self.line, self.stream = branch, target, at, line, stream
         self.sends = [(at, line)]
         self.provisional: float | None = None
         self.end: tuple[float, str, int] | None = None  # when, how, line
@@ -118,6 +119,7 @@
         self.id_address: dict[str, str] = {}
         self.starts: list[Start] = []
         self.stops: dict[str, list[float]] = {}
+        self.resets: dict[str, list[float]] = {}  # all connections of an address were dropped
         self.kills: dict[str, list[float]] = {}
         self.down: set[str] = set()  # killed, and not heard of since: nobody is there to take anything
         self.last_at = float("-inf")
@@ -162,6 +164,8 @@
                 if line["cold"]:
                     self.starts.append(Start(at, line["exchange"], line["address"], float(line["capacity"]),
                                              float(line["from_share"]), float(line["warm_after"]), number))
+            case "reset":
+                self.resets.setdefault(line["address"], []).append(at)
             case "stopped":
                 self.stops.setdefault(line["address"], []).append(at)
             case "killed":
@@ -182,7 +186,7 @@
             if target in self.proxies:
                 self._invite_taken(message, via.branch, target, sender, reached, number)
             elif sender in self.proxies:
-                self._leg_sent(message, via.branch, sender, target, at, number)
+                self._leg_sent(message, via.branch, sender, target, at, number, via.transport == "TCP")
         elif message.method == "CANCEL":
             if target in self.proxies and reached is not None:
                 taken = self.taken.get((target, via.branch))
@@ -218,11 +222,12 @@
         self.taken[key] = Taken(proxy, message.call_id, tag_of(message.get("From")), reached, limit, number,
                                 transit, asker)
 
-    def _leg_sent(self, message: Message, branch: str, proxy: str, target: str, at: float, number: int) -> None:
+    def _leg_sent(self, message: Message, branch: str, proxy: str, target: str, at: float, number: int,
+                  stream: bool) -> None:
         key = proxy, branch
         leg = self.by_branch.get(key)
         if leg is None:
-            leg = self.by_branch[key] = LegSeen(branch, target, at, number)
+            leg = self.by_branch[key] = LegSeen(branch, target, at, number, stream)
             self.legs.setdefault((proxy, message.call_id, tag_of(message.get("From"))), []).append(leg)
         else:
             leg.sends.append((at, number))
@@ -358,7 +363,8 @@
         """When a leg that another one followed at `by` was over. What came after that can't have ended it."""
         if leg.end is not None and leg.end[0] <= by + SLACK:
             return leg.end
-        stopped = next((at for at in self.stops.get(leg.target, ()) if leg.at <= at <= by + SLACK), None)
+        over = [*self.stops.get(leg.target, ()), *(self.resets.get(leg.target, ()) if leg.stream else ())]
+        stopped = min((at for at in over if leg.at <= at <= by + SLACK), default=None)
         if stopped is not None:
             return stopped, "reset", leg.line
         if leg.provisional is not None and leg.provisional <= by - SLACK:
@@ -384,7 +390,7 @@
                     continue
                 verdict.judged[3] += 1
                 for at, line, call in sent.get((proxy, self.id_address[name]), ()):
-                    if since < at < back and self._machine_at(self.id_address[name], at) == name:
+                    if since < at < back and self._machine_at(self.id_address[name], at) in (name, ""):
                         verdict.breach(3, f"{call} at {proxy}", at, f"a leg to {name} {at - word.at:.2f} s after word "
                                        f"that it is {word.state}", [word.line, line])
 
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -72,6 +72,7 @@
         self.running = True
         self.fallen = False
         self.arrivals: deque[float] = deque()
+        self.reset_at = 0.0
         self.greenlets: list[gevent.Greenlet] = []
 
     def now(self) -> float:
@@ -124,6 +125,7 @@
             if not self._silent():
                 self.transactions.due(units())
             rounds += 1
+            self._drop_connections()
             if rounds % 4 == 0:
                 groups = self._groups()
                 news = {number: line for number, line in groups.items() if told.get(number) != line}
@@ -134,6 +136,14 @@
                 self._free_forgotten()
                 self._free_lost_circuits()
 
+    def _drop_connections(self) -> None:
+        now = self.now()
+        for fault in self.plan.struck("resets", self.life.number, now):
+            if now >= self.reset_at:
+                self.reset_at = now + fault.every_ms / 1000 * (0.5 + self.draw.random())
+                self.capture.note("reset", address=f"{self.address[0]}:{self.address[1]}")
+                self.sockets.reset()
+
     def _groups(self) -> dict[object, dict[str, object]]:
         here, now = self.life.number, self.now()
         lines: dict[object, dict[str, object]] = {}
--- a/gingergap/transport/sockets.py
+++ b/gingergap/transport/sockets.py
@@ -183,6 +183,13 @@
                 sock.close()
         self.datagrams = self.listener = self.plain = None
 
+    def reset(self) -> int:
+        """Drop every connection as a failing link does; how many there were."""
+        connections = list(self.connections.values())
+        for connection in connections:
+            connection.close(True)
+        return len(connections)
+
     # --- out ---
 
     def transmit(self, data: bytes, hop: Hop) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,34 @@
-"""A host that writes down what it is asked for, and a controller set up as at a small mesh."""
+"""Helpers of all tests: a host that writes down what it is asked for, a controller as at a small mesh, and a proxy with
+a wire that keeps what it is given, so that tests play its peers message by message."""
 
+import itertools
 from types import SimpleNamespace
 
+import msgspec
 import pytest
+import structlog
 
 from gingergap.brain import CallController
+from gingergap.edge.serve import proxy_of
 from gingergap.host import GwState, ListEntry, TrafficType
+from gingergap.settings.edge import EdgeForm
+from gingergap.settings.forms import parse as parse_form
+from gingergap.sip.fields import tag_of, top_via
+from gingergap.sip.message import Message, parse, response
+from gingergap.sip.transactions import Hop
+
+EDGE = """
+(edge (name "p0") (listen "127.0.0.1:7000") (here 0) (exchange-list "127.0.0.1:7300") (tell-peers false)
+  (exchange (number 0) (id "x0") (address "127.0.0.1:7100") (prefix "000"))
+  (exchange (number 1) (id "x1") (address "127.0.0.1:7101") (prefix "001"))
+  (exchange (number 2) (id "x2") (address "127.0.0.1:7102") (prefix "002"))
+  (exchange (number 3) (id "x3") (address "127.0.0.1:7103") (prefix "003"))
+  (traffic-type (name "voice") (setup-objective-ms 1500) (no-answer-time-ms 9000))
+  (traffic-type (name "video") (circuits 2) (importance 3) (resource-priority "q735.2")
+                (setup-objective-ms 2500) (no-answer-time-ms 9000))
+  (bounds (dialogs 50) (transactions 500)))
+"""
+CALLER = Hop("UDP", "127.0.0.1", 9000)
 
 
 class NotedHost:
@@ -45,3 +68,136 @@
             controller.beat(now)
 
     return SimpleNamespace(host=host, controller=controller, came=came, beats=beats, gws=controller.gws)
+
+
+class Peers:
+    """A proxy without sockets and everybody around it. Times in tenths of a millisecond from 0."""
+
+    def __init__(self, settings=EDGE):
+        self.sent = []  # (message, hop), all that left
+        self.read = 0
+        self.now = 0
+        serial = itertools.count(1)
+        form = parse_form(settings, "test", edge=EdgeForm)
+        self.proxy = proxy_of(form, self, structlog.get_logger(), 0, 1_000_000.0,
+                              lambda size: f"{next(serial):0{size}x}")
+        self.calls = itertools.count(1)
+        self.versions = itertools.count(1)
+        self.tell_groups({1: 20, 2: 20, 3: 20})
+        self.new()
+
+    def transmit(self, data, hop):
+        self.sent.append((parse(data), hop))
+
+    # --- looking ---
+
+    def new(self, method=None, status=None, port=None, cseq=None):
+        """Messages since the last look that fit; all others of that time are forgotten too."""
+        fresh, self.read = self.sent[self.read:], len(self.sent)
+        return [message for message, hop in fresh
+                if (method is None or message.method == method) and (status is None or message.status == status)
+                and (port is None or hop.port == port) and (cseq is None or message.cseq()[1] == cseq)]
+
+    def all(self, method=None, status=None, port=None):
+        self.read = 0
+        return self.new(method, status, port)
+
+    def finals(self, call):
+        """Final answers to a caller's INVITE, in order."""
+        return [message.status for message, hop in self.sent
+                if message.status >= 200 and message.call_id == call and hop == CALLER
+                and message.cseq()[1] == "INVITE"]
+
+    # --- acting ---
+
+    def pass_time(self, to):
+        for now in range(self.now + 50, to + 1, 50):
+            self.proxy.due(now)
+        self.now = to
+
+    def come(self, message, hop=CALLER):
+        data = bytes(message)
+        self.proxy.got(self.now, parse(data), hop)
+
+    def invite(self, number="001555", expires=3, fields=(), branch=None, call=None, hop=CALLER):
+        call = call or f"call{next(self.calls)}"
+        message = Message("INVITE", f"sip:{number}@127.0.0.1:7000")
+        message.fields = [("Via", f"SIP/2.0/{hop.transport} {hop.host}:{hop.port};branch={branch or 'z9hG4bK' + call}"),
+                          ("Max-Forwards", "70"), ("From", "<sip:c@127.0.0.1>;tag=ct"),
+                          ("To", f"<sip:{number}@127.0.0.1>"), ("Call-ID", call), ("CSeq", "1 INVITE"),
+                          ("Contact", f"<sip:c@{hop.host}:{hop.port}>"), ("Expires", str(expires)), *fields]
+        self.come(message, hop)
+        return message
+
+    def legs(self, call):
+        """INVITEs sent on for a dialog, retransmissions left out."""
+        found = {}
+        for message, hop in self.sent:
+            if message.method == "INVITE" and message.call_id == call:
+                found.setdefault(top_via(message).branch, (message, hop))
+        return list(found.values())
+
+    def answer(self, leg, status, tag="far", fields=(), contact=True):
+        message, hop = leg
+        extra = [*fields]
+        if 200 <= status < 300 and contact:
+            extra.append(("Contact", f"<sip:far@{hop.host}:{hop.port}>"))
+        self.come(response(message, status, tag, extra), hop)
+
+    def cancel(self, invite, hop=CALLER):
+        message = Message("CANCEL", invite.uri)
+        message.fields = [entry for entry in invite.fields if entry[0] in ("Via", "From", "To", "Call-ID")]
+        message.fields += [("CSeq", "1 CANCEL"), ("Max-Forwards", "70")]
+        self.come(message, hop)
+
+    def within(self, method, call, by_caller=True, tag="far", number=2, fields=()):
+        message = Message(method, "sip:far@127.0.0.1:7101" if by_caller else "sip:c@127.0.0.1:9000")
+        hop = CALLER if by_caller else Hop("UDP", "127.0.0.1", 7101)
+        ends = [("From", "<sip:c@127.0.0.1>;tag=ct"), ("To", f"<sip:001555@127.0.0.1>;tag={tag}")]
+        if not by_caller:
+            ends = [("From", ends[1][1]), ("To", ends[0][1])]
+        message.fields = [("Via", f"SIP/2.0/UDP {hop.host}:{hop.port};branch=z9hG4bK{method}{call}{by_caller}{number}"),
+                          ("Route", "<sip:127.0.0.1:7000;lr>"), ("Max-Forwards", "70"), *ends,
+                          ("Call-ID", call), ("CSeq", f"{number} {method}"), *fields]
+        self.come(message, hop)
+        return message
+
+    def notify(self, event, body, state="active"):
+        sub = self.proxy.subscribers[event]
+        message = Message("NOTIFY", "sip:127.0.0.1:7000", body=msgspec.json.encode(body))
+        message.fields = [("Via", f"SIP/2.0/UDP 127.0.0.1:7300;branch=z9hG4bKn{next(self.calls)}"),
+                          ("From", f"<sip:n@127.0.0.1>;tag={event}"), ("To", f"<sip:p>;tag={sub.tag}"),
+                          ("Call-ID", sub.call_id), ("CSeq", f"{next(self.calls)} NOTIFY"), ("Max-Forwards", "70"),
+                          ("Event", event), ("Subscription-State", state)]
+        self.come(message, Hop("UDP", "127.0.0.1", 7300))
+
+    def tell_groups(self, free, size=20):
+        self.notify("trunk-groups", {
+            "version": next(self.versions), "state": "full", "epoch": "e",
+            "groups": [{"number": number, "free": circuits, "size": size} for number, circuits in free.items()]})
+
+    def tell_list(self, version, lines, state="partial", epoch="e"):
+        self.notify("exchange-list", {"version": version, "state": state, "epoch": epoch, "exchanges": [
+            {"id": name, "number": int(name[1]), "state": word, "started": started,
+             "address": f"127.0.0.1:710{name[1]}"} for name, word, started in lines]})
+
+    def standing(self, number="001555"):
+        """A dialog that stands; its INVITE and its leg."""
+        invite = self.invite(number)
+        leg = self.legs(invite.call_id)[0]
+        self.answer(leg, 200)
+        return invite, leg
+
+
+@pytest.fixture
+def peers():
+    return Peers()
+
+
+@pytest.fixture
+def peers_of():
+    return Peers
+
+
+def tag(message):
+    return tag_of(message.get("To"))
--- /dev/null
+++ b/tests/test_edge_proxy.py
@@ -0,0 +1,346 @@
+"""The proxy message by message: one final answer, one leg, releases, and what crosses what."""
+
+import pytest
+
+from gingergap.host import LegEnd
+from gingergap.sip.fields import reason_of, top_via
+from gingergap.sip.message import Message
+from gingergap.sip.transactions import Hop
+
+
+def test_a_call_from_invite_to_bye(peers):
+    invite = peers.invite()
+    assert [m.status for m, hop in peers.sent if hop.port == 9000] == [100]
+    (leg, hop), = peers.legs(invite.call_id)
+    assert hop == Hop("UDP", "127.0.0.1", 7101)
+    assert leg.uri.startswith("sip:001555;tgrp=g0-1;trunk-context=")
+    assert leg.get("Record-Route") == "<sip:127.0.0.1:7000;lr>" and leg.get("Max-Forwards") == "69"
+    peers.answer((leg, hop), 200)
+    assert peers.finals(invite.call_id) == [200]
+    call, = peers.proxy.calls.values()
+    assert call.stands and peers.proxy.open_dialogs == 0
+    peers.within("ACK", invite.call_id, number=1)
+    assert peers.all("ACK", port=7101)
+    bye = peers.within("BYE", invite.call_id)
+    passed, = peers.all("BYE", port=7101)
+    assert passed.call_id == bye.call_id and not passed.has("Route")
+    peers.answer((passed, Hop("UDP", "127.0.0.1", 7101)), 200, contact=False)
+    assert [m.cseq()[1] for m, hop in peers.sent if m.status == 200 and hop.port == 9000] == ["INVITE", "BYE"]
+    assert not peers.proxy.calls and not peers.proxy.by_key and not peers.proxy.controller.dialogs
+
+
+def test_a_retransmitted_invite_after_the_leg_timed_out_gets_the_same_answer_and_no_leg(peers):
+    invite = peers.invite(expires=1)
+    peers.pass_time(12_000)
+    assert peers.finals(invite.call_id)[0] == 408
+    legs = len(peers.legs(invite.call_id))
+    before = len(peers.finals(invite.call_id))
+    peers.come(invite)
+    assert peers.finals(invite.call_id)[before:] == [408]
+    assert len(peers.legs(invite.call_id)) == legs
+    answers = [m for m in peers.all(status=408) if m.call_id == invite.call_id]
+    assert len({bytes(answer) for answer in answers}) == 1
+
+
+def test_the_answer_comes_before_the_callers_time_is_up(peers):
+    invite = peers.invite(expires=2)
+    peers.answer(peers.legs(invite.call_id)[0], 100)
+    peers.pass_time(20_000)
+    assert peers.finals(invite.call_id)[0] == 408
+    assert peers.all("CANCEL", port=7101)  # what is still out is called off
+
+
+def test_a_cancel_that_comes_after_the_200_changes_nothing(peers):
+    invite, leg = peers.standing()
+    peers.cancel(invite)
+    assert peers.finals(invite.call_id) == [200]
+    assert not peers.all("CANCEL") and not peers.all("BYE")
+    peers.within("BYE", invite.call_id)
+    assert not peers.proxy.calls
+
+
+def test_a_200_that_crosses_the_cancel_is_acked_and_released_once(peers):
+    invite = peers.invite()
+    leg = peers.legs(invite.call_id)[0]
+    peers.answer(leg, 100)
+    peers.cancel(invite)
+    assert peers.finals(invite.call_id) == [487]
+    assert [m.status for m, hop in peers.sent if hop.port == 9000 and m.status and m.cseq()[1] == "CANCEL"] == [200]
+    assert len(peers.all("CANCEL", port=7101)) == 1
+    for _ in range(3):  # the 200 is sent again until its ACK comes
+        peers.answer(leg, 200)
+    assert peers.finals(invite.call_id) == [487]
+    assert len(peers.all("ACK", port=7101)) == 3
+    bye, = peers.all("BYE", port=7101)
+    assert bye.get("To").endswith("tag=far") and bye.get("From") == invite.get("From")
+    assert bye.cseq() == (2, "BYE")
+    assert not peers.proxy.calls
+
+
+def test_a_487_after_the_cancel_ends_it_quietly(peers):
+    invite = peers.invite()
+    leg = peers.legs(invite.call_id)[0]
+    peers.answer(leg, 180)
+    peers.cancel(invite)
+    peers.answer(leg, 487)
+    assert peers.finals(invite.call_id) == [487]
+    assert peers.all("ACK", port=7101) and not peers.all("BYE")
+    assert len(peers.legs(invite.call_id)) == 1
+
+
+def test_a_cancel_before_any_word_of_the_leg_waits_for_one(peers):
+    invite = peers.invite()
+    leg = peers.legs(invite.call_id)[0]
+    peers.cancel(invite)
+    assert not peers.all("CANCEL", port=7101)
+    sent = len(peers.sent)
+    peers.pass_time(30_000)
+    assert not [m for m, hop in peers.sent[sent:] if m.method == "INVITE"]  # and is not sent again
+    peers.answer(leg, 100)
+    assert len(peers.all("CANCEL", port=7101)) == 1
+
+
+def test_a_late_200_of_a_leg_given_up_never_reaches_the_caller(peers):
+    invite = peers.invite(expires=1)
+    leg = peers.legs(invite.call_id)[0]
+    peers.pass_time(12_000)
+    answered = list(peers.finals(invite.call_id))
+    peers.answer(leg, 200)
+    assert peers.finals(invite.call_id) == answered
+    assert len(peers.all("ACK", port=7101)) == 1 and len(peers.all("BYE", port=7101)) == 1
+
+
+def test_a_late_200_is_released_even_by_a_process_that_knows_nothing_of_it(peers, peers_of):
+    invite = peers.invite()
+    leg = peers.legs(invite.call_id)[0]
+    reborn = peers_of()
+    reborn.answer(leg, 200)
+    assert len(reborn.all("ACK", port=7101)) == 1 and len(reborn.all("BYE", port=7101)) == 1
+
+
+def test_a_200_sent_again_because_its_ack_was_lost_is_passed_on_again(peers):
+    invite, leg = peers.standing()
+    peers.answer(leg, 200)
+    assert peers.finals(invite.call_id) == [200, 200]
+    assert not peers.all("BYE")
+
+
+def test_a_second_fork_that_answers_is_released_and_the_first_stands(peers):
+    invite, leg = peers.standing()
+    peers.answer(leg, 200, tag="other")
+    assert peers.finals(invite.call_id) == [200]
+    bye, = peers.all("BYE", port=7101)
+    assert bye.get("To").endswith("tag=other")
+    assert len(peers.proxy.calls) == 1
+
+
+def test_byes_from_both_sides_free_the_dialog_once(peers):
+    invite, _ = peers.standing()
+    ended = []
+    told = peers.proxy.controller.leg_ended
+    peers.proxy.controller.leg_ended = lambda *args: (ended.append(args[3]), told(*args))
+    peers.within("BYE", invite.call_id)
+    peers.within("BYE", invite.call_id, by_caller=False)
+    assert ended == [LegEnd.ENDED]
+    assert len(peers.all("BYE", port=7101)) == 1 and len(peers.all("BYE", port=9000)) == 1
+
+
+def test_a_bye_with_a_cause_tells_that_the_dialog_was_cut(peers):
+    invite, _ = peers.standing()
+    ended = []
+    told = peers.proxy.controller.leg_ended
+    peers.proxy.controller.leg_ended = lambda *args: (ended.append((args[3], args[5])), told(*args))
+    peers.within("BYE", invite.call_id, by_caller=False, fields=[("Reason", "Q.850;cause=38")])
+    assert ended == [(LegEnd.CUT, True)]
+
+
+def test_a_dialog_from_before_a_restart_is_still_passed_on(peers):
+    peers.within("BYE", "unknown-here")
+    assert len(peers.all("BYE", port=7101)) == 1
+
+
+@pytest.mark.parametrize(("status", "fields", "final"), [
+    (486, [("Reason", "Q.850;cause=17")], 486), (500, [], 480), (404, [], 480)])
+def test_a_busy_or_failed_leg_ends_the_dialog(peers, status, fields, final):
+    invite = peers.invite()
+    peers.answer(peers.legs(invite.call_id)[0], status, fields=fields)
+    assert peers.finals(invite.call_id) == [final]
+    assert peers.all("ACK", port=7101)
+
+
+def test_a_full_group_is_followed_by_a_tandem(peers):
+    invite = peers.invite()
+    peers.answer(peers.legs(invite.call_id)[0], 503, fields=[("Reason", "Q.850;cause=34")])
+    legs = peers.legs(invite.call_id)
+    assert len(legs) == 2 and legs[1][1].port in (7102, 7103)
+    assert "transit" in legs[1][0].get("Gingergap-Dialog")
+    peers.answer(legs[1], 200)
+    assert peers.finals(invite.call_id) == [200]
+
+
+def test_the_release_guard_passes_before_a_dialog_is_sent_again(peers):
+    tcp = [("x1", "ready", 0.0)]
+    peers.notify("exchange-list", {"version": 1, "state": "full", "epoch": "e", "exchanges": [
+        {"id": name, "number": int(name[1]), "state": word, "started": started, "transport": "TCP",
+         "address": f"127.0.0.1:710{name[1]}"} for name, word, started in tcp]})
+    invite = peers.invite()
+    (leg, hop), = peers.legs(invite.call_id)
+    assert hop.transport == "TCP"
+    peers.answer((leg, hop), 100)
+    peers.proxy.hop_failed(peers.now, Hop("TCP", "127.0.0.1", 7101, 5), True)
+    peers.pass_time(1_950)
+    assert len(peers.legs(invite.call_id)) == 1
+    peers.pass_time(2_600)
+    assert len(peers.legs(invite.call_id)) == 2
+
+
+def test_nobody_there_is_told_apart_from_silence(peers):
+    invite = peers.invite()
+    peers.proxy.hop_failed(peers.now, Hop("UDP", "127.0.0.1", 7101), False)
+    assert peers.proxy.counts["legs ended unreachable"] == 1
+    assert len(peers.legs(invite.call_id)) == 1  # and it is not asked again at once
+    peers.pass_time(32_000)
+    assert set(peers.finals(invite.call_id)) == {503}
+
+
+def test_a_dialog_in_transit_goes_to_its_destination_or_back(peers):
+    invite = peers.invite(fields=[("Gingergap-Dialog", "transit;time-left=1500")])
+    (leg, hop), = peers.legs(invite.call_id)
+    assert hop.port == 7101 and "transit" not in leg.get("Gingergap-Dialog")
+    peers.answer((leg, hop), 503, fields=[("Reason", "Q.850;cause=42")])
+    while len(peers.finals(invite.call_id)) == 0 and peers.now < 20_000:
+        peers.pass_time(peers.now + 500)
+        for again in peers.legs(invite.call_id)[1:]:
+            peers.answer(again, 503, fields=[("Reason", "Q.850;cause=42")])
+    final, = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
+    assert reason_of(final) == (42, "RLN")
+
+
+def test_a_transit_dialog_judged_too_much_is_turned_back_as_such(peers):
+    peers.tell_groups({1: 0, 2: 20, 3: 20})
+    peers.invite(fields=[("Gingergap-Dialog", "transit;time-left=1500")])
+    final, = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
+    assert reason_of(final) == (21, "TN") and not final.has("Retry-After")
+
+
+def test_two_proxies_as_each_others_tandems_at_once(peers):
+    own = peers.invite("002555")
+    peers.answer(peers.legs(own.call_id)[0], 503, fields=[("Reason", "Q.850;cause=34")])
+    tandem, hop = peers.legs(own.call_id)[1]
+    far = 4 - (hop.port - 7100)  # neither the tandem nor the full group
+    transit = peers.invite(f"00{far}777", fields=[("Gingergap-Dialog", "transit;time-left=2000")], call="theirs",
+                           hop=Hop("UDP", "127.0.0.1", hop.port))
+    assert [h.port for _, h in peers.legs(transit.call_id)] == [7100 + far]
+    peers.answer((tandem, hop), 200)
+    peers.answer(peers.legs("theirs")[0], 200)
+    assert peers.finals(own.call_id) == [200]
+    assert [m.status for m, h in peers.sent if m.call_id == "theirs" and h.port == hop.port
+            and m.status >= 200] == [200]
+
+
+def test_a_request_that_came_round_is_refused(peers):
+    peers.invite(fields=[("Via", "SIP/2.0/UDP 127.0.0.1:7000;branch=z9hG4bKold")])
+    assert peers.all(status=482) and not peers.legs("call1")
+
+
+def test_the_same_dialog_by_a_second_way_is_refused(peers):
+    first = peers.invite()
+    peers.invite(branch="z9hG4bKother", call=first.call_id)
+    assert len(peers.all(status=482)) == 1 and len(peers.legs(first.call_id)) == 1
+
+
+@pytest.mark.parametrize(("change", "status"), [
+    (lambda m: m.put("Max-Forwards", "0"), 483), (lambda m: m.put("Max-Forwards", "many"), 400),
+    (lambda m: m.drop("CSeq"), 400), (lambda m: m.drop("Call-ID"), 400), (lambda m: m.drop("Contact"), 400),
+    (lambda m: m.put("Expires", "soon"), 400), (lambda m: m.put("Gingergap-Dialog", "time-left=-4"), 400),
+    (lambda m: m.put("Proxy-Require", "magic"), 420), (lambda m: m.put("CSeq", "1 BYE"), 400),
+    (lambda m: setattr(m, "uri", "http://x"), 416), (lambda m: setattr(m, "uri", "sip:999@127.0.0.1:7000"), 404),
+])
+def test_a_bad_invite_is_answered_and_leaves_nothing(peers, change, status):
+    message = peers.invite()
+    good = len(peers.proxy.calls)
+    peers.read = len(peers.sent)
+    message = message.copy()
+    message.put("Call-ID", "bad")
+    message.put("Via", "SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKbad")
+    change(message)
+    peers.come(message)
+    assert [m.status for m in peers.new(port=9000)] == [status]
+    assert len(peers.proxy.calls) == good and not peers.legs("bad")
+
+
+def test_a_request_without_via_has_nowhere_to_be_answered(peers):
+    message = Message("INVITE", "sip:001@127.0.0.1:7000")
+    message.fields = [("From", "<sip:a>;tag=1"), ("To", "<sip:b>"), ("Call-ID", "x"), ("CSeq", "1 INVITE")]
+    peers.come(message)
+    assert not peers.new() and not peers.proxy.calls
+
+
+def test_over_its_bound_the_door_answers_at_once_and_retransmissions_make_no_work(peers):
+    invites = [peers.invite(expires=30) for _ in range(60)]
+    peers.read = 0
+    away = [m for m in peers.new(status=503) if m.get("Retry-After")]
+    assert away and peers.proxy.open_dialogs <= 50
+    legs = peers.proxy.counts["legs"]
+    for invite in invites:
+        peers.come(invite)
+    assert peers.proxy.counts["legs"] == legs
+    assert peers.proxy.open_dialogs <= 50
+
+
+def test_over_the_bound_of_transactions_answers_keep_nothing(peers_of):
+    from conftest import EDGE
+    peers = peers_of(EDGE.replace("(transactions 500)", "(transactions 5)"))
+    for _ in range(20):
+        peers.invite()
+    assert len(peers.proxy.transactions.servers) <= 5
+    away = peers.all(status=503)
+    assert len(away) >= 15 and all(m.get("Retry-After") == "1" for m in away)
+
+
+def test_a_draining_proxy_takes_nothing_new_and_lets_the_rest_finish(peers):
+    invite, _ = peers.standing()
+    peers.proxy.door.draining = True
+    late = peers.invite()
+    assert peers.finals(late.call_id) == [503]
+    peers.within("BYE", invite.call_id)
+    assert not peers.proxy.calls
+
+
+def test_a_width_of_two_circuits_comes_from_resource_priority(peers):
+    peers.tell_groups({1: 1, 2: 0, 3: 0})
+    wide = peers.invite(fields=[("Resource-Priority", "q735.2")])
+    narrow = peers.invite()
+    assert not peers.legs(wide.call_id) or peers.proxy.calls[0].width == 2
+    assert peers.proxy.calls[0].width == 2 and peers.proxy.calls[1].width == 1
+    assert not peers.legs(wide.call_id) and len(peers.legs(narrow.call_id)) <= 1
+
+
+def test_a_call_over_tcp_to_an_exchange_over_udp_keeps_both_transports_in_the_route(peers):
+    invite = peers.invite(hop=Hop("TCP", "127.0.0.1", 9000, 3))
+    leg, hop = peers.legs(invite.call_id)[0]
+    assert leg.all("Record-Route") == ["<sip:127.0.0.1:7000;lr>", "<sip:127.0.0.1:7000;transport=tcp;lr>"]
+    peers.answer((leg, hop), 200)
+    message, back = [(m, h) for m, h in peers.sent if m.status == 200][-1]
+    assert back.transport == "TCP" and back.conn == 3
+    assert top_via(message).transport == "TCP"
+
+
+def test_nothing_of_a_finished_day_is_kept(peers):
+    for number in range(40):
+        invite = peers.invite(f"001{number:03d}")
+        legs = peers.legs(invite.call_id)
+        if number % 4 == 0 and legs:
+            peers.answer(legs[0], 200)
+            peers.within("BYE", invite.call_id)
+        elif number % 4 == 1 and legs:
+            peers.answer(legs[0], 486)
+        elif number % 4 == 2:
+            peers.cancel(invite)
+    peers.pass_time(1_000_000)
+    proxy = peers.proxy
+    assert not proxy.calls and not proxy.by_key and not proxy.controller.dialogs and not proxy.released
+    assert not [key for key in proxy.transactions.servers if key[2] == "INVITE"]
+    assert not [key for key in proxy.transactions.clients if key[1] in ("INVITE", "CANCEL", "BYE")]
+    assert proxy.open_dialogs == 0
+    assert not any(group.sent for group in proxy.circuits.groups.values())
