--- /dev/null
+++ b/gingergap/duties/keeper.py
@@ -0,0 +1,209 @@
+"""Decides for one member which duties it strives for, holds, hands over or leaves to others. No I/O.
+
+The nearest member present (placement.py) asks for the lease. Whoever holds a duty that another is nearer to hands it
+over when that one has been there for a while. The next in rank step in, one after the other, when a duty is overdue
+though its owner counts as present: it hangs, fails, or can't reach what the duty needs.
+"""
+
+from random import Random
+from typing import NamedTuple, Protocol
+
+from .leases import Claim, Token, Voter
+from .placement import ranking
+
+
+class Duty(NamedTuple):
+    """`period` between times it is done, `limit` how long it may go undone, `cost` in ms of work, `worth` against
+    other background work. `once`: at most one part of a split does it, the one with a majority of all members;
+    else each part goes on."""
+
+    name: str
+    period: int
+    limit: int
+    cost: float = 1.0
+    worth: float = 1.0
+    once: bool = True
+
+
+class KeeperHost(Protocol):
+    def ask(self, duty: str, token: Token, lasts: int, done_ago: int) -> None:
+        """Ask all others for their votes; `done_ago` is how long ago the asker did it, -1 for never."""
+
+    def release(self, duty: str, token: Token) -> None:
+        """Tell all that a lease is given back."""
+
+    def begin(self, duty: Duty, token: Token, first_in: int) -> None:
+        """The duty is ours: do it in `first_in`, then each period, until `end`."""
+
+    def end(self, duty: Duty) -> None:
+        """The duty is no longer ours."""
+
+
+class Held:
+    """What the keeper knows of one duty."""
+
+    __slots__ = ("duty", "claim", "since", "done_at", "heard_done_at", "failures", "aside_until", "owner", "owner_since",
+                 "stands_in_until")
+
+    def __init__(self, duty: Duty, now: int) -> None:
+        self.duty = duty
+        self.claim = Claim()
+        self.since = -1  # when it became ours, -1: it is not
+        self.done_at = -1
+        self.heard_done_at = now  # by anybody, as far as known; at first: give others time
+        self.failures = 0
+        self.aside_until = 0
+        self.owner, self.owner_since = "", now
+        self.stands_in_until = now  # for an owner that is there but does not do it
+
+
+class Keeper:
+    """`everybody` are the configured members' names, `lasts` the length of a lease, `error` the clocks' rate error,
+    `settle` how long a nearer member has to be present before a duty is handed to it."""
+
+    def __init__(self, host: KeeperHost, draw: Random, now: int, name: str, life: int, everybody: frozenset[str],
+                 duties: list[Duty], *, lasts: int = 30_000, error: float = 0.01, settle: int = 10_000,
+                 patience: int = 5_000) -> None:
+        self.host, self.draw, self.name, self.everybody = host, draw, name, everybody | {name}
+        self.holder = f"{name}/{life:x}"
+        self.lasts, self.error, self.settle, self.patience = lasts, error, settle, patience
+        self.voter = Voter(now, lasts, error)
+        self.held = {duty.name: Held(duty, now) for duty in duties}
+
+    # --- what can happen ---
+
+    def due(self, now: int, present: dict[str, int]) -> None:
+        """Time has passed. `present` are the members there, oneself included unless it leaves."""
+        for held in self.held.values():
+            self._look(now, held, present)
+
+    def asked(self, now: int, duty: str, token: Token, lasts: int, done_ago: int) -> tuple[bool, int]:
+        """Another asks for our vote: whether it has it, and the highest counter heard of."""
+        held = self.held.get(duty)
+        if held is not None:
+            held.claim.heard = max(held.claim.heard, token.counter)
+            if done_ago >= 0:
+                held.heard_done_at = max(held.heard_done_at, now - done_ago)
+        granted = self.voter.asked(now, duty, token, lasts)
+        return granted, self.voter.newest.get(duty, 0)
+
+    def voted(self, now: int, voter: str, duty: str, counter: int, granted: bool, newest: int,
+              present: dict[str, int]) -> None:
+        held = self.held.get(duty)
+        if held is None or voter not in self.everybody:
+            return
+        if held.claim.voted(now, voter, counter, granted, newest, self._needed(held, present), self.lasts, self.error) \
+                and held.since < 0:
+            held.since = now
+            first_in = max(0, held.heard_done_at + held.duty.period - now)
+            self.host.begin(held.duty, self.token(held), first_in)
+
+    def released(self, now: int, duty: str, token: Token) -> None:
+        self.voter.released(duty, token)
+        held = self.held.get(duty)
+        if held is not None:
+            held.claim.not_before = min(held.claim.not_before, now)
+
+    def done(self, now: int, duty: str) -> None:
+        held = self.held[duty]
+        held.done_at = held.heard_done_at = now
+        held.failures = 0
+
+    def failed(self, now: int, duty: str) -> None:
+        """It raised, or hung past its time. Twice in a row, and another shall try."""
+        held = self.held[duty]
+        held.failures += 1
+        if held.failures >= 2:
+            held.failures = 0
+            held.aside_until = now + 2 * held.duty.limit
+            self._give_up(now, held)
+
+    def refused(self, now: int, duty: str, newest: Token) -> None:
+        """What the duty touches has seen a newer token: the lease is another's, whatever we believed."""
+        held = self.held[duty]
+        held.claim.heard = max(held.claim.heard, newest.counter)
+        held.heard_done_at = now
+        held.claim.not_before = now + held.duty.limit if not held.duty.once else now + self.patience
+        self._lose(held)
+
+    def leave(self, now: int) -> None:
+        """Give everything back, so that others can go on at once."""
+        for held in self.held.values():
+            held.aside_until = now + (1 << 60)
+            self._give_up(now, held)
+
+    # --- what others read ---
+
+    def may_act(self, now: int, duty: str) -> bool:
+        """To be asked before each effect."""
+        return self.held[duty].claim.holds(now)
+
+    def token(self, held: Held) -> Token:
+        return Token(held.claim.counter, self.holder)
+
+    def token_of(self, duty: str) -> Token:
+        return self.token(self.held[duty])
+
+    # --- parts ---
+
+    def _needed(self, held: Held, present: dict[str, int]) -> int:
+        """Votes that make a lease: of all configured members for *once at most*, of those present for *at least once*."""
+        if held.duty.once:
+            return len(self.everybody) // 2 + 1
+        return len(set(present) & self.everybody) // 2 + 1
+
+    def _look(self, now: int, held: Held, present: dict[str, int]) -> None:
+        claim, duty = held.claim, held.duty
+        able = {name: weight for name, weight in present.items() if name in self.everybody}
+        order = ranking(able, duty.name)
+        owner = order[0] if order else ""
+        if owner != held.owner:
+            held.owner, held.owner_since = owner, now
+        if held.since >= 0 and not claim.holds(now):
+            self._lose(held)
+        rank = order.index(self.name) if self.name in able else len(order)
+        if claim.asked_at >= 0 and now - claim.asked_at > self.patience:
+            # Too few votes. Those that we have bar others, so they are given back; and again after a while that differs
+            # between rivals, the nearer sooner: claims that met each other round after round were seen in the model.
+            claim.asked_at = -1
+            claim.not_before = now + self.draw.randrange(self.patience // 2, (2 + 2 * rank) * self.patience)
+            if held.since < 0:
+                self.voter.released(duty.name, self.token(held))
+                self.host.release(duty.name, self.token(held))
+        if held.since >= 0:
+            if owner not in ("", self.name) and now - held.owner_since > self.settle and now >= held.stands_in_until:
+                self._give_up(now, held)
+            elif claim.asked_at < 0 and claim.held_until - now < self.lasts * 2 // 3:
+                self._ask(now, held, claim.renew(now), present)
+            return
+        if self.name not in able or now < held.aside_until or now < claim.not_before or claim.asked_at >= 0:
+            return
+        overdue = now - held.heard_done_at - duty.limit // 2
+        turn = overdue // max(1, duty.limit // 8)
+        if rank == 0:
+            if now - held.owner_since >= self.settle // 4:
+                self._ask(now, held, claim.ask(now), present)
+        elif overdue > 0 and turn % len(order) == rank:  # one after the other
+            held.stands_in_until = now + 2 * duty.limit
+            self._ask(now, held, claim.ask(now), present)
+
+    def _ask(self, now: int, held: Held, counter: int, present: dict[str, int]) -> None:
+        token = Token(counter, self.holder)
+        done_ago = now - held.done_at if held.done_at >= 0 else -1
+        self.host.ask(held.duty.name, token, self.lasts, done_ago)
+        granted, newest = self.asked(now, held.duty.name, token, self.lasts, -1)
+        self.voted(now, self.name, held.duty.name, counter, granted, newest, present)
+
+    def _give_up(self, now: int, held: Held) -> None:
+        if held.since >= 0:
+            token = self.token(held)
+            self.voter.released(held.duty.name, token)
+            self.host.release(held.duty.name, token)
+            held.claim.not_before = now + self.patience
+        self._lose(held)
+
+    def _lose(self, held: Held) -> None:
+        held.claim.drop()
+        if held.since >= 0:
+            held.since = -1
+            self.host.end(held.duty)
