Shared periodic duties in the running edge: members, leases, probes, control socket, watch

Probing exchanges costs them work; five proxies now do it once. Also: dialogs of passed legs no longer pinned for their time limit, and rings between transactions and their owners cut (memory grew 2 KB a call until collected).

--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -194,6 +194,61 @@
     click.echo(text)
 
 
+CONTROL = click.option("--control", required=True, help="The proxy's control socket.")
+
+
+def _ask(path: str, what: str) -> Any:
+    from ..control.client import NoAnswerError, ask
+    try:
+        return ask(path, what)
+    except NoAnswerError as error:
+        _fail([str(error)])
+
+
+@main.group()
+def members() -> None:
+    """Proxies that coordinate."""
+
+
+@members.command("show")
+@CONTROL
+def members_show(control: str) -> None:
+    """Who is there, as one proxy sees it."""
+    from .tables import rows
+    rows("members", _ask(control, "members"))
+
+
+@members.command("leave")
+@CONTROL
+def members_leave(control: str) -> None:
+    """Let one proxy hand its duties over and leave; it goes on serving calls."""
+    _ask(control, "leave")
+    click.echo("left")
+
+
+@main.group()
+def duties() -> None:
+    """Shared periodic duties."""
+
+
+@duties.command("show")
+@CONTROL
+def duties_show(control: str) -> None:
+    """Who does what under which counter, when it was last done, what is overdue, and what was learned."""
+    from .tables import rows
+    rows("duties", _ask(control, "duties"))
+    rows("learned", _ask(control, "learned"))
+
+
+@main.command()
+@CONTROL
+@click.option("--every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True, help="Seconds between looks.")
+def watch(control: str, every: float) -> None:
+    """Members, duties, far ends and calls a second of one proxy, in the terminal."""
+    from .watch import Watch
+    Watch(control, every).run()
+
+
 def _judge(folder: Path) -> int:
     from ..standins.checker import BadCaptureError, check
     from ..standins.report import offers_in, whole
--- a/gingergap/cli/tables.py
+++ b/gingergap/cli/tables.py
@@ -24,7 +24,7 @@
     console.print("final answers: " + ", ".join(f"{status} x{count}"
                                                 for status, count in report["final_answers"].items()))
     console.print(f"set-up ms: {_row(report['setup_ms'])}; added delay ms: {_row(report['added_delay_ms'])}")
-    console.print(f"stood over tandems: {report['stood_over_tandems']}; held by killed proxies: "
+    console.print(f"stood over tandems: {report['stood_over_tandems']}; held by killed or stopped proxies: "
                   f"{report['excused_by_kills']}; messages seen: {report['messages']}")
     table = Table(title="rules, judged from the traffic", title_justify="left")
     for name in ("rule", "", "judged", "on", "broken"):
@@ -32,6 +32,11 @@
     for rule, row in report["rules"].items():
         table.add_row(rule, RULES[rule], str(row["judged"]), JUDGED[rule], str(row["broken"]))
     console.print(table)
+    if report["duties"]:
+        rows("probes under leases, as the exchanges saw them", [
+            {"exchange": name, **{key: value for key, value in row.items() if key != "by"},
+             "by": ", ".join(f"{who} {count}" for who, count in sorted(row["by"].items()))}
+            for name, row in report["duties"].items()])
     for breach in report["breaches"][:20]:
         console.print(f"rule {breach['rule']}: {breach['dialog']}: {breach['why']} "
                       f"(at {breach['at']:.3f}, lines {', '.join(map(str, breach['lines']))})", soft_wrap=True)
@@ -39,3 +44,18 @@
 
 def _row(values: dict[str, float]) -> str:
     return ", ".join(f"{name} {value:g}" for name, value in values.items()) or "none"
+
+
+def rows(title: str, lines: list[dict[str, Any]]) -> None:
+    """A table of whatever columns the rows have."""
+    console = Console(width=120, highlight=False)
+    if not lines:
+        console.print(f"{title}: none")
+        return
+    table = Table(title=title, title_justify="left")
+    for name, value in lines[0].items():
+        table.add_column(name.replace("_", " "), justify="right" if isinstance(value, int | float) else "left")
+    for line in lines:
+        table.add_row(*("" if value is None else "yes" if value is True else "no" if value is False else str(value)
+                        for value in line.values()))
+    console.print(table)
--- /dev/null
+++ b/gingergap/duties/messages.py
@@ -0,0 +1,40 @@
+"""What members say to each other about duties."""
+
+import msgspec
+
+
+class Ask(msgspec.Struct, array_like=True, tag="ask"):
+    duty: str
+    counter: int
+    holder: str
+    lasts: int
+    done_ago: int
+
+
+class Vote(msgspec.Struct, array_like=True, tag="vote"):
+    duty: str
+    counter: int
+    granted: bool
+    newest: int
+
+
+class Release(msgspec.Struct, array_like=True, tag="rel"):
+    duty: str
+    counter: int
+    holder: str
+
+
+class Learned(msgspec.Struct, array_like=True, tag="learned"):
+    """What a duty brought: `what` it is about, a value (ms or a version; -1: no answer), and how long ago (tenths of
+    a millisecond) it was learned. Shared so that the price is paid once."""
+
+    duty: str
+    counter: int
+    holder: str
+    what: str
+    value: float
+    age: int
+
+
+DECODER = msgspec.msgpack.Decoder(Ask | Vote | Release | Learned)
+ENCODER = msgspec.msgpack.Encoder()
--- a/gingergap/edge/calls.py
+++ b/gingergap/edge/calls.py
@@ -1,5 +1,7 @@
 """What the proxy keeps of a dialog and of its legs between messages."""
 
+from collections.abc import Callable
+
 from ..host import LegEnd
 from ..sip.message import Message
 from ..sip.transactions import Client, Server
@@ -47,3 +49,12 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.client: Client | None = None
+
+
+class Asked:
+    """A probe on its way; `told` is called once with its answer, or with none."""
+
+    __slots__ = ("told",)
+
+    def __init__(self, told: Callable[[Message | None], None]) -> None:
+        self.told = told
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from hashlib import blake2s
 from heapq import heappop, heappush
 from typing import Any
@@ -18,7 +19,7 @@
 from ..sip.message import BadMessageError, Message, response
 from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, Wire
 from . import words
-from .calls import Call, Leg, Onward
+from .calls import Asked, Call, Leg, Onward
 from .circuits import Circuits
 from .door import Door
 from .numbering import Numbering
@@ -28,6 +29,7 @@
 LIST, GROUPS = "exchange-list", "trunk-groups"  # event packages of ours (RFC 6665 section 7.2)
 MOST_MESSAGES = 3  # short messages to one exchange that may be unanswered at once; a newer one says more
 SWEEP = SECOND // 4
+DUTY_FIELD = "Gingergap-Duty"
 
 
 class ExchangeLine(msgspec.Struct):
@@ -106,7 +108,7 @@
         self.open_dialogs = 0  # not yet answered
         self.released: dict[tuple[str, str], int] = {}  # 2xx that nobody wanted: BYE sent, until when noted
         self.circuits = Circuits()
-        self.due_legs: list[tuple[int, int, Leg]] = []
+        self.due_legs: list[tuple[int, int, int]] = []  # (when, leg's serial, dialog): not the leg, which may be long over
         self.soon: deque[tuple[Leg, LegEnd, int]] = deque()
         self.wake_at: int | None = None
         self.sweep_at = now + SWEEP
@@ -164,9 +166,10 @@
         self.transactions.due(now)
         self._settle(now)
         while self.due_legs and self.due_legs[0][0] <= now:
-            leg = heappop(self.due_legs)[2]
-            if not leg.over and not leg.call.stands:
-                self._give_up(now, leg, LegEnd.NO_ANSWER)
+            _, serial, dialog = heappop(self.due_legs)
+            call = self.calls.get(dialog)
+            if call is not None and call.leg is not None and call.leg.serial == serial and not call.stands:
+                self._give_up(now, call.leg, LegEnd.NO_ANSWER)
         self._settle(now)
         if self.wake_at is not None and now >= self.wake_at:
             self.wake_at = None
@@ -240,6 +243,8 @@
                 self.transactions.respond(now, owner.server, message)
         elif type(owner) is Subscriber:
             self._subscribe_answered(now, owner, client, message)
+        elif type(owner) is Asked:
+            owner.told(message)
         elif type(owner) is int:
             self.messages_out[owner] -= 1
 
@@ -259,6 +264,8 @@
         elif type(owner) is Subscriber:
             if client is owner.client:
                 self._subscribe(now, owner, owner.watching.refused(now))
+        elif type(owner) is Asked:
+            owner.told(None)
         elif type(owner) is int:
             self.messages_out[owner] -= 1
 
@@ -349,7 +356,7 @@
         self._count("legs")
         self.circuits.leg_sent(leg.far, leg.serial, call.width)
         leg.client = self.transactions.request(now, invite, hop, self._branch(), leg)
-        heappush(self.due_legs, (now + limit, leg.serial, leg))
+        heappush(self.due_legs, (now + limit, leg.serial, call.index))
 
     def cancel_leg(self, dialog: int, leg: int) -> None:
         call = self.calls.get(dialog)
@@ -692,6 +699,39 @@
         if len(message.body) >= 3:
             self.controller.peer_told(now, message.body)
 
+    # --- background work ----------------------------------------------------------------------------------
+
+    def probe(self, now: int, hop: Hop, told: Callable[[Message | None], None], duty: str) -> None:
+        """OPTIONS to an exchange (RFC 3261 section 11), saying under which token it comes (the field is ours)."""
+        self.now = now
+        message = Message("OPTIONS", f"sip:{hop.host}:{hop.port}")
+        message.fields = [("From", f"<{self.uri}>;tag={self.fresh(8)}"), ("To", f"<{message.uri}>"),
+                          ("Call-ID", self.fresh(16)), ("CSeq", "1 OPTIONS"), ("Max-Forwards", "10"), (DUTY_FIELD, duty)]
+        self._count("probes")
+        self.transactions.request(now, message, hop, self._branch(), Asked(told))
+
+    def list_seen_elsewhere(self, now: int, epoch: str, version: int) -> None:
+        """Another proxy holds that version of the list: who is behind asks for it anew."""
+        sub = self.subscribers[LIST]
+        watching = sub.watching
+        if watching.live and watching.epoch == epoch and watching.version < version and not watching.gap:
+            self._count("list found old")
+            self.now = now
+            self._subscribe(now, sub, Ask.REFRESH if sub.to else watching.want(now))
+
+    def standing_since(self, before: int) -> list[int]:
+        """Dialogs that came before then and still stand."""
+        return [call.index for call in self.calls.values() if call.stands and call.arrived < before]
+
+    def forget_standing(self, now: int, dialog: int) -> None:
+        """A dialog that stood past any sense counts as ended: nobody told, and nobody will."""
+        self.now = now
+        call = self.calls.get(dialog)
+        if call is not None and call.stands and call.leg is not None:
+            self._count("forgotten")
+            self.soon.append((call.leg, LegEnd.ENDED, 0))
+            self._settle(now)
+
     # --- small parts -------------------------------------------------------------------------------------
 
     def _gw(self, name: str, number: int) -> int:
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -8,12 +8,14 @@
 import gevent
 from gevent.event import Event
 
+from ..control.server import Control
 from ..host import TrafficType
 from ..settings.edge import EdgeForm
 from ..sip.fields import host_port
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
 from ..transport.sockets import Sockets
+from .coordination import Coordination, LocalWork
 from .door import Door
 from .numbering import Numbering
 from .proxy import EdgeProxy
@@ -63,6 +65,10 @@
         self.proxy: EdgeProxy | None = None
         self.over = Event()
         self.drained_by: float | None = None
+        self.work: LocalWork | None = None
+        self.coordination: Coordination | None = None
+        self.control: Control | None = None
+        self.busy = 0.0  # the part of the time that calls take, of late
 
     def run(self) -> int:
         try:
@@ -75,25 +81,65 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.drain)
         self.log.info("serving", listen=self.form.listen, here=self.form.here)
+        self.work = LocalWork(self.proxy, clock, self.log, lambda: self.busy, budget=self.form.background_ms_per_s,
+                              longest_dialog=round(self.form.longest_dialog_s * UNIT))
+        try:
+            self._open_coordination()
+            self._open_control()
+        except OSError as error:
+            self.log.error("address-taken", why=error.strerror or str(error))
+            return 2
         ticker = gevent.spawn(self._tick)
         self.over.wait()
         ticker.kill()
+        if self.coordination is not None:
+            self.coordination.close()
+        if self.control is not None:
+            self.control.close()
+        self.work.runner.stop()
         self.sockets.close()
         self.log.info("ended", **{key.replace(" ", "_"): value for key, value in self.proxy.counts.items()})
         return 0
 
+    def _open_coordination(self) -> None:
+        form = self.form.coordination
+        if form is None:
+            return
+        everybody = {entry.name: entry.address for entry in form.member}
+        listens = {entry.name: entry.listen or entry.address for entry in form.member}
+        self.coordination = Coordination(
+            self.proxy, self.work, clock, self.log, name=self.form.name, address=everybody[self.form.name],
+            listen=listens[self.form.name], key=form.key.encode(), everybody=everybody, weight=form.weight, period=units(form.period_ms),
+            lasts=units(form.lease_ms), probe_every=units(form.probe_every_ms), probe_limit=units(form.probe_limit_ms))
+        self.coordination.open()
+
+    def _open_control(self) -> None:
+        if self.form.control is not None:
+            self.control = Control(self.form.control, self)
+            self.control.open()
+
     def drain(self) -> None:
         """No new dialogs; those that stand may finish until the limit."""
         if self.drained_by is None:
+            if self.coordination is not None:
+                self.coordination.leave()
             self.drained_by = time.monotonic() + self.form.drain_limit_s
             self.proxy.door.draining = True
             self.log.info("draining", dialogs=len(self.proxy.calls), limit_s=self.form.drain_limit_s)
 
     def _tick(self) -> None:
+        ticks = 0
+        cpu, at = time.process_time(), time.monotonic()
         while True:
             before = clock()
             gevent.sleep(TICK)
             now = clock()
+            ticks += 1
+            if ticks % 10 == 0:
+                cpu_now, at_now = time.process_time(), time.monotonic()
+                self.busy = 0.7 * self.busy + 0.3 * min(1.0, (cpu_now - cpu) / max(1e-6, at_now - at))
+                cpu, at = cpu_now, at_now
+                self.work.runner.step()
             self.proxy.door.ran(max(0, now - before - int(TICK * UNIT)))
             self._guarded(self.proxy.due, now)
             if self.drained_by is not None and (not self.proxy.calls or time.monotonic() >= self.drained_by):
@@ -102,6 +148,45 @@
                 gevent.sleep(10 * TICK)
                 self.over.set()
 
+    # --- what the control socket asks ---
+
+    def asked(self, what: str) -> Any:
+        """Tables for operators; raises KeyError for what there is not."""
+        joined = self.coordination
+        match what:
+            case "members":
+                return joined.members_table() if joined is not None else []
+            case "duties":
+                return joined.duties_table() if joined is not None else []
+            case "learned":
+                return joined.learned_table() if joined is not None else []
+            case "leave":
+                if joined is None:
+                    raise KeyError("this proxy does not coordinate")
+                joined.leave()
+                return "left"
+            case "exchanges":
+                return self._exchanges()
+            case "counts":
+                return {"name": self.form.name, "busy": round(self.busy, 3), "open": self.proxy.open_dialogs,
+                        "dialogs": len(self.proxy.calls), "uptime_s": round((clock() - self.proxy.started_at) / UNIT, 1),
+                        "counts": dict(self.proxy.counts), "coordinates": joined is not None,
+                        "datagrams": dict(joined.datagrams.counts, sent=joined.datagrams.sent,
+                                          bytes=joined.datagrams.sent_bytes) if joined is not None else {},
+                        "tasks": [{"task": task.name, "runs": task.runs, "failures": task.failures, "missed": task.missed,
+                                   "overruns": task.overruns} for task in self.work.plan.tasks.values()]}
+        raise KeyError(f"nothing is called {what!r}")
+
+    def _exchanges(self) -> list[dict[str, Any]]:
+        now, rows = clock(), []
+        for gw, name in enumerate(self.proxy.ids):
+            ex = self.proxy.controller.gws.get(gw)
+            if ex is not None:
+                rows.append({"exchange": name, "number": ex.number, "ready": ex.ready, "free": ex.group.free,
+                             "circuits": ex.group.size, "expected_ms": ex.expected(now) / 10, "legs_out": len(ex.out),
+                             "cold": now < ex.cold_until, "pressed": now < ex.pressed_until})
+        return rows
+
     def got(self, message: Message, hop: Hop) -> None:
         self._guarded(self.proxy.got, clock(), message, hop)
 
--- a/gingergap/settings/day.py
+++ b/gingergap/settings/day.py
@@ -12,7 +12,7 @@
 
 KINDS = (
     "burst", "flood", "slow", "all-slow", "ageing", "pauses", "silence", "vanish", "mass-restart", "rolling",
-    "kill-exchange", "kill-proxy", "resets", "answers-lost", "district-cut", "groups-shrink", "cut",
+    "kill-exchange", "kill-proxy", "pause-proxy", "split-proxies", "resets", "answers-lost", "district-cut", "groups-shrink", "cut",
     "stale-list", "list-silent", "messages-lost", "loss", "duplication", "reordering", "delay",
 )
 
@@ -102,6 +102,7 @@
     most_legs: Count = 6
     longest_hold_off_ms: Milliseconds = 2_000
     tell_peers: bool = True
+    coordination: bool = False
     fault: list[FaultForm] = []
 
     @model_validator(mode="after")
@@ -123,6 +124,8 @@
                 raise ValueError(f"fault[{place}] ({fault.kind}) ends after the day does")
             if fault.kind in CHANCES and fault.factor > 1:
                 raise ValueError(f"fault[{place}] ({fault.kind}): factor is a part of the messages, 1 at most")
+            if fault.kind == "split-proxies" and not self.coordination:
+                raise ValueError(f"fault[{place}] (split-proxies): needs (coordination true)")
             if not fault.lasts and fault.kind != "cut":
                 raise ValueError(f"fault[{place}] ({fault.kind}): lasts is missing")
         return self
@@ -133,6 +136,7 @@
 
     proxy: list[str]
     exchange: list[str]  # two addresses for each number, one after the other
+    member: list[str] = []  # where each proxy's coordination listens
     callers: list[str]
     exchange_list: str
 
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -65,6 +65,26 @@
     queued_bytes: Count = 1 << 20
 
 
+class MemberForm(Form):
+    """A proxy that may coordinate: its name, where datagrams for it go, and where it binds if that is elsewhere."""
+
+    name: str
+    address: Address
+    listen: Address | None = None
+
+
+class CoordinationForm(Form):
+    """Shared periodic duties. `key` is shared by all members; `member` lists every one of them, this one too."""
+
+    key: Annotated[str, Field(min_length=16)]
+    member: list[MemberForm]
+    weight: Count = 1
+    period_ms: Milliseconds = 500
+    lease_ms: Milliseconds = 3_000
+    probe_every_ms: Milliseconds = 2_000
+    probe_limit_ms: Milliseconds = 12_000
+
+
 class EdgeForm(Form):
     """A signalling proxy. The seed starts the module's chance; the rest is said in docs/edge.md."""
 
@@ -83,6 +103,10 @@
     tell_peers: bool = True
     cold: ColdForm = ColdForm()
     bounds: BoundsForm = BoundsForm()
+    coordination: CoordinationForm | None = None
+    control: str | None = None
+    background_ms_per_s: Annotated[float, Field(gt=0, le=500)] = 50
+    longest_dialog_s: Annotated[float, Field(gt=0)] = 14_400
     drain_limit_s: Annotated[float, Field(gt=0)] = 60
     t1_ms: Milliseconds = 500
     log_level: str = "info"
@@ -102,6 +126,13 @@
                     raise ValueError(f"{what} {value!r} stands twice")
         if self.here not in [entry.number for entry in self.exchange]:
             raise ValueError(f"here: no exchange has number {self.here}")
+        if self.coordination is not None:
+            names = [entry.name for entry in self.coordination.member]
+            for name in names:
+                if names.count(name) > 1:
+                    raise ValueError(f"coordination: member {name!r} stands twice")
+            if self.name not in names:
+                raise ValueError(f"coordination: {self.name!r} is not among the members")
         if self.log_level not in ("debug", "info", "warning", "error"):
             raise ValueError("log-level is debug, info, warning or error")
         return self
--- a/gingergap/sip/message.py
+++ b/gingergap/sip/message.py
@@ -14,7 +14,7 @@
     "Accept", "Allow", "Allow-Events", "Call-ID", "Contact", "Content-Encoding", "Content-Length",
     "Content-Type", "CSeq", "Event", "Expires", "From", "Max-Forwards", "Reason", "Record-Route", "Require",
     "Resource-Priority", "Retry-After", "Route", "Subject", "Subscription-State", "Supported", "Timestamp",
-    "To", "Unsupported", "Via", "Warning", "Gingergap-Dialog", "Proxy-Require", "User-Agent",
+    "To", "Unsupported", "Via", "Warning", "Gingergap-Dialog", "Gingergap-Duty", "Proxy-Require", "User-Agent",
 )
 COMPACT = {  # RFC 3261 section 7.3.3 and the RFCs of events
     "i": "Call-ID", "m": "Contact", "e": "Content-Encoding", "l": "Content-Length", "c": "Content-Type",
@@ -27,7 +27,8 @@
 TOKEN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.!%*_+`'~")
 PHRASES = {
     100: "Trying", 180: "Ringing", 183: "Session Progress", 200: "OK", 202: "Accepted", 400: "Bad Request",
-    404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 416: "Unsupported URI Scheme",
+    404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 412: "Conditional Request Failed",
+    416: "Unsupported URI Scheme",
     420: "Bad Extension", 480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist",
     482: "Loop Detected", 483: "Too Many Hops", 486: "Busy Here", 487: "Request Terminated", 489: "Bad Event",
     500: "Server Internal Error", 503: "Service Unavailable", 504: "Server Time-out",
--- a/gingergap/sip/transactions.py
+++ b/gingergap/sip/transactions.py
@@ -299,6 +299,7 @@
             self.servers.pop(server.key, None)
             if name == "unacked":  # Timer H
                 self.user.server_lost(now, server)
+            server.owner = None  # no rings: an owner that holds its server was found again by the collector alone
 
     # --- responses ---
 
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -16,8 +16,9 @@
 import gevent
 from gevent.event import Event
 
+from ..duties.leases import Fence, Token
 from ..sip.dialogs import SipDialog, next_hop
-from ..sip.fields import address_of, q850, tag_of, top_via, uri_of
+from ..sip.fields import address_of, params_of, q850, tag_of, top_via, uri_of
 from ..sip.message import BadMessageError, Message, response
 from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, stamp_via
 from ..transport.sockets import Sockets
@@ -70,6 +71,7 @@
         self.held: dict[tuple[str, str], Held] = {}
         self.forwarded: dict[str, bool] = {}  # branches of dialogs in transit: whether the INVITE has gone on
         self.running = True
+        self.fence = Fence(0)
         self.fallen = False
         self.arrivals: deque[float] = deque()
         self.reset_at = 0.0
@@ -439,11 +441,25 @@
                 self.transactions.respond(units(), server, response(message, 200 if known else 481, "bye"))
             self._put(self.plan.day.processor.release_ms, release)
         elif message.method == "OPTIONS":
-            self._put(self.plan.day.processor.message_ms, lambda: self.transactions.respond(
-                units(), server, response(message, 200, "probe")))
+            self._put(self.plan.day.processor.message_ms, lambda: self._probed(server, message))
         else:
             self.transactions.respond(now, server, response(message, 405, "no"))
 
+    def _probed(self, server: Server, message: Message) -> None:
+        """A probe under a lease is answered if its token is not older than the newest seen here (412, RFC 3903)."""
+        duty, _, rest = message.get("Gingergap-Duty").partition(";")
+        params = params_of(rest)
+        if duty and params.get("counter", "").isdigit():
+            token = Token(int(params["counter"]), params.get("holder", ""))
+            admitted = self.fence.admit(units(), duty, token, True)
+            self.capture.note("probed", exchange=self.life.id, counter=token.counter, holder=token.holder, admitted=admitted)
+            if not admitted:
+                newest = self.fence.newest[duty][0]
+                self.transactions.respond(units(), server, response(message, 412, "probe", [
+                    ("Gingergap-Duty", f"{duty};counter={newest.counter};holder={newest.holder}")]))
+                return
+        self.transactions.respond(units(), server, response(message, 200, "probe"))
+
     def _invited(self, now: int, server: Server, message: Message) -> None:
         self._arrived()
         key = message.call_id, tag_of(message.get("From"))
--- a/gingergap/standins/report.py
+++ b/gingergap/standins/report.py
@@ -86,6 +86,35 @@
             "final_answers": dict(sorted(finals.items()))}
 
 
+def duties(path: Path) -> dict[str, Any]:
+    """Probes under leases as the exchanges saw them: how many were admitted and refused, by whom, the longest gap in
+    seconds, and whether a token ever went back. Empty where none came."""
+    rows: dict[str, dict[str, Any]] = {}
+    last: dict[str, tuple[float, tuple[int, str]]] = {}
+    with path.open(encoding="utf-8") as file:
+        for text in file:
+            if '"probed"' not in text:
+                continue
+            line = json.loads(text)
+            if line.get("note") != "probed":
+                continue
+            row = rows.setdefault(line["exchange"], {"admitted": 0, "refused": 0, "longest_gap_s": 0.0, "went_back": 0,
+                                                     "by": {}})
+            if not line["admitted"]:
+                row["refused"] += 1
+                continue
+            token = line["counter"], line["holder"]
+            if line["exchange"] in last:
+                before, newest = last[line["exchange"]]
+                row["longest_gap_s"] = round(max(row["longest_gap_s"], line["at"] - before), 3)
+                row["went_back"] += token < newest
+            last[line["exchange"]] = line["at"], token
+            row["admitted"] += 1
+            who = line["holder"].partition("/")[0]
+            row["by"][who] = row["by"].get(who, 0) + 1
+    return {name: rows[name] for name in sorted(rows)}
+
+
 def rules(verdict: Verdict) -> dict[str, Any]:
     return {"rules": {str(rule): {"judged": verdict.judged[rule], "broken": verdict.broken[rule]}
                       for rule in verdict.judged},
@@ -97,7 +126,7 @@
     """The report of a day, as `report.json` has it."""
     return {**rules(verdict), **service(offers),
             "setup_ms": percentiles([offer.took for offer in offers if offer.stood >= 0]),
-            **from_capture(folder / "capture.jsonl")}
+            **from_capture(folder / "capture.jsonl"), "duties": duties(folder / "capture.jsonl")}
 
 
 def offers_in(folder: Path) -> list[Offer]:
