--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -109,7 +109,8 @@
         listens = {entry.name: entry.listen or entry.address for entry in form.member}
         self.coordination = Coordination(
             self.proxy, self.work, clock, self.log, name=self.form.name, address=everybody[self.form.name],
-            listen=listens[self.form.name], key=form.key.encode(), everybody=everybody, weight=form.weight, period=units(form.period_ms),
+            listen=listens[self.form.name], key=form.key.encode(), everybody=everybody, weight=form.weight,
+            period=units(form.period_ms),
             lasts=units(form.lease_ms), probe_every=units(form.probe_every_ms), probe_limit=units(form.probe_limit_ms))
         self.coordination.open()
 
--- a/gingergap/membership/swim.py
+++ b/gingergap/membership/swim.py
@@ -421,6 +421,7 @@
 
     def _come_again(self) -> None:
         self.out = False
+        self.heap.clear()
         self._at(self.now + self.period, "probe")
         self._at(self.now + 1, "sync")
 
@@ -458,7 +459,6 @@
     def _sync(self) -> None:
         """Mend what updates missed, with one who is there; and knock where the dead and the seeds are or were, so that
         the parts of a split find each other again."""
-        self._at(self.now + self.sync_every // 2 + self.draw.randrange(self.sync_every), "sync")
         self._forget_old()
         there = [member for member in self.others.values() if member.standing <= Standing.SUSPECT]
         for member in self._some(there, 1):
@@ -468,8 +468,9 @@
         strangers = sorted(set(gone) | set(self.seeds) - known)
         for address in self._some(strangers, 2 if there else 4):
             self.host.send("", address, Sync(self._part(), True))
-        if not there and self.seeds:
-            self._at(self.now + self.period, "sync")
+        # One event, whatever the case: a second one for the lonely doubled their number each time they stayed alone.
+        alone = not there and self.seeds
+        self._at(self.now + (self.period if alone else self.sync_every // 2 + self.draw.randrange(self.sync_every)), "sync")
 
     def _some(self, pool: list, many: int) -> list:
         return self.draw.sample(pool, min(many, len(pool)))
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -57,7 +57,8 @@
         paths.append(str(tmp_path / f"{number}.sock"))
         path.write_text(form(
             "edge", name=f"p{number}", listen=at[number], here=number, control=paths[-1], drain_limit_s=2,
-            exchange=[{"number": other, "id": f"x{other}", "address": at[2 + other], "prefix": [f"00{other}"]} for other in range(2)],
+            exchange=[{"number": other, "id": f"x{other}", "address": at[2 + other], "prefix": [f"00{other}"]}
+                      for other in range(2)],
             traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}],
             coordination={"key": "a key of sixteen or more", "period_ms": 100, "lease_ms": 500, "probe_every_ms": 300,
                           "probe_limit_ms": 2000,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -169,6 +169,15 @@
         assert "m0" in nodes[0].members.present()
 
 
+def test_one_that_stays_alone_asks_at_a_steady_rate():
+    net, nodes, _ = network(2)
+    net.stop(nodes[1])
+    net.run(30 * SECOND)
+    nodes[0].sent = 0
+    net.run(60 * SECOND)
+    assert 60 <= nodes[0].sent <= 300 and len(nodes[0].members.heap) < 10
+
+
 # --- bytes ---
 
 def pair():
