--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -207,15 +207,15 @@
             time.sleep(0.02)
 
 
-def edge(folder, port, exchange_port, far, profile=None, t1=500):
-    path = folder / f"edge-{far}.sexp"
+def edge(folder, port, exchange_port, far, profile=None, t1=500, name="bench", **more):
+    path = folder / f"{name}-{far}.sexp"
     path.write_text(form(
-        "edge", name="bench", listen=f"{HOST}:{port}", here=0, tell_peers=False, log_level="warning", t1_ms=t1,
+        "edge", name=name, listen=f"{HOST}:{port}", here=0, tell_peers=False, log_level="warning", t1_ms=t1,
         drain_limit_s=0.5,
         exchange=[{"number": number, "id": f"x{number}", "address": f"{HOST}:{exchange_port}", "prefix": [f"0{number:02d}"]}
                   for number in range(far + 1)],
         traffic_type=[{"name": "voice", "setup_objective_ms": 1500, "no_answer_time_ms": 9000}],
-        bounds={"dialogs": 100_000, "transactions": 5_000_000}))
+        bounds={"dialogs": 100_000, "transactions": 5_000_000}, **more))
     words = [sys.executable]
     if profile:
         words += ["-m", "cProfile", "-o", profile]
