--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -222,8 +222,9 @@
         """The ACK of a 2xx goes end to end (section 16.11 forwards it without state)."""
         try:
             onward = self._prepared(message)
+            next_hop(onward)
         except BadMessageError:
-            return
+            return  # no answer is due to an ACK
         branch = MAGIC + "a" + blake2s(top_via(message).branch.encode(errors="replace"),
                                        digest_size=10).hexdigest()
         if not self._is_own(onward):
--- a/gingergap/sip/dialogs.py
+++ b/gingergap/sip/dialogs.py
@@ -60,10 +60,13 @@
 
 
 def next_hop(message: Message) -> Hop:
-    """Where a request goes next (section 8.1.2): its first Route, else its Request-URI."""
+    """Where a request goes next (section 8.1.2): its first Route, else its Request-URI. Raises BadMessageError."""
     routes = message.all("Route")
     uri = uri_of(address_of(routes[0])[0] if routes else message.uri)
-    return Hop(uri.params.get("transport", "udp").upper(), uri.host, uri.port)
+    transport = uri.params.get("transport", "udp").upper()
+    if transport not in ("UDP", "TCP") or not uri.host:
+        raise BadMessageError("the next hop is not one that is served", 400, message)
+    return Hop(transport, uri.host, uri.port)
 
 
 def release_of(answer: Message, own: tuple[str, int]) -> SipDialog:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -132,6 +132,16 @@
         assert judge(tmp_path, datagrams).broken[2] == 1  # the drop was nothing to it: it was still out
 
 
+def test_what_was_sent_on_a_connection_being_dropped_ended_with_it(tmp_path):
+    def over_tcp(line):
+        return dict(line, message=line["message"].replace("SIP/2.0/UDP 127.0.0.1:7000", "SIP/2.0/TCP 127.0.0.1:7000"))
+    lines = [*NOTES, invite(1.0), {"at": 1.01, "note": "reset", "address": X1}, over_tcp(leg(1.015, "z9hG4bKa")),
+             {"at": 1.9, "note": "reset", "address": X1}, over_tcp(leg(2.0, "z9hG4bKb")), leg_answer(2.1, 200, "z9hG4bKb"),
+             final(2.1, 200)]
+    verdict = judge(tmp_path, lines)
+    assert verdict.judged[5] == 1 and not any(verdict.broken.values())
+
+
 def test_what_the_network_lost_was_not_told(tmp_path):
     lines = [*NOTES, dict(told(1.0, [("x1", "gone", 0.0, X1)]), lost=True), invite(4.0), leg(4.1, "z9hG4bKa"),
              leg_answer(4.2, 200, "z9hG4bKa"), final(4.2, 200)]
--- a/tests/test_edge_proxy.py
+++ b/tests/test_edge_proxy.py
@@ -326,6 +326,17 @@
     assert top_via(message).transport == "TCP"
 
 
+@pytest.mark.parametrize("target", ["sip:far@127.0.0.1:7101;transport=sctp", "sip:far@127.0.0.1:99999", "tel:555", "sip:"])
+def test_a_way_on_that_is_not_served_is_refused_and_an_ack_dropped(peers, target):
+    for method in ("BYE", "ACK"):
+        message = Message(method, target)
+        message.fields = [("Via", f"SIP/2.0/SCTP 127.0.0.1:9000;branch=z9hG4bK{method}"), ("Max-Forwards", "70"),
+                          ("From", "<sip:c>;tag=ct"), ("To", "<sip:f>;tag=far"), ("Call-ID", "odd"), ("CSeq", f"2 {method}")]
+        peers.come(message)
+    assert [m.status for m in peers.new()] == [400]
+    assert not [key for key in peers.proxy.transactions.clients if key[1] == "BYE"]
+
+
 def test_nothing_of_a_finished_day_is_kept(peers):
     for number in range(40):
         invite = peers.invite(f"001{number:03d}")
