Trace files: recorded by running proxies, read up to any break, replayed to the same decisions

When a Monday goes badly, what the router saw and decided is to be replayed. Events and actions are noted at the module's door without touching it, written off the decision path in checked, compressed blocks.

--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -18,6 +18,7 @@
 from ..sip.fields import address_of, seconds_of, tag_of, top_via, uri_of, via_of
 from ..sip.message import BadMessageError, Message, response
 from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, Wire
+from ..trace.tape import Tape, recorded
 from . import words
 from .calls import Asked, Call, Leg, Onward
 from .circuits import Circuits
@@ -91,7 +92,8 @@
                  exchange_list: tuple[str, int] | None, types: list[TrafficType], kinds: dict[str, int],
                  widths: list[int], numbering: Numbering, door: Door, default_expires: int,
                  most_transactions: int, t1: int, release_guard: int, most_legs: int, longest_hold_off: int,
-                 tells: bool, cold_from: float, warm_after: int, multiple: float, fall_span: int) -> None:
+                 tells: bool, cold_from: float, warm_after: int, multiple: float, fall_span: int,
+                 tape: Tape | None = None) -> None:
         self.wire, self.log, self.fresh = wire, log, fresh
         self.address, self.domain, self.here = address, domain, here
         self.types, self.kinds, self.widths = types, kinds, widths
@@ -121,11 +123,15 @@
         self.messages_out: dict[int, int] = {}
         self.list_at = exchange_list
         self.subscribers = {LIST: Subscriber(LIST, 60 * SECOND), GROUPS: Subscriber(GROUPS, 20 * SECOND)}
-        self.controller = CallController(
-            self, seed, here, len(exchanges), types, release_guard=release_guard, most_legs=most_legs,
-            longest_hold_off=longest_hold_off, may_cancel=True, must_ask=exchange_list is not None,
-            may_tell=tells, centre_advises=False, cold_from=cold_from, warm_after=warm_after,
-            multiple=multiple, fall_span=fall_span)
+        figures = {"release_guard": release_guard, "most_legs": most_legs, "longest_hold_off": longest_hold_off,
+                   "may_cancel": True, "must_ask": exchange_list is not None, "may_tell": tells, "centre_advises": False,
+                   "cold_from": cold_from, "warm_after": warm_after, "multiple": multiple, "fall_span": fall_span}
+        self.figures = {**figures, "seed": seed, "here": here, "proxies": len(exchanges), "types": [
+            [*entry[:5], None if entry.pools is None else sorted(entry.pools)] for entry in types]}
+        if tape is None:
+            self.controller = CallController(self, seed, here, len(exchanges), types, **figures)
+        else:
+            self.controller = recorded(tape, self, seed, here, len(exchanges), types, **figures)
         known = []
         for number, name, (host, port) in exchanges:
             gw = self._gw(name, number)
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -3,6 +3,7 @@
 import secrets
 import signal
 import time
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -14,6 +15,9 @@
 from ..sip.fields import host_port
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
+from ..trace.format import FORMAT, Header
+from ..trace.recorder import Recorder
+from ..trace.tape import Tape, module_digest
 from ..transport.sockets import Sockets
 from .coordination import Coordination, LocalWork
 from .door import Door
@@ -34,7 +38,8 @@
     return round(ms * 10)
 
 
-def proxy_of(form: EdgeForm, wire: Any, log: Any, now: int, wall: float, fresh: Any) -> EdgeProxy:
+def proxy_of(form: EdgeForm, wire: Any, log: Any, now: int, wall: float, fresh: Any,
+             tape: Tape | None = None) -> EdgeProxy:
     """The proxy that a settings file describes."""
     types = [TrafficType(units(entry.setup_objective_ms), units(entry.no_answer_time_ms), entry.late_share,
                          entry.importance, entry.repeatable, None) for entry in form.traffic_type]
@@ -52,7 +57,7 @@
         t1=units(form.t1_ms), release_guard=units(form.release_guard_ms) + 1, most_legs=form.most_legs,
         longest_hold_off=units(form.longest_hold_off_ms), tells=form.tell_peers,
         cold_from=form.cold.from_share, warm_after=units(form.cold.warm_after_ms) + 1,
-        multiple=form.cold.multiple, fall_span=units(form.cold.span_ms) + 1)
+        multiple=form.cold.multiple, fall_span=units(form.cold.span_ms) + 1, tape=tape)
 
 
 class EdgeProcess:
@@ -68,6 +73,8 @@
         self.work: LocalWork | None = None
         self.coordination: Coordination | None = None
         self.control: Control | None = None
+        self.tape = Tape()
+        self.recorder: Recorder | None = None
         self.busy = 0.0  # the part of the time that calls take, of late
 
     def run(self) -> int:
@@ -77,7 +84,7 @@
             self.log.error("address-taken", listen=self.form.listen, why=error.strerror)
             return 2
         self.proxy = proxy_of(self.form, self.sockets, self.log, clock(), time.time(),
-                              lambda size: secrets.token_hex(size // 2))
+                              lambda size: secrets.token_hex(size // 2), None if self.form.trace is None else self.tape)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.drain)
         self.log.info("serving", listen=self.form.listen, here=self.form.here)
@@ -86,6 +93,7 @@
         try:
             self._open_coordination()
             self._open_control()
+            self._open_trace()
         except OSError as error:
             self.log.error("address-taken", why=error.strerror or str(error))
             return 2
@@ -97,6 +105,8 @@
         if self.control is not None:
             self.control.close()
         self.work.runner.stop()
+        if self.recorder is not None:
+            self.recorder.close()
         self.sockets.close()
         self.log.info("ended", **{key.replace(" ", "_"): value for key, value in self.proxy.counts.items()})
         return 0
@@ -119,6 +129,17 @@
             self.control = Control(self.form.control, self)
             self.control.open()
 
+    def _open_trace(self) -> None:
+        form = self.form.trace
+        if form is None:
+            return
+        pool = gevent.get_hub().threadpool
+        header = Header(FORMAT, module_digest(), secrets.token_hex(4), self.form.name, self.proxy.wall_at_start,
+                        self.proxy.started_at, self.proxy.figures)
+        self.recorder = Recorder(Path(form.folder), self.tape, header, self.log, part=round(form.part_mb * 2**20),
+                                 budget=round(form.budget_mb * 2**20), apart=lambda run, *args: pool.apply(run, args))
+        self.recorder.open()
+
     def drain(self) -> None:
         """No new dialogs; those that stand may finish until the limit."""
         if self.drained_by is None:
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -85,6 +85,14 @@
     probe_limit_ms: Milliseconds = 12_000
 
 
+class TraceForm(Form):
+    """Where the trace of a proxy goes, how large a part becomes, and how much all parts may take."""
+
+    folder: str
+    part_mb: Annotated[float, Field(gt=0)] = 16
+    budget_mb: Annotated[float, Field(gt=0)] = 256
+
+
 class EdgeForm(Form):
     """A signalling proxy. The seed starts the module's chance; the rest is said in docs/edge.md."""
 
@@ -105,6 +113,7 @@
     bounds: BoundsForm = BoundsForm()
     coordination: CoordinationForm | None = None
     control: str | None = None
+    trace: TraceForm | None = None
     background_ms_per_s: Annotated[float, Field(gt=0, le=500)] = 50
     longest_dialog_s: Annotated[float, Field(gt=0)] = 14_400
     drain_limit_s: Annotated[float, Field(gt=0)] = 60
--- a/gingergap/standins/player.py
+++ b/gingergap/standins/player.py
@@ -92,7 +92,7 @@
     def play(self) -> None:
         """Run the day through; leaves `capture.jsonl` and the callers' files in the folder."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        for pattern in ("part-*.jsonl", "callers-*.json", "*.log", "*.sock", "capture.jsonl", "report.json"):
+        for pattern in ("part-*.jsonl", "callers-*.json", "*.log", "*.sock", "traces/*.trace", "capture.jsonl", "report.json"):
             for old in self.folder.glob(pattern):
                 old.unlink()
         SharedCircuits(self.folder / "circuits", self.day.exchanges, create=True).close()
@@ -167,7 +167,7 @@
             release_guard_ms=day.release_guard_ms, most_legs=day.most_legs,
             longest_hold_off_ms=day.longest_hold_off_ms, tell_peers=day.tell_peers,
             cold=cold.model_dump(), bounds=day.bounds.model_dump(), drain_limit_s=5, log_level="info",
-            control=f"edge-{number}.sock", **more))
+            control=f"edge-{number}.sock", trace={"folder": "traces"}, **more))
 
     def _start(self, name: str, *words: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
--- /dev/null
+++ b/gingergap/trace/tape.py
@@ -0,0 +1,149 @@
+"""Between the module and its host: notes each event before it enters and each action as it is asked for.
+
+The module's text is not touched: `RecordedController` is the same controller with its event methods noted, and
+`RecordedHost` stands before the real host. Notes go into a bounded list; writing is somebody else's work (recorder.py).
+"""
+
+import hashlib
+import inspect
+from typing import Any
+
+from .. import brain
+from ..brain import CallController
+from ..host import Host
+from .format import CODES
+
+
+def module_digest() -> str:
+    """Which text of the module decided."""
+    return hashlib.blake2s(inspect.getsource(brain).encode(), digest_size=12).hexdigest()
+
+
+class Tape:
+    """Holds at most `most` records; beyond them events are counted as lost, whole ones, with their times, until there is
+    room again: a record of half an event would replay as a difference."""
+
+    def __init__(self, most: int = 200_000) -> None:
+        self.most = most
+        self.on = True
+        self.records: list[list[Any]] = []
+        self.gaps: list[tuple[int, int, int, int]] = []  # place among the records, first, last, how many
+        self.dropping = False
+
+    def event(self, name: str, now: int, *fields: Any) -> None:
+        if not self.on:
+            self._lose(now)
+            return
+        if len(self.records) >= self.most:
+            self._lose(now)
+            return
+        self.dropping = False
+        self.records.append([CODES[name], now, *fields])
+
+    def action(self, name: str, *fields: Any) -> None:
+        if not self.dropping:
+            self.records.append([CODES[name], *fields])
+
+    def _lose(self, now: int) -> None:
+        place = len(self.records)
+        if self.dropping and self.gaps and self.gaps[-1][0] == place:
+            _, first, _, count = self.gaps[-1]
+            self.gaps[-1] = place, first, now, count + 1
+        else:
+            self.gaps.append((place, now, now, 1))
+        self.dropping = True
+
+    def take(self) -> tuple[list[list[Any]], list[tuple[int, int, int, int]]]:
+        """All that was noted since the last taking, and the gaps in it."""
+        records, gaps = self.records, self.gaps
+        self.records, self.gaps = [], []
+        return records, gaps
+
+
+class RecordedHost:
+    """Passes each action on and notes it."""
+
+    def __init__(self, host: Host, tape: Tape) -> None:
+        self.host, self.tape = host, tape
+
+    def send_leg(self, dialog: int, gw: int, limit: int) -> None:
+        self.tape.action("send_leg", dialog, gw, limit)
+        self.host.send_leg(dialog, gw, limit)
+
+    def cancel_leg(self, dialog: int, leg: int) -> None:
+        self.tape.action("cancel_leg", dialog, leg)
+        self.host.cancel_leg(dialog, leg)
+
+    def decline(self, dialog: int, hold_off: int) -> None:
+        self.tape.action("decline", dialog, hold_off)
+        self.host.decline(dialog, hold_off)
+
+    def abort(self, dialog: int) -> None:
+        self.tape.action("abort", dialog)
+        self.host.abort(dialog)
+
+    def wake_after(self, delay: int) -> None:
+        self.tape.action("wake_after", delay)
+        self.host.wake_after(delay)
+
+    def tell_all(self, told: bytes) -> None:
+        self.tape.action("tell_all", told)
+        self.host.tell_all(told)
+
+    def subscribe(self) -> None:
+        self.tape.action("subscribe")
+        self.host.subscribe()
+
+
+class RecordedController(CallController):
+    """The controller with its events noted on `tape` before they enter."""
+
+    tape: Tape
+
+    def begin(self, now: int) -> None:
+        self.tape.event("begin", now)
+        super().begin(now)
+
+    def beat(self, now: int) -> None:
+        self.tape.event("beat", now)
+        super().beat(now)
+
+    def peer_told(self, now: int, told: bytes) -> None:
+        self.tape.event("peer_told", now, told)
+        super().peer_told(now, told)
+
+    def list_pushed(self, now: int, entries: list, whole: bool) -> None:
+        self.tape.event("list_pushed", now, [[int(part) for part in entry] for entry in entries], whole)
+        super().list_pushed(now, entries, whole)
+
+    def list_failed(self, now: int) -> None:
+        self.tape.event("list_failed", now)
+        super().list_failed(now)
+
+    def group_told(self, now: int, gw: int, free: int, size: int) -> None:
+        self.tape.event("group_told", now, gw, free, size)
+        super().group_told(now, gw, free, size)
+
+    def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str, expires_in: int,
+                    transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
+        self.tape.event("dialog_came", now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
+        super().dialog_came(now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
+
+    def dialog_stands(self, now: int, dialog: int, took: int) -> None:
+        self.tape.event("dialog_stands", now, dialog, took)
+        super().dialog_stands(now, dialog, took)
+
+    def leg_ended(self, now: int, dialog: int, gw: int, how, rsn: int, over: bool, free: int, size: int) -> None:
+        self.tape.event("leg_ended", now, dialog, gw, int(how), int(rsn), over, free, size)
+        super().leg_ended(now, dialog, gw, how, rsn, over, free, size)
+
+    def dialog_gone(self, now: int, dialog: int) -> None:
+        self.tape.event("dialog_gone", now, dialog)
+        super().dialog_gone(now, dialog)
+
+
+def recorded(tape: Tape, host: Host, *args: Any, **figures: Any) -> CallController:
+    """A controller made as `CallController(host, ...)` would be, on a tape."""
+    controller = RecordedController(RecordedHost(host, tape), *args, **figures)
+    controller.tape = tape
+    return controller
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -130,6 +130,12 @@
     assert report["stood_in_time"] > 0 and report["final_answers"]["200"] > 0
     logs = "".join(log.read_text() for log in folder.glob("*.log"))
     assert "event-failed" not in logs and "Traceback" not in logs
+    replayed = 0
+    for trace in sorted((folder / "traces").glob("*.trace")):  # every process of the day, the killed one too
+        result = CliRunner().invoke(main, ["trace", "replay", str(trace)])
+        assert result.exit_code == 0, result.output
+        replayed += int(result.output.split(" events, ")[1].split()[0])
+    assert replayed > 300
 
 
 def test_a_proxy_drains_on_sigterm_and_ends_with_0(tmp_path):
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,263 @@
+"""Traces: written while a proxy works, read up to any break, replayed to the same decisions, and a changed module found."""
+
+import errno
+import itertools
+
+import pytest
+import structlog
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gingergap.brain import CallController
+from gingergap.cli.main import main
+from gingergap.edge.serve import proxy_of
+from gingergap.settings.edge import EdgeForm
+from gingergap.settings.forms import parse as parse_form
+from gingergap.trace import format as trace_format
+from gingergap.trace.format import CODES, FIRST_ACTION, BadTraceError, Header, Reader, Writer, records_of
+from gingergap.trace.recorder import Recorder, blocks
+from gingergap.trace.replay import replay, words
+from gingergap.trace.tape import Tape, module_digest
+from gingergap.trace.window import select
+
+
+@pytest.fixture
+def busy(peers_of, monkeypatch):
+    """A proxy on a tape that has served some calls of all kinds; its tape and header."""
+    import conftest
+    tape = Tape()
+    monkeypatch.setattr(conftest, "proxy_of", lambda *args: proxy_of(*args, tape))
+    peers = peers_of()
+    for number in range(60):
+        invite = peers.invite(f"00{1 + number % 3}{number:03d}", expires=2)
+        legs = peers.legs(invite.call_id)
+        if legs and number % 4 == 0:
+            peers.answer(legs[0], 200)
+            peers.within("BYE", invite.call_id)
+        elif legs and number % 4 == 1:
+            peers.answer(legs[0], 503, fields=[("Reason", "Q.850;cause=34")])
+        elif number % 4 == 2:
+            peers.cancel(invite)
+        peers.pass_time(peers.now + 400)
+    peers.tell_list(1, [("x0", "ready", 0), ("x1", "draining", 0), ("x2", "ready", 0)], "full")
+    peers.pass_time(peers.now + 30_000)
+    return tape, Header(1, module_digest(), "e1", "p0", 0.0, 0, peers.proxy.figures)
+
+
+def written(tmp_path, header, records, each=200, name="a.trace"):
+    path = tmp_path / name
+    writer = Writer(path, header)
+    begun = 0
+    while begun < len(records):
+        end = min(begun + each, len(records))
+        while end < len(records) and records[end][0] >= FIRST_ACTION:
+            end += 1
+        writer.events(records[begun:end])
+        begun = end
+    writer.close()
+    return path
+
+
+def test_a_replay_asks_for_the_same_at_every_event(busy, tmp_path):
+    tape, header = busy
+    reader = Reader(written(tmp_path, header, tape.records))
+    done = replay(reader.header, reader.records())
+    assert done.difference is None and done.gap is None and reader.broken is None
+    assert done.events > 400 and done.actions > 200
+    assert done.events + done.actions == len(tape.records)
+
+
+class Timid(CallController):
+    """A module that decides otherwise in one case: no tandem is ever tried."""
+
+    def _tandems(self, d):
+        return []
+
+
+def test_a_changed_module_is_found_with_what_came_before(busy, tmp_path):
+    tape, header = busy
+    done = replay(header, tape.records, Timid)
+    assert done.difference is not None and done.difference.before
+    assert done.difference.noted != done.difference.asked
+
+
+def test_a_noted_decision_that_was_changed_is_found(busy):
+    tape, header = busy
+    places = [place for place, record in enumerate(tape.records) if record[0] == CODES["send_leg"]]
+    for place in places[::7]:
+        records = list(tape.records)
+        records[place] = [*records[place][:2], 9, records[place][3]]
+        assert replay(header, records).difference.place == place
+        assert replay(header, records[:place] + records[place + 1:]).difference is not None
+
+
+@given(st.integers(0, 10**9), st.booleans(), st.integers(0, 7))
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_a_file_cut_or_changed_anywhere_is_read_up_to_the_break(tmp_path_factory, place, cut, bit):
+    folder = tmp_path_factory.mktemp("cut")
+    records = list(itertools.chain.from_iterable(
+        ([CODES["beat"], 200 * number], [CODES["wake_after"], 200]) for number in range(300)))
+    header = Header(1, "m", "e", "i", 0.0, 0, {})
+    path = written(folder, header, records, each=50)
+    data = bytearray(path.read_bytes())
+    whole = len(data)
+    place %= whole
+    if cut:
+        del data[place:]
+    else:
+        data[place] ^= 1 << bit
+    path.write_bytes(data)
+    try:
+        reader = Reader(path)
+    except BadTraceError as bad:
+        assert place < 200 and str(path) in str(bad)
+        return
+    found = list(reader.records())
+    reader.close()
+    assert found == records[:len(found)]  # whole blocks, nothing made up
+    assert len(found) >= 100 * (place * 6 // whole - 1)
+    if reader.broken is not None:
+        assert reader.broken.at <= place
+
+
+def test_the_index_is_made_anew_when_it_is_missing(busy, tmp_path):
+    tape, header = busy
+    path = written(tmp_path, header, tape.records)
+    indexed = Reader(path).stretches()
+    data = path.read_bytes()
+    last = Reader(path)
+    end = [block.at for block in last.blocks() if block.kind == trace_format.INDEX][0]
+    path.write_bytes(data[:end])
+    assert Reader(path).stretches() == indexed and len(indexed) > 3
+
+
+def test_a_newer_format_is_refused_in_a_line_and_left_alone(tmp_path):
+    path = written(tmp_path, Header(2, "m", "e", "i", 0.0, 0, {}), [[CODES["beat"], 1]])
+    before = path.read_bytes()
+    result = CliRunner().invoke(main, ["trace", "info", str(path)])
+    assert result.exit_code == 2 and "newer" in result.stderr and len(result.stderr.splitlines()) == 1
+    assert path.read_bytes() == before
+
+
+def test_one_dialog_is_found_without_unpacking_the_rest(busy, tmp_path, monkeypatch):
+    tape, header = busy
+    reader = Reader(written(tmp_path, header, tape.records, each=60))
+    unpacked = []
+    monkeypatch.setattr("gingergap.trace.window.records_of", lambda payload: unpacked.append(1) or records_of(payload))
+    found = [record for _, record in select(reader, dialog=5)]
+    assert found[0][0] == CODES["dialog_came"] and found[0][2] == 5
+    assert len(unpacked) < len(reader.stretches())
+    everything = [record for record in tape.records if record[0] in trace_format.DIALOG_AT
+                  and record[trace_format.DIALOG_AT[record[0]]] == 5]
+    assert found == everything
+    middle = tape.records[len(tape.records) // 2]
+    assert all(1_000 <= when <= 5_000 for when, _ in select(reader, 1_000, 5_000))
+    assert words(middle)
+
+
+def test_a_tape_that_is_full_loses_whole_events_and_counts_them():
+    tape = Tape(most=4)
+    for now in range(5):
+        tape.event("beat", now)
+        tape.action("wake_after", 200)
+    records, gaps = tape.take()
+    assert len(records) == 4 and gaps == [(4, 2, 4, 3)]
+    tape.event("beat", 9)
+    assert tape.take() == ([[CODES["beat"], 9]], [])
+
+
+def recorder(tmp_path, tape, header, **more):
+    figures = {"part": 1 << 20, "budget": 1 << 24, "apart": lambda run, *args: run(*args), **more}
+    one = Recorder(tmp_path / "traces", tape, header, structlog.get_logger(), **figures)
+    one.folder.mkdir()
+    one._next_part()
+    return one
+
+
+def test_parts_go_on_from_one_another_and_replay_as_one(busy, tmp_path):
+    tape, header = busy
+    records, tape.records = tape.records, []
+    one = recorder(tmp_path, tape, header, part=600)
+    for block in blocks(records, 100):
+        tape.records = block
+        one.step()
+    one.close()
+    readers = [Reader(path) for path in sorted(one.folder.glob("*.trace"))]
+    assert len(readers) > 2 and all(reader.broken is None for reader in readers)
+    done = replay(header, itertools.chain.from_iterable(reader.records() for reader in readers))
+    assert done.difference is None and done.events + done.actions == len(records)
+
+
+def test_the_oldest_parts_go_first_and_all_stay_under_the_budget(tmp_path):
+    tape = Tape()
+    one = recorder(tmp_path, tape, Header(1, "m", "e1", "p0", 0.0, 0, {}), part=600, budget=1500)
+    for begun in range(0, 3_000, 300):
+        for now in range(begun, begun + 300):
+            tape.event("beat", now * 7919 % 100_003)
+        one.step()
+    one.close()
+    names = sorted(path.name for path in one.folder.glob("*.trace"))
+    assert "p0-e1-000.trace" not in names and f"p0-e1-{one.parts - 1:03d}.trace" in names
+    assert sum(path.stat().st_size for path in one.folder.glob("*.trace")) < 4_000
+
+
+def test_a_full_disk_costs_records_not_calls_and_the_gap_is_written(tmp_path):
+    tape = Tape()
+    one = recorder(tmp_path, tape, Header(1, "m", "e", "i", 0.0, 0, {}))
+    write = one.writer.file.write
+    full = [False]
+
+    class Disk:
+        def __getattr__(self, name):
+            return getattr(inner, name)
+
+        def write(self, data):
+            if full[0]:
+                write(data[:len(data) // 2])  # a part of it still fits
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return write(data)
+    inner, one.writer.file = one.writer.file, Disk()
+    for now in range(6):
+        full[0] = 2 <= now < 4
+        tape.event("beat", now * 100)
+        one.step()
+    one.close()
+    reader = Reader(next(one.folder.glob("*.trace")))
+    found = list(reader.records())
+    assert [record[1] for record in found if record[0] != "gap"] == [0, 100, 400, 500]
+    assert [record for record in found if record[0] == "gap"] == [["gap", 200, 300, 2]]
+    assert reader.broken is None and one.lost == 2
+
+
+def test_a_replay_stops_at_a_gap_and_says_so(busy):
+    tape, header = busy
+    done = replay(header, [*tape.records[:101], ["gap", 1, 2, 3], *tape.records[101:]])
+    assert done.difference is None and done.gap == (1, 2, 3)
+
+
+def test_the_commands(busy, tmp_path):
+    tape, header = busy
+    path = written(tmp_path, header, tape.records)
+    runner = CliRunner()
+    assert "in order" in runner.invoke(main, ["trace", "info", str(path)]).output
+    shown = runner.invoke(main, ["trace", "show", str(path), "--dialog", "3"])
+    assert shown.exit_code == 0 and "dialog_came(" in shown.output
+    done = runner.invoke(main, ["trace", "replay", str(path)])
+    assert done.exit_code == 0 and "decisions compared" in done.output
+    wrong = [*tape.records]
+    place = next(place for place, record in enumerate(wrong) if record[0] == CODES["decline"])
+    wrong[place] = [CODES["abort"], wrong[place][1]]
+    other = written(tmp_path, header, wrong, name="b.trace")
+    done = runner.invoke(main, ["trace", "replay", str(other)])
+    assert done.exit_code == 1 and "noted: abort" in done.output and "asked: decline" in done.output
+    for bad in ("none.trace", "junk.trace"):
+        (tmp_path / "junk.trace").write_bytes(b"junk")
+        result = runner.invoke(main, ["trace", "info", str(tmp_path / bad)])
+        assert result.exit_code == 2 and len(result.stderr.splitlines()) == 1
+
+
+def test_settings_name_the_folder():
+    from conftest import EDGE
+    form = parse_form(EDGE.strip()[:-1] + ' (trace (folder "t") (part-mb 1)))', "f", edge=EdgeForm)
+    assert form.trace.folder == "t" and form.trace.budget_mb == 256
