Stand-ins share one SIP element; a trace part without room for its header is begun again

Read once more as a whole: three stand-ins repeated how sockets join transactions, a full disk at a new part's header left a file that barred every later try, a run that found its lease just over counted as a failure, and a refused trace folder was told as a taken address. One base class, the half file removed, such runs count as neither, an event of its own.

--- a/gingergap/edge/coordination.py
+++ b/gingergap/edge/coordination.py
@@ -75,7 +75,7 @@
         self.runs: dict[str, int] = {}
         work.over = self._run_over
         self.greenlet: gevent.Greenlet | None = None
-        self.refused: set[str] = set()  # duties whose run under way met a newer token
+        self.refused: set[str] = set()  # duties whose run found that they are not ours: neither done nor failed
 
     def open(self) -> None:
         self.datagrams.open()
@@ -169,6 +169,7 @@
 
     def _run(self, duty: Duty) -> bool:
         if not self.keeper.may_act(self.clock(), duty.name):
+            self.refused.add(duty.name)  # the lease ran out just now: no failure of ours to stand aside for
             return False
         self.runs[duty.name] = self.runs.get(duty.name, 0) + 1
         kind, _, about = duty.name.partition(" ")
--- a/gingergap/edge/door.py
+++ b/gingergap/edge/door.py
@@ -19,7 +19,6 @@
         self.patience = [late * (1 + 2 * importance / top) for importance in importances]
         self.lag = 0.0
         self.draining = False
-        self.turned_away = 0
 
     def ran(self, late_by: int) -> None:
         """A timer fired `late_by` after it was due. One long stall is forgotten within some ten firings."""
@@ -28,9 +27,7 @@
     def shut(self, kind: int, open_dialogs: int) -> int:
         """0 to let a dialog in, else for how many seconds its caller should stay away."""
         if self.draining:
-            self.turned_away += 1
             return 5
         if open_dialogs >= self.most * self.part[kind] or self.lag > self.patience[kind]:
-            self.turned_away += 1
             return 1 if self.lag <= 4 * self.late else 2
         return 0
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -95,7 +95,8 @@
             self._open_control()
             self._open_trace()
         except OSError as error:
-            self.log.error("address-taken", why=error.strerror or str(error))
+            self.log.error("cannot-open", path=error.filename, why=error.strerror or str(error))
+            self.sockets.close()
             return 2
         ticker = gevent.spawn(self._tick)
         self.over.wait()
--- a/gingergap/edge/subscriptions.py
+++ b/gingergap/edge/subscriptions.py
@@ -43,7 +43,6 @@
         self.wanted = False
         self.live = False
         self.asked_at: int | None = None
-        self.heard_at = 0
         self.refresh_at = 0
         self.ends_at = 0
         self.epoch, self.version = "", -1
@@ -73,7 +72,6 @@
     def notified(self, now: int, body: Body) -> Use:
         """A notification came. Its full state is taken whatever its order, unless it is older than what is held
         of the same epoch."""
-        self.heard_at = now
         if body.full:
             if body.epoch == self.epoch and body.version < self.version:
                 return Use.OLD
--- a/gingergap/scheduler/plan.py
+++ b/gingergap/scheduler/plan.py
@@ -120,13 +120,6 @@
         """Tasks whose run has taken longer than it may."""
         return [task.name for task in self.tasks.values() if task.started >= 0 and now - task.started > task.deadline]
 
-    def overdue(self, now: int) -> list[str]:
-        return [task.name for task in self.tasks.values() if now - task.due > task.limit]
-
-    def wait(self, now: int) -> int:
-        """Until when nothing will be due, as a span from now."""
-        return max(0, min((task.due for task in self.tasks.values() if task.started < 0), default=now + SECOND) - now)
-
     def _saved(self, kind: str, now: int, load: float) -> float:
         work = self.classes[kind]
         if work.at:
--- a/gingergap/sip/dialogs.py
+++ b/gingergap/sip/dialogs.py
@@ -1,6 +1,6 @@
 """Dialogs of RFC 3261 section 12: what a user agent keeps of one, and requests built within it."""
 
-from .fields import address_of, host_port, tag_of, uri_of
+from .fields import address_of, tag_of, uri_of
 from .message import BadMessageError, Message
 from .transactions import Hop
 
@@ -79,8 +79,3 @@
             dialog.route = dialog.route[place + 1:]
             break
     return dialog
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """`host:port` of a settings file."""
-    return host_port(text, 0)
--- a/gingergap/standins/caller.py
+++ b/gingergap/standins/caller.py
@@ -16,11 +16,11 @@
 from ..edge.words import MARKS
 from ..sip.dialogs import SipDialog, next_hop
 from ..sip.fields import reason_of, seconds_of, tag_of
-from ..sip.message import BadMessageError, Message, response
-from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, State, Transactions
-from ..transport.sockets import Sockets
+from ..sip.message import Message, response
+from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, State
 from .capture import Capture, HarmfulGate
-from .exchange import BODY, units
+from .element import Element, units
+from .exchange import BODY
 from .script import Plan
 
 SPREAD = 0.5  # of the logarithm of how long a dialog lasts
@@ -54,31 +54,26 @@
         self.given_up = False
 
 
-class Callers:
+class Callers(Element):
     """All callers of exchange `home`, who reach their proxy at `proxy`."""
 
     def __init__(self, plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float,
                  capture: Capture) -> None:
         self.plan, self.home, self.proxy, self.epoch = plan, home, proxy, epoch
-        self.address = address
         gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}", f"{plan.seed} callers {home}",
                            frozenset([proxy]))
-        self.sockets = Sockets(self, address, gate)
-        self.transactions = Transactions(self, self.sockets, address)
+        super().__init__(address, epoch, gate)
         self.draw = random.Random(f"{plan.seed} callers {home}")
         self.tries: dict[tuple[str, str], Try] = {}
         self.offers: list[Offer] = []
         self.open = True
 
-    def now(self) -> float:
-        return time.monotonic() - self.epoch
-
     # --- a dialog ---
 
     def run(self, until: float) -> None:
         """First tries until the day's end."""
         self.sockets.open()
-        gevent.spawn(self._tick)
+        gevent.spawn(self.tick)
         types = self.plan.day.traffic_type
         at = 0.0
         while True:
@@ -176,11 +171,6 @@
         key = attempt.dialog.call_id, tag_of(attempt.dialog.local)
         gevent.spawn_later(40, self.tries.pop, key, None)
 
-    def _tick(self) -> None:
-        while True:
-            gevent.sleep(0.01)
-            self.transactions.due(units())
-
     def finish(self) -> None:
         """The day is over: no more redials, and whoever still talks hangs up."""
         self.open = False
@@ -190,19 +180,6 @@
 
     # --- sockets and transactions ---
 
-    def got(self, message: Message, hop: Hop) -> None:
-        try:
-            self.transactions.received(units(), message, hop)
-        except BadMessageError as bad:
-            if message.method and bad.status:
-                self.transactions.stateless(message, bad.status, "bad", hop)
-
-    def got_bad(self, bad: BadMessageError, hop: Hop) -> None:
-        pass
-
-    def hop_failed(self, hop: Hop, reset: bool) -> None:
-        self.transactions.hop_failed(units(), hop, reset)
-
     def response_came(self, now: int, client: Client, message: Message) -> None:
         attempt = client.owner
         if not isinstance(attempt, Try) or message.status < 200:
@@ -239,19 +216,10 @@
         else:
             self.transactions.respond(now, server, response(message, 481 if message.method == "BYE" else 405, "x"))
 
-    def ack_came(self, now: int, message: Message, hop: Hop) -> None:
-        pass
-
-    def door_shut(self, now: int, message: Message, hop: Hop) -> None:
-        pass
-
     def client_lost(self, now: int, client: Client, how: Lost) -> None:
         if isinstance(client.owner, Try):
             client.owner.answered.set()
 
-    def server_lost(self, now: int, server: Server) -> None:
-        pass
-
 
 def play(plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float,
          report: Path) -> None:
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -20,10 +20,10 @@
 from ..sip.dialogs import SipDialog, next_hop
 from ..sip.fields import address_of, params_of, q850, tag_of, top_via, uri_of
 from ..sip.message import BadMessageError, Message, response
-from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, stamp_via
-from ..transport.sockets import Sockets
+from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, stamp_via
 from .capture import Capture, HarmfulGate
 from .circuits import SharedCircuits
+from .element import Element, units
 from .notifier import Notifier
 from .script import LONG_AGO, NEVER, Life, Plan
 
@@ -32,10 +32,6 @@
 BODY = b"v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 40000 RTP/AVP 8\r\n"
 
 
-def units() -> int:
-    return time.monotonic_ns() // 100_000
-
-
 class Held:
     """Circuits held for one dialog that reached this exchange."""
 
@@ -49,20 +45,19 @@
         self.answer: Message | None = None
 
 
-class Machine:
+class Machine(Element):
     """One machine from its start to its stop."""
 
     def __init__(self, plan: Plan, life: Life, address: tuple[str, int], proxy: tuple[str, int],
                  proxies: frozenset[tuple[str, int]], homes: dict[tuple[str, int], int], shared: SharedCircuits,
                  capture: Capture, epoch: float, proxy_tcp: bool) -> None:
-        self.plan, self.life, self.address, self.proxy = plan, life, address, proxy
+        self.plan, self.life, self.proxy = plan, life, proxy
         self.homes, self.shared, self.capture, self.epoch = homes, shared, capture, epoch
         self.proxy_hop = Hop("TCP" if proxy_tcp else "UDP", *proxy)
         self.draw = random.Random(f"{plan.seed} {life.id} {life.born}")
-        self.gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}",
-                                f"{plan.seed} {life.id} {life.born} gate", proxies, self._lost_in, self._lost_out)
-        self.sockets = Sockets(self, address, self.gate)
-        self.transactions = Transactions(self, self.sockets, address)
+        gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}",
+                           f"{plan.seed} {life.id} {life.born} gate", proxies, self._lost_in, self._lost_out)
+        super().__init__(address, epoch, gate)
         self.uri = f"sip:{address[0]}:{address[1]}"
         self.notifier = Notifier(self.transactions, "trunk-groups", "groups", self.uri)
         self.queue: deque[tuple[float, Callable[[], None]]] = deque()
@@ -77,9 +72,6 @@
         self.reset_at = 0.0
         self.greenlets: list[gevent.Greenlet] = []
 
-    def now(self) -> float:
-        return time.monotonic() - self.epoch
-
     # --- life ---
 
     def start(self) -> None:
@@ -257,17 +249,11 @@
                            for fault in self.plan.struck("answers-lost", self.life.number, now))
         return False
 
-    def got(self, message: Message, hop: Hop) -> None:
-        if not self.running:
-            return
-        try:
-            if message.method:
-                self._got_request(message, hop)
-            else:
-                self._got_response(message, hop)
-        except BadMessageError as bad:
-            if bad.status and message.method:
-                self.transactions.stateless(message, bad.status, "bad", hop)
+    def take(self, message: Message, hop: Hop) -> None:
+        if self.running and message.method:
+            self._got_request(message, hop)
+        elif self.running:
+            self._got_response(message, hop)
 
     def got_bad(self, bad: BadMessageError, hop: Hop) -> None:
         self.capture.note("bad message", why=str(bad), peer=f"{hop.host}:{hop.port}")
@@ -517,21 +503,12 @@
         if held is not None:
             held.acked = True
 
-    def door_shut(self, now: int, message: Message, hop: Hop) -> None:
-        self.transactions.stateless(message, 503, "full", hop, [q850(42)])
-
     def response_came(self, now: int, client: Client, message: Message) -> None:
         self.notifier.answered(client, message)
 
-    def stray_response(self, now: int, message: Message) -> None:
-        pass
-
     def client_lost(self, now: int, client: Client, how: Lost) -> None:
         self.notifier.lost(client)
 
-    def server_lost(self, now: int, server: Server) -> None:
-        pass
-
 
 def play(plan: Plan, number: int, epoch: float, addresses: list[tuple[str, int]], proxy: tuple[str, int],
          proxies: dict[tuple[str, int], int], homes: dict[tuple[str, int], int], report: Path,
--- a/gingergap/trace/format.py
+++ b/gingergap/trace/format.py
@@ -209,7 +209,12 @@
         self.file = path.open("xb", buffering=0)
         self.index: list[tuple[int, tuple]] = []
         self.size = 0
-        self._put(MAGIC + pack(HEADER, msgspec.msgpack.encode(header)))
+        try:
+            self._put(MAGIC + pack(HEADER, msgspec.msgpack.encode(header)))
+        except OSError:
+            self.file.close()
+            path.unlink(missing_ok=True)  # else the next try under this name finds it taken, long after the disk has room
+            raise
 
     def events(self, records: list[list[Any]]) -> None:
         data = events_block(records)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -230,6 +230,20 @@
     assert reader.broken is None and one.lost == 2
 
 
+def test_a_part_whose_header_found_no_room_is_begun_again(tmp_path, monkeypatch):
+    put = Writer._put
+
+    def no_room(self, data):
+        raise OSError(errno.ENOSPC, "No space left on device")
+    path, header = tmp_path / "a.trace", Header(1, "m", "e", "i", 0.0, 0, {})
+    monkeypatch.setattr(Writer, "_put", no_room)
+    with pytest.raises(OSError, match="No space"):
+        Writer(path, header)
+    monkeypatch.setattr(Writer, "_put", put)
+    Writer(path, header).close()
+    assert list(Reader(path).records()) == []
+
+
 def test_a_replay_stops_at_a_gap_and_says_so(busy):
     tape, header = busy
     done = replay(header, [*tape.records[:101], ["gap", 1, 2, 3], *tape.records[101:]])
