--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from ..settings.forms import BadSettingsError, Form
+from .trace import trace
 
 FILE = click.Path(path_type=Path)
 
@@ -249,96 +250,6 @@
     Watch(control, every).run()
 
 
-@main.group()
-def trace() -> None:
-    """Traces of what a proxy's decision module saw and decided."""
-
-
-def _readers(files: tuple[Path, ...]) -> list[Any]:
-    """Parts of one epoch, in order."""
-    from ..trace.format import BadTraceError, Reader
-    try:
-        readers = [Reader(path) for path in sorted(files)]
-    except BadTraceError as bad:
-        _fail([str(bad)])
-    if len({(reader.header.instance, reader.header.epoch) for reader in readers}) > 1:
-        _fail(["the files are of more than one process: give the parts of one"])
-    return readers
-
-
-FILES = click.argument("files", type=FILE, nargs=-1, required=True)
-
-
-@trace.command("info")
-@FILES
-def trace_info(files: tuple[Path, ...]) -> None:
-    """Whose trace, which module, how long, and whether it is whole."""
-    from .tables import rows
-    lines = []
-    for reader in _readers(files):
-        stretches = reader.stretches()
-        lines.append({"file": reader.path.name, "instance": reader.header.instance, "epoch": reader.header.epoch,
-                      "module": reader.header.module[:8], "blocks": len(stretches),
-                      "records": sum(frame.records for _, frame in stretches),
-                      "seconds": round((stretches[-1][1].last - stretches[0][1].first) / 10_000, 1) if stretches else 0,
-                      "ends": f"byte {reader.broken.at}: {reader.broken.why}" if reader.broken else "in order"})
-        reader.close()
-    rows("trace", lines)
-
-
-@trace.command("show")
-@FILES
-@click.option("--from", "since", type=float, default=None, help="Seconds since the process began.")
-@click.option("--to", "until", type=float, default=None, help="Seconds since the process began.")
-@click.option("--dialog", type=int, default=None, help="One dialog's records alone.")
-def trace_show(files: tuple[Path, ...], since: float | None, until: float | None, dialog: int | None) -> None:
-    """Events and what was decided, one line each. Blocks outside the window or without the dialog are not unpacked."""
-    from ..trace.format import BadTraceError
-    from ..trace.replay import words
-    from ..trace.window import select
-    for reader in _readers(files):
-        began = reader.header.started
-        low = None if since is None else began + round(since * 10_000)
-        high = None if until is None else began + round(until * 10_000)
-        try:
-            for when, record in select(reader, low, high, dialog):
-                click.echo(f"{(when - began) / 10_000:10.4f}  {words(record)}")
-        except BadTraceError as bad:
-            _fail([f"{reader.path}: {bad}"])
-
-
-@trace.command("replay")
-@FILES
-def trace_replay(files: tuple[Path, ...]) -> None:
-    """Feed the events to this program's module and compare each decision: exit 0 with all alike, 1 with the first difference."""
-    import itertools
-    import time
-
-    from ..trace.format import BadTraceError
-    from ..trace.replay import replay, words
-    readers = _readers(files)
-    began = time.perf_counter()
-    try:
-        done = replay(readers[0].header, itertools.chain.from_iterable(reader.records() for reader in readers))
-    except BadTraceError as bad:
-        _fail([str(bad)])
-    took = time.perf_counter() - began
-    click.echo(f"{done.events} events, {done.actions} decisions compared, {done.span / 10_000:.1f} s in {took:.2f} s")
-    for reader in readers:
-        if reader.broken is not None:
-            click.echo(f"{reader.path.name}: readable up to byte {reader.broken.at}: {reader.broken.why}")
-    if done.gap is not None:
-        click.echo(f"compared up to a gap of {done.gap[2]} events: what the module knew after it is not in the trace")
-    if done.difference is not None:
-        difference = done.difference
-        click.echo(f"record {difference.place} differs")
-        for record in difference.before:
-            click.echo(f"  {words(record)}")
-        click.echo(f"  noted: {words(difference.noted).strip().removeprefix('-> ') if difference.noted else 'nothing'}")
-        click.echo(f"  asked: {words(difference.asked).strip().removeprefix('-> ') if difference.asked else 'nothing'}")
-        sys.exit(1)
-
-
 def _judge(folder: Path) -> int:
     from ..standins.checker import BadCaptureError, check
     from ..standins.report import offers_in, whole
@@ -351,3 +262,6 @@
     (folder / "report.json").write_text(json.dumps(report, indent=1) + "\n")
     day_tables(report)
     return 0 if verdict.kept else 1
+
+
+main.add_command(trace)
--- a/gingergap/edge/calls.py
+++ b/gingergap/edge/calls.py
@@ -11,7 +11,7 @@
     """One way tried: an INVITE sent on. `given_up` once its end has been told though it may still answer."""
 
     __slots__ = ("call", "gw", "far", "place", "serial", "client", "started", "given_up", "over", "tag",
-                 "by_datagram")
+                 "by_datagram", "crossing")
 
     def __init__(self, call: "Call", gw: int, far: int, place: int, serial: int, started: int) -> None:
         self.call, self.gw, self.far, self.place, self.serial = call, gw, far, place, serial
@@ -19,6 +19,7 @@
         self.client: Client | None = None
         self.given_up = self.over = False
         self.tag = ""  # the To tag of the 2xx that counts
+        self.crossing = b""  # by which the next proxy's trace names it
 
 
 class Call:
@@ -26,7 +27,7 @@
     what a standing dialog would take in memory."""
 
     __slots__ = ("index", "server", "invite", "kind", "width", "far", "key", "transit", "redialled", "leg", "legs",
-                 "answered", "stands", "how", "rsn", "arrived", "number")
+                 "answered", "stands", "how", "rsn", "arrived", "number", "crossing")
 
     def __init__(self, index: int, server: Server, invite: Message, kind: int, width: int, far: int,
                  key: tuple[str, str], transit: bool, redialled: bool, arrived: int, number: str) -> None:
@@ -34,6 +35,7 @@
         self.invite: Message | None = invite
         self.key, self.transit, self.redialled, self.arrived = key, transit, redialled, arrived
         self.number = number
+        self.crossing = b""  # of the leg of another proxy that it is
         self.leg: Leg | None = None
         self.legs = 0
         self.answered = self.stands = False
--- a/gingergap/edge/coordination.py
+++ b/gingergap/edge/coordination.py
@@ -43,6 +43,10 @@
         self.runner.add("sweep dialogs", "sweeps", lambda: self._sweep(longest_dialog), period=5 * SECOND, limit=60 * SECOND,
                         first_in=5 * SECOND)
 
+    def add_sweep(self, name: str, run: Callable[[], bool], *, period: int, limit: int) -> None:
+        """Housekeeping of another part of this process; `run` says whether it was done."""
+        self.runner.add(name, "sweeps", run, period=period, limit=limit, first_in=period)
+
     def _over(self, name: str, done: bool) -> None:
         self.over(name, done)
 
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -18,7 +18,7 @@
 from ..sip.fields import address_of, seconds_of, tag_of, top_via, uri_of, via_of
 from ..sip.message import BadMessageError, Message, response
 from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, Wire
-from ..trace.tape import Tape, recorded
+from ..trace.tape import Tape, answer_to, crossing, recorded
 from . import words
 from .calls import Asked, Call, Leg, Onward
 from .circuits import Circuits
@@ -30,6 +30,7 @@
 LIST, GROUPS = "exchange-list", "trunk-groups"  # event packages of ours (RFC 6665 section 7.2)
 MOST_MESSAGES = 3  # short messages to one exchange that may be unanswered at once; a newer one says more
 SWEEP = SECOND // 4
+NOTED_LATE = 100  # 10 ms
 DUTY_FIELD = "Gingergap-Duty"
 
 
@@ -96,6 +97,7 @@
                  tape: Tape | None = None) -> None:
         self.wire, self.log, self.fresh = wire, log, fresh
         self.address, self.domain, self.here = address, domain, here
+        self.tape = tape
         self.types, self.kinds, self.widths = types, kinds, widths
         self.numbering, self.door, self.default_expires = numbering, door, default_expires
         self.now, self.wall_at_start, self.started_at = now, wall, now
@@ -314,10 +316,13 @@
         away = self.door.shut(kind, self.open_dialogs)
         if away:
             self._count("turned away at the door")
+            self._note("turned_away", kind, int(self.door.lag), self.open_dialogs)
             self._answer(now, server, 503, [("Retry-After", str(away)), words.q850(words.CONGESTION)])
             return
         call = Call(self.call_count, server, message, kind, self.widths[kind], far, key, told.transit,
                     told.redialled, now, number)
+        if told.transit:
+            self._came_by(call, message)
         self.call_count += 1
         server.owner = call
         self.calls[call.index] = self.by_key[key] = call
@@ -362,7 +367,11 @@
         invite = self._leg_invite(call, leg, hop, limit)
         self._count("legs")
         self.circuits.leg_sent(leg.far, leg.serial, call.width)
-        leg.client = self.transactions.request(now, invite, hop, self._branch(), leg)
+        branch = self._branch()
+        leg.client = self.transactions.request(now, invite, hop, branch, leg)
+        if leg.far != call.far:
+            leg.crossing = crossing(branch)
+            self._note("sent", leg.crossing, dialog)
         heappush(self.due_legs, (now + limit, leg.serial, call.index))
 
     def cancel_leg(self, dialog: int, leg: int) -> None:
@@ -374,6 +383,8 @@
     def decline(self, dialog: int, hold_off: int) -> None:
         call = self.calls[dialog]
         self._count("declined")
+        if call.crossing:
+            self._note("sent", answer_to(call.crossing), dialog)
         self._final(self.now, call, *words.declined(call.transit, call.how, call.rsn, hold_off))
         if call.leg is None:
             self._forget(call)
@@ -400,6 +411,7 @@
                               ("Call-ID", self.fresh(16)), ("CSeq", "1 MESSAGE"), ("Max-Forwards", "10"),
                               ("Content-Type", "application/octet-stream")]
             self.messages_out[gw] = self.messages_out.get(gw, 0) + 1
+            self._note("sent", crossing(message.call_id), -1)
             self.transactions.request(self.now, message, hop, self._branch(), gw)
 
     def subscribe(self) -> None:
@@ -454,6 +466,10 @@
             call.invite = None
             call.number = ""
             leg.client.request = call.server.request = None
+            if leg.crossing:
+                self._note("came", answer_to(leg.crossing), call.index)
+            if call.crossing:
+                self._note("sent", answer_to(call.crossing), call.index)
             self.controller.dialog_stands(now, call.index, now - leg.started)
             return
         if not leg.over:
@@ -480,6 +496,8 @@
             self.circuits.turned_back(now, leg.far, call.width)
         self._count(f"legs ended {how.name.lower()}")
         over = call.answered
+        if leg.crossing and rsn == Rsn.TANDEM_DECLINED:  # only the proxy there says that
+            self._note("came", answer_to(leg.crossing), call.index)
         if over:
             self._forget(call)
         self.controller.leg_ended(now, call.index, leg.gw, how, rsn, over, *self.circuits.count(leg.far))
@@ -704,6 +722,7 @@
         """Another proxy's word; one that is too short says nothing."""
         self._answer(now, server, 200)
         if len(message.body) >= 3:
+            self._note("came", crossing(message.call_id), -1)
             self.controller.peer_told(now, message.body)
 
     # --- background work ----------------------------------------------------------------------------------
@@ -739,6 +758,30 @@
             self.soon.append((call.leg, LegEnd.ENDED, 0))
             self._settle(now)
 
+    # --- what the trace is told and the module is not --------------------------------------------------------
+
+    def ran_late(self, now: int, by: int) -> None:
+        """A timer of the process fired so much after it was due."""
+        self.door.ran(by)
+        if by >= NOTED_LATE:
+            self.now = now
+            self._note("ran_late", by)
+
+    def remark(self, now: int, text: str) -> None:
+        """An operator's words, to be found again among what happened."""
+        self.now = now
+        self._note("remark", text)
+
+    def _note(self, name: str, *fields: Any) -> None:
+        if self.tape is not None:
+            self.tape.note(name, self.now, *fields)
+
+    def _came_by(self, call: Call, message: Message) -> None:
+        """The proxy that sent a dialog here stands first or, behind its tandem, second on the way it came."""
+        for via in [via_of(value) for value in message.all("Via")[:2]]:
+            call.crossing = crossing(via.branch)
+            self._note("came", call.crossing, call.index)
+
     # --- small parts -------------------------------------------------------------------------------------
 
     def _gw(self, name: str, number: int) -> int:
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -16,7 +16,7 @@
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
 from ..trace.format import FORMAT, Header
-from ..trace.recorder import Recorder
+from ..trace.recorder import Recorder, keep_budget
 from ..trace.tape import Tape, module_digest
 from ..transport.sockets import Sockets
 from .coordination import Coordination, LocalWork
@@ -26,6 +26,7 @@
 
 TICK = 0.005  # seconds between looks at what is due
 UNIT = 10_000  # tenths of a millisecond in a second
+MOST_REMARK = 500  # characters
 LATE = 500  # 50 ms behind: the process no longer keeps up
 
 
@@ -137,9 +138,16 @@
         pool = gevent.get_hub().threadpool
         header = Header(FORMAT, module_digest(), secrets.token_hex(4), self.form.name, self.proxy.wall_at_start,
                         self.proxy.started_at, self.proxy.figures)
-        self.recorder = Recorder(Path(form.folder), self.tape, header, self.log, part=round(form.part_mb * 2**20),
-                                 budget=round(form.budget_mb * 2**20), apart=lambda run, *args: pool.apply(run, args))
+        folder, part, budget = Path(form.folder), round(form.part_mb * 2**20), round(form.budget_mb * 2**20)
+        self.tape.switch(form.recording)
+
+        def apart(run: Any, *args: Any) -> Any:
+            return pool.apply(run, args)
+        self.recorder = Recorder(folder, self.tape, header, self.log, part=part, lasts=round(form.part_s * UNIT), clock=clock,
+                                 apart=apart)
         self.recorder.open()
+        self.work.add_sweep("trace budget", lambda: apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
+                            period=10 * UNIT, limit=60 * UNIT)
 
     def drain(self) -> None:
         """No new dialogs; those that stand may finish until the limit."""
@@ -163,7 +171,7 @@
                 self.busy = 0.7 * self.busy + 0.3 * min(1.0, (cpu_now - cpu) / max(1e-6, at_now - at))
                 cpu, at = cpu_now, at_now
                 self.work.runner.step()
-            self.proxy.door.ran(max(0, now - before - int(TICK * UNIT)))
+            self.proxy.ran_late(now, max(0, now - before - int(TICK * UNIT)))
             self._guarded(self.proxy.due, now)
             if self.drained_by is not None and (not self.proxy.calls or time.monotonic() >= self.drained_by):
                 if self.proxy.calls:
@@ -188,6 +196,17 @@
                     raise KeyError("this proxy does not coordinate")
                 joined.leave()
                 return "left"
+            case "trace":
+                return self._traced().figures()
+            case "trace on" | "trace off":
+                self._traced()
+                self.tape.switch(what == "trace on")
+                self.log.info("trace-switched", on=self.tape.on)
+                return self.recorder.figures()
+            case _ if what.startswith("remark "):
+                self._traced()
+                self.proxy.remark(clock(), what.removeprefix("remark ")[:MOST_REMARK])
+                return "noted"
             case "exchanges":
                 return self._exchanges()
             case "counts":
@@ -200,6 +219,11 @@
                                    "overruns": task.overruns} for task in self.work.plan.tasks.values()]}
         raise KeyError(f"nothing is called {what!r}")
 
+    def _traced(self) -> Recorder:
+        if self.recorder is None:
+            raise KeyError("this proxy has no (trace ...) in its settings")
+        return self.recorder
+
     def _exchanges(self) -> list[dict[str, Any]]:
         now, rows = clock(), []
         for gw, name in enumerate(self.proxy.ids):
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -86,11 +86,20 @@
 
 
 class TraceForm(Form):
-    """Where the trace of a proxy goes, how large a part becomes, and how much all parts may take."""
+    """Where the trace of a proxy goes, how large or old a part becomes, how much all parts may take, and whether it is
+    recorded from the start on."""
 
     folder: str
     part_mb: Annotated[float, Field(gt=0)] = 16
+    part_s: Annotated[float, Field(ge=1)] = 900
     budget_mb: Annotated[float, Field(gt=0)] = 256
+    recording: bool = True
+
+    @model_validator(mode="after")
+    def _room(self) -> Self:
+        if self.budget_mb < 2 * self.part_mb:
+            raise ValueError("budget-mb is less than two parts of part-mb each")
+        return self
 
 
 class EdgeForm(Form):
--- a/gingergap/trace/format.py
+++ b/gingergap/trace/format.py
@@ -2,12 +2,15 @@
 
     block    kind (1 byte), length of the payload (4, big endian), CRC-32 of kind, length and payload (4), payload
     HEADER   msgpack map: format, module, epoch, instance, wall and monotonic time of the start, figures
-    EVENTS   zstandard of a msgpack array of records, after a plain frame: first and last time, how many, dialogs' range
+    EVENTS   zstandard of a msgpack array of records, after a plain frame: first and last time, how many, dialogs' range,
+             and (from format 2) how many snapshots
     GAP      msgpack: first and last time, events lost
     INDEX    msgpack: where each EVENTS block is; the last block of a file that was closed in order
 
 A file cut anywhere is read up to its last whole block, and the place of the break is named. A record is an array: a
-code, then its fields. Events have their time first, actions have none: they belong to the event before them.
+code, then its fields. Events have their time first, actions have none: they belong to the event before them. Notes
+(format 2) have their time first; the module never sees them, a replay passes them over. A merged trace has `sources`
+in its header, and before the fields of each record the source's place and the time by the common clock.
 """
 
 import struct
@@ -20,9 +23,10 @@
 import zstandard
 
 MAGIC = b"gingergap trace\n"
-FORMAT = 1
+FORMAT = 2
 HEAD = struct.Struct(">BII")
-FRAME = struct.Struct(">qqIqq")  # first time, last time, records, lowest and highest dialog (-1: none)
+FRAMES = {1: struct.Struct(">qqIqq"),  # first time, last time, records, lowest and highest dialog (-1: none)
+          2: struct.Struct(">qqIqqI")}  # and snapshots
 HEADER, EVENTS, GAP, INDEX = 1, 2, 3, 4
 MOST_BLOCK = 16 << 20
 MOST_RAW = 256 << 20
@@ -30,11 +34,17 @@
 EVENT_NAMES = ("begin", "beat", "peer_told", "list_pushed", "list_failed", "group_told", "dialog_came", "dialog_stands",
                "leg_ended", "dialog_gone")
 ACTION_NAMES = ("send_leg", "cancel_leg", "decline", "abort", "wake_after", "tell_all", "subscribe")
+# What the module does not see: its own state, bytes that left for or came from another proxy under an id that both
+# know, a dialog turned away before it, the process running late, an operator's words.
+NOTE_NAMES = ("snapshot", "sent", "came", "turned_away", "ran_late", "remark")
+FIRST_ACTION, FIRST_NOTE = len(EVENT_NAMES), 32
 CODES = {name: code for code, name in enumerate((*EVENT_NAMES, *ACTION_NAMES))}
+CODES |= {name: FIRST_NOTE + place for place, name in enumerate(NOTE_NAMES)}
 NAMES = {code: name for name, code in CODES.items()}
-FIRST_ACTION = len(EVENT_NAMES)
+SNAPSHOT = CODES["snapshot"]
 DIALOG_AT = {CODES["dialog_came"]: 2, CODES["dialog_stands"]: 2, CODES["leg_ended"]: 2, CODES["dialog_gone"]: 2,
-             CODES["send_leg"]: 1, CODES["cancel_leg"]: 1, CODES["decline"]: 1, CODES["abort"]: 1}
+             CODES["send_leg"]: 1, CODES["cancel_leg"]: 1, CODES["decline"]: 1, CODES["abort"]: 1,
+             CODES["sent"]: 3, CODES["came"]: 3}
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder()
 
 
@@ -42,8 +52,25 @@
     """A file that is no trace, or one of a newer format; one plain line."""
 
 
+class Source(msgspec.Struct):
+    """One process's part of a merged trace. A time of its clock is `time + offset + drift * seconds since the merged
+    trace's start` by the common clock, in tenths of a millisecond, true within `uncertain` either way (-1: unknown)."""
+
+    module: str
+    epoch: str
+    instance: str
+    wall: float
+    started: int
+    figures: dict[str, Any]
+    offset: int = 0
+    drift: float = 0.0
+    uncertain: float = -1.0
+
+
 class Header(msgspec.Struct):
-    """What a replay needs beside the events. `figures` are the arguments that the module was made with."""
+    """What a replay needs beside the events. `figures` are the arguments that the module was made with. `part` counts
+    the files of one process. A cut trace has the `window` (first and last time) that was asked for, within what a
+    replay of it needs, and in `focus` the dialogs that were asked for; where it is `bare`, no replay is possible."""
 
     format: int
     module: str
@@ -52,6 +79,12 @@
     wall: float
     started: int
     figures: dict[str, Any]
+    part: int = 0
+    whole: bool = True  # the first file begins where the process did
+    sources: list[Source] = []
+    window: tuple[int, int] | None = None
+    focus: list[tuple[int, int]] = []  # (source, dialog)
+    bare: bool = False
 
 
 class Block(NamedTuple):
@@ -75,6 +108,12 @@
     records: int
     low: int
     high: int
+    snapshots: int = 0
+
+
+def timed(record: list[Any]) -> bool:
+    """Whether a record carries its own time: actions don't."""
+    return not FIRST_ACTION <= record[0] < FIRST_NOTE
 
 
 def pack(kind: int, payload: bytes) -> bytes:
@@ -82,22 +121,29 @@
     return head + struct.pack(">I", zlib.crc32(payload, zlib.crc32(head))) + payload
 
 
-def events_block(records: list[list[Any]]) -> bytes:
-    """Records in order, the first an event."""
-    times = [record[1] for record in records if record[0] < FIRST_ACTION]
+def events_block(records: list[list[Any]], sources: list[tuple[int, int]] | None = None) -> bytes:
+    """Records in order, the first one with a time of its own. Of a merged trace, with source and common time of each."""
+    if sources is None:
+        times = [record[1] for record in records if timed(record)]
+        first, last = times[0], times[-1]
+    else:
+        first, last = sources[0][1], sources[-1][1]
     dialogs = [record[DIALOG_AT[record[0]]] for record in records if record[0] in DIALOG_AT]
-    frame = FRAME.pack(times[0], times[-1], len(records), min(dialogs, default=-1), max(dialogs, default=-1))
-    return pack(EVENTS, frame + zstandard.ZstdCompressor(level=3).compress(ENCODER.encode(records)))
+    dialogs = [dialog for dialog in dialogs if dialog >= 0]
+    frame = FRAMES[FORMAT].pack(first, last, len(records), min(dialogs, default=-1), max(dialogs, default=-1),
+                                sum(record[0] == SNAPSHOT for record in records))
+    held = records if sources is None else [[*source, *record] for source, record in zip(sources, records, strict=True)]
+    return pack(EVENTS, frame + zstandard.ZstdCompressor(level=3).compress(ENCODER.encode(held)))
 
 
-def stretch_of(payload: bytes) -> Stretch:
-    return Stretch(*FRAME.unpack_from(payload))
+def stretch_of(payload: bytes, version: int = FORMAT) -> Stretch:
+    return Stretch(*FRAMES[version].unpack_from(payload))
 
 
-def records_of(payload: bytes) -> list[list[Any]]:
+def records_of(payload: bytes, version: int = FORMAT) -> list[list[Any]]:
     """Raises BadTraceError for a payload that its checksum did not guard."""
     try:
-        raw = zstandard.ZstdDecompressor().decompress(payload[FRAME.size:], max_output_size=MOST_RAW)
+        raw = zstandard.ZstdDecompressor().decompress(payload[FRAMES[version].size:], max_output_size=MOST_RAW)
         return DECODER.decode(raw)
     except (zstandard.ZstdError, msgspec.MsgspecError) as error:
         raise BadTraceError(f"a block can't be unpacked: {error}") from None
@@ -121,10 +167,11 @@
             self.file.close()
             raise BadTraceError(f"{path}: broken before its header")
         try:
-            version = msgspec.msgpack.decode(first.payload)["format"]
-            if version > FORMAT:
+            self.version = version = msgspec.msgpack.decode(first.payload)["format"]
+            if version not in FRAMES:
                 self.file.close()
-                raise BadTraceError(f"{path}: format {version} is newer than {FORMAT}, which this program reads")
+                raise BadTraceError(f"{path}: format {version} is none of those that this program reads, "
+                                    f"up to {FORMAT}: the file is newer")
             self.header = msgspec.msgpack.decode(first.payload, type=Header)
         except (msgspec.MsgspecError, KeyError, TypeError) as error:
             self.file.close()
@@ -142,12 +189,16 @@
             yield block
 
     def records(self) -> Iterator[list[Any]]:
-        """All records in order. A gap comes as `["gap", first, last, lost]`."""
+        """All records in order, of a merged trace with source and time before them. A gap comes as `["gap", first,
+        last, lost]`."""
         for block in self.blocks():
-            if block.kind == EVENTS:
-                yield from records_of(block.payload)
-            elif block.kind == GAP:
-                yield ["gap", *DECODER.decode(block.payload)]
+            yield from self.unpacked(block)
+
+    def unpacked(self, block: Block) -> Iterator[list[Any]]:
+        if block.kind == EVENTS:
+            yield from records_of(block.payload, self.version)
+        elif block.kind == GAP:
+            yield ["gap", *DECODER.decode(block.payload)]
 
     def stretches(self) -> list[tuple[int, Stretch]]:
         """Where each EVENTS block is, with its frame: from the index where the file has one, else by a scan of heads."""
@@ -157,13 +208,17 @@
         found = []
         for block in self.blocks():
             if block.kind == EVENTS:
-                found.append((block.at, stretch_of(block.payload)))
+                found.append((block.at, stretch_of(block.payload, self.version)))
         return found
 
     def block_at(self, at: int) -> Block | None:
         self.file.seek(at)
         return self._next()
 
+    @staticmethod
+    def block_size(block: Block) -> int:
+        return HEAD.size + len(block.payload)
+
     def _index(self) -> list[tuple[int, Stretch]] | None:
         """The index at the end: its length stands in the last four bytes of its payload."""
         size = self.file.seek(0, 2)
@@ -216,14 +271,16 @@
             path.unlink(missing_ok=True)  # else the next try under this name finds it taken, long after the disk has room
             raise
 
-    def events(self, records: list[list[Any]]) -> None:
-        data = events_block(records)
+    def events(self, records: list[list[Any]], sources: list[tuple[int, int]] | None = None) -> None:
+        data = events_block(records, sources)
         at = self.size
         self._put(data)
         self.index.append((at, tuple(stretch_of(data[HEAD.size:]))))
 
-    def gap(self, first: int, last: int, lost: int) -> None:
-        self._put(pack(GAP, ENCODER.encode([first, last, lost])))
+    def gap(self, first: int, last: int, lost: int, source: int | None = None) -> None:
+        """`lost` events, -1 where nobody counted; of a merged trace, with the source's place."""
+        fields = [first, last, lost] if source is None else [first, last, lost, source]
+        self._put(pack(GAP, ENCODER.encode(fields)))
 
     def close(self) -> None:
         payload = ENCODER.encode(self.index)
--- a/gingergap/trace/recorder.py
+++ b/gingergap/trace/recorder.py
@@ -1,8 +1,9 @@
 """Writes a running proxy's tape into parts of a trace, off the decision path.
 
 The folder holds files `INSTANCE-EPOCH-000.trace`, `-001` and on, of one process each epoch. A part is closed when it is
-large enough; the oldest parts go when all together are over the budget. A disk that is full or slow costs records, never
-calls: what could not be written stands as a gap, and the log says so once.
+large or old enough; every part but the first begins with the module's state, so that it can be replayed when the parts
+before it are gone. A disk that is full or slow costs records, never calls: what could not be written stands as a gap,
+the log says so once, and the state is noted behind it. Removing old parts is a background task (`keep_budget`).
 """
 
 from collections.abc import Callable
@@ -10,8 +11,9 @@
 from typing import Any
 
 import gevent
+import msgspec
 
-from .format import FIRST_ACTION, Header, Writer
+from .format import FIRST_ACTION, SNAPSHOT, Header, Writer, timed
 from .tape import Tape
 
 EACH_BLOCK = 20_000  # records
@@ -19,16 +21,21 @@
 
 
 class Recorder:
-    """`part` and `budget` in bytes. `apart` runs a function away from the event loop and returns its result."""
+    """`part` in bytes, `lasts` in tenths of a millisecond: a part is closed at the first that is reached. `apart` runs a
+    function away from the event loop and returns its result. `clock` gives tenths of a millisecond. `seen` is handed each
+    run of written records with its file's name and the place of the first one in it, away from the event loop."""
 
-    def __init__(self, folder: Path, tape: Tape, header: Header, log: Any, *, part: int, budget: int,
-                 apart: Callable[..., Any]) -> None:
+    def __init__(self, folder: Path, tape: Tape, header: Header, log: Any, *, part: int, lasts: int,
+                 clock: Callable[[], int], apart: Callable[..., Any],
+                 seen: Callable[[list[list[Any]], str, int], None] | None = None) -> None:
         self.folder, self.tape, self.header, self.log = folder, tape, header, log
-        self.part, self.budget, self.apart = part, budget, apart
+        self.part, self.lasts, self.clock, self.apart, self.seen = part, lasts, clock, apart, seen
         self.parts = 0
         self.writer: Writer | None = None
+        self.begun = 0  # when the part was
+        self.in_part = 0  # records
         self.pending: list[tuple[int, int, int]] = []  # gaps that could not be written yet
-        self.written = self.lost = 0
+        self.written = self.lost = self.states = self.bytes_before = 0
         self.troubled = False
         self.greenlet: gevent.Greenlet | None = None
 
@@ -44,22 +51,36 @@
             self.step()
 
     def step(self) -> None:
-        """Write what has come since the last time."""
+        """Write what has come since the last time; where the part is full, go on in a new one that begins with the
+        state. Between `take` and `state` nothing else runs, so the state is that after the last record taken."""
         records, gaps = self.tape.take()
-        if records or gaps:
-            self.apart(self._write, records, gaps)
+        state = b""
+        if self.writer is None or self.writer.size >= self.part or self.clock() - self.begun >= self.lasts:
+            state = self.tape.state() if not self.tape.dropping else b""
+        if records or gaps or state:
+            self.apart(self._write, records, gaps, state, self.clock())
 
     def close(self) -> None:
         if self.greenlet is not None:
             self.greenlet.kill()
-        self.step()
+        records, gaps = self.tape.take()
+        if records or gaps:
+            self.apart(self._write, records, gaps, b"", 0)
         if self.writer is not None:
             try:
                 self.writer.close()
             except OSError as error:
                 self._trouble(error)
 
-    def _write(self, records: list[list[Any]], gaps: list[tuple[int, int, int, int]]) -> None:
+    def figures(self) -> dict[str, Any]:
+        """For operators."""
+        return {"on": self.tape.on, "part": self.writer.path.name if self.writer is not None else "", "records": self.written,
+                "lost_events": self.lost, "states": self.states,
+                "bytes": self.bytes_before + (self.writer.size if self.writer is not None else 0)}
+
+    # --- away from the event loop ---
+
+    def _write(self, records: list[list[Any]], gaps: list[tuple[int, int, int, int]], state: bytes, now: int) -> None:
         begun = 0
         for place, first, last, many in [*gaps, (len(records), 0, 0, 0)]:
             for block in blocks(records[begun:place]):
@@ -69,27 +90,43 @@
                 self.lost += many
                 self.pending.append((first, last, many))
                 self._put_gaps()
+        if state:
+            try:
+                self._next_part()
+                self._put_gaps()
+                self.writer.events([[SNAPSHOT, now, state]])
+                self.in_part = 1
+                self.states += 1
+            except OSError as error:
+                self.tape.after_a_hole()  # the part lacks its state: the next event brings one
+                self._trouble(error)
 
     def _put_events(self, block: list[list[Any]]) -> None:
         try:
-            if self.writer is None or self.writer.size >= self.part:
+            if self.writer is None:
                 self._next_part()
             self._put_gaps()
             if self.pending:
                 raise OSError("the gap before can't be written")
             self.writer.events(block)
-            self.written += len(block)
-            if self.troubled:
-                self.troubled = False
-                self.log.info("trace-goes-on", lost=self.lost)
         except OSError as error:
-            times = [record[1] for record in block if record[0] < FIRST_ACTION]
-            self.lost += len(times)
-            self.pending.append((times[0], times[-1], len(times)))
+            times = [record[1] for record in block if timed(record)]
+            many = sum(record[0] < FIRST_ACTION for record in block)
+            self.lost += many
+            self.pending.append((times[0], times[-1], many))
             if len(self.pending) > 1:  # one gap, however long the disk is full
                 first, last = self.pending[0][0], self.pending[-1][1]
                 self.pending = [(first, last, sum(gap[2] for gap in self.pending))]
+            self.tape.after_a_hole()
             self._trouble(error)
+            return
+        if self.seen is not None:
+            self.seen(block, self.writer.path.name, self.in_part)
+        self.written += len(block)
+        self.in_part += len(block)
+        if self.troubled:
+            self.troubled = False
+            self.log.info("trace-goes-on", lost=self.lost)
 
     def _put_gaps(self) -> None:
         while self.pending and self.writer is not None:
@@ -108,29 +145,40 @@
     def _next_part(self) -> None:
         if self.writer is not None:
             old, self.writer = self.writer, None
+            self.bytes_before += old.size
             old.close()
         path = self.folder / f"{self.header.instance}-{self.header.epoch}-{self.parts:03d}.trace"
-        self.writer = Writer(path, self.header)
+        self.writer = Writer(path, msgspec.structs.replace(self.header, part=self.parts))
         self.parts += 1
-        self._keep_budget(path)
-
-    def _keep_budget(self, current: Path) -> None:
-        files = sorted((path for path in self.folder.glob(f"{self.header.instance}-*.trace") if path != current),
-                       key=lambda path: path.stat().st_mtime)
-        total = sum(path.stat().st_size for path in files)
-        for path in files:
-            if total + self.part <= self.budget:
-                return
-            total -= path.stat().st_size
-            path.unlink()
+        self.begun, self.in_part = self.clock(), 0
+
+
+def keep_budget(folder: Path, instance: str, budget: int, part: int, log: Any) -> int:
+    """Remove the oldest parts of an instance until one more fits under `budget` bytes; how many went. The newest stays
+    whatever it takes: it is the one being written. Raises OSError."""
+    files = []
+    for path in folder.glob(f"{instance}-*.trace"):
+        held = path.stat()
+        files.append((held.st_mtime_ns, path.name, held.st_size, path))
+    files.sort()
+    total, gone = sum(file[2] for file in files), 0
+    for _, _, size, path in files[:-1]:
+        if total + part <= budget:
+            break
+        path.unlink(missing_ok=True)
+        total -= size
+        gone += 1
+    if gone:
+        log.info("trace-parts-removed", parts=gone, left_bytes=total)
+    return gone
 
 
 def blocks(records: list[list[Any]], each: int = EACH_BLOCK) -> list[list[list[Any]]]:
-    """Records cut where an event begins, so that a block never starts with an action."""
+    """Records cut where an event or a snapshot stands, so that what belongs to one event is in one block."""
     found, begun = [], 0
     while begun < len(records):
         end = min(begun + each, len(records))
-        while end < len(records) and records[end][0] >= FIRST_ACTION:
+        while end < len(records) and records[end][0] >= FIRST_ACTION and records[end][0] != SNAPSHOT:
             end += 1
         found.append(records[begun:end])
         begun = end
--- a/gingergap/trace/replay.py
+++ b/gingergap/trace/replay.py
@@ -1,18 +1,25 @@
-"""Feeds a trace's events to the module and compares every action that it asks for with the one that was noted."""
+"""Feeds a trace's events to the module and compares every action that it asks for with the one that was noted.
+
+Begins with the figures of the header, or with a snapshot where the start is not in the trace; after a gap it goes on
+from the next snapshot. What lies between a gap and a snapshot is passed over and counted.
+"""
 
 from collections import deque
 from collections.abc import Iterable
+from types import ModuleType
 from typing import Any, NamedTuple
 
-from ..brain import CallController
+from .. import brain
 from ..host import GwState, LegEnd, ListEntry, TrafficType
-from .format import CODES, FIRST_ACTION, NAMES, Header
+from .format import CODES, FIRST_ACTION, FIRST_NOTE, NAMES, SNAPSHOT, Header, Source
+from .snapshot import thaw
+from .stream import Entry
 
-SHOWN = 12  # events kept to be shown before a difference
+SHOWN = 12  # records kept to be shown before a difference
 
 
 class Difference(NamedTuple):
-    """The first place where the module asked for something else. `place` counts records from 0."""
+    """A place where the module asked for something else. `place` counts the source's records from 0."""
 
     place: int
     noted: list[Any] | None
@@ -20,14 +27,6 @@
     before: list[list[Any]]
 
 
-class Replayed(NamedTuple):
-    events: int
-    actions: int  # compared, each one
-    difference: Difference | None
-    gap: tuple[int, int, int] | None  # the replay can go no further than the first gap
-    span: int  # tenths of a millisecond between first and last event
-
-
 class Asked:
     """A host that keeps what it is asked for."""
 
@@ -39,11 +38,11 @@
         return lambda *fields: self.done.append([code, *fields])
 
 
-def controller_of(header: Header, host: Any, make: Any = CallController) -> Any:
+def controller_of(header: Header | Source, host: Any, module: ModuleType = brain) -> Any:
     """The module as it was made when the trace was begun."""
     figures = dict(header.figures)
     types = [TrafficType(*entry[:5], None if entry[5] is None else frozenset(entry[5])) for entry in figures.pop("types")]
-    return make(host, figures.pop("seed"), figures.pop("here"), figures.pop("proxies"), types, **figures)
+    return module.CallController(host, figures.pop("seed"), figures.pop("here"), figures.pop("proxies"), types, **figures)
 
 
 def feed(controller: Any, record: list[Any]) -> None:
@@ -60,43 +59,95 @@
         getattr(controller, name)(*fields)
 
 
-def replay(header: Header, records: Iterable[list[Any]], make: Any = CallController) -> Replayed:
-    """Until the end, the first difference or the first gap."""
-    host = Asked()
-    controller = controller_of(header, host, make)
-    before: deque[list[Any]] = deque(maxlen=SHOWN)
-    events = actions = 0
-    first = last = None
-    for place, record in enumerate(records):
-        if record[0] == "gap":
-            return _over(events, actions, None, tuple(record[1:]), first, last)
-        if record[0] >= FIRST_ACTION:
-            asked = host.done.popleft() if host.done else None
+class Replay:
+    """One source's records, one at a time. `make` gives the controller at the start."""
+
+    def __init__(self, source: Header | Source, whole: bool = True, module: ModuleType = brain) -> None:
+        self.source, self.module = source, module
+        self.host = Asked()
+        self.controller = controller_of(source, self.host, module) if whole else None
+        self.before: deque[list[Any]] = deque(maxlen=SHOWN)
+        self.place = 0
+        self.events = self.actions = self.passed_over = self.gaps = self.resumed = 0
+        self.first: int | None = None
+        self.last = 0
+        self.difference: Difference | None = None
+
+    def take(self, record: list[Any]) -> bool:
+        """Whether all is alike so far; once it is not, nothing more is compared. Raises BadSnapshotError."""
+        if self.difference is not None:
+            return False
+        code = record[0]
+        if code == "gap":
+            self._expect_nothing()
+            self.gaps += 1
+            self.controller = None
+        elif code == SNAPSHOT:
+            self._expect_nothing()
+            if self.controller is None:
+                self.controller = thaw(record[2], self.host, self.module)
+                self.resumed += 1
+        elif code >= FIRST_NOTE:
+            pass
+        elif self.controller is None:
+            self.passed_over += code < FIRST_ACTION
+        elif code >= FIRST_ACTION:
+            asked = self.host.done.popleft() if self.host.done else None
             if asked != record:
-                return _over(events, actions, Difference(place, record, asked, list(before)), None, first, last)
-            actions += 1
+                self._differs(record, asked)
+            self.actions += 1
         else:
-            if host.done:
-                return _over(events, actions, Difference(place, None, host.done[0], list(before)), None, first, last)
-            events += 1
-            first = record[1] if first is None else first
-            last = record[1]
-            feed(controller, record)
-        before.append(record)
-    if host.done:
-        return _over(events, actions, Difference(events + actions, None, host.done[0], list(before)), None, first, last)
-    return _over(events, actions, None, None, first, last)
-
-
-def _over(events: int, actions: int, difference: Difference | None, gap: Any, first: int | None,
-          last: int | None) -> Replayed:
-    return Replayed(events, actions, difference, gap, 0 if first is None else last - first)
+            self._expect_nothing()
+            if self.difference is None:
+                self.events += 1
+                self.first = record[1] if self.first is None else self.first
+                self.last = record[1]
+                feed(self.controller, record)
+        if self.difference is None:
+            self.before.append(record)
+        self.place += 1
+        return self.difference is None
+
+    def over(self) -> bool:
+        """The trace is at its end; whether all was alike. A file that breaks off may have lost its last actions."""
+        self._expect_nothing()
+        return self.difference is None
+
+    def _expect_nothing(self) -> None:
+        if self.host.done and self.difference is None:
+            self._differs(None, self.host.done[0])
+
+    def _differs(self, noted: list[Any] | None, asked: list[Any] | None) -> None:
+        self.difference = Difference(self.place, noted, asked, list(self.before))
+
+    @property
+    def span(self) -> int:
+        """Tenths of a millisecond between the first and the last event fed."""
+        return 0 if self.first is None else self.last - self.first
+
+
+def replay(sources: list[Source] | list[Header], entries: Iterable[Entry], whole: bool = True,
+           module: ModuleType = brain) -> list[Replay]:
+    """Each source's events to a module of its own, to the end or to the first difference of any. `whole`: the entries
+    begin where the processes did."""
+    replays = [Replay(source, whole, module) for source in sources]
+    for entry in entries:
+        if not replays[entry.source].take(entry.record):
+            return replays
+    for one in replays:
+        one.over()
+    return replays
 
 
 def words(record: list[Any]) -> str:
     """A record as a person reads it."""
     if record[0] == "gap":
-        return f"gap: {record[3]} events lost between {record[1]} and {record[2]}"
+        lost = "events not counted, lost" if record[3] < 0 else f"{record[3]} events lost"
+        return f"gap: {lost} between {record[1]} and {record[2]}"
     name, fields = NAMES[record[0]], record[1:]
+    if record[0] == SNAPSHOT:
+        return f"# the module's state ({len(record[2])} bytes)"
     shown = ", ".join(field.hex() if isinstance(field, bytes) else str(field) for field in fields)
+    if record[0] >= FIRST_NOTE:
+        return f"# {name}({shown})"
     return f"{name}({shown})" if record[0] < FIRST_ACTION else f"    -> {name}({shown})"
--- /dev/null
+++ b/gingergap/trace/tally.py
@@ -0,0 +1,199 @@
+"""A trace in figures: what came, what stood, set-up times, and each far end's troubles, by spans of time. Pure.
+
+One `Slice` for each span of each source; they are what the tables, the chart and the search for causes read.
+"""
+
+from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from ..host import GwState, LegEnd, Rsn
+from .format import CODES, Header, Source
+from .stories import DECLINED, GIVEN_UP, STOOD, Leg, Stories, Story
+from .stream import Entry
+
+BEAT, LIST_PUSHED, LIST_FAILED, GROUP_TOLD, TURNED_AWAY, RAN_LATE = (
+    CODES[name] for name in ("beat", "list_pushed", "list_failed", "group_told", "turned_away", "ran_late"))
+LONGEST = 600_000_000  # microseconds in a histogram
+
+
+def histogram() -> HdrHistogram:
+    """Of microseconds, three digits."""
+    return HdrHistogram(1, LONGEST, 3)
+
+
+class Far:
+    """What happened with legs to one far end in a span: how they ended, how long they were out."""
+
+    __slots__ = ("legs", "ends", "set_ups", "stood", "refused")
+
+    def __init__(self) -> None:
+        self.legs = self.stood = 0
+        self.ends: Counter[LegEnd] = Counter()
+        self.refused: Counter[int] = Counter()  # reasons of those that came back full
+        self.set_ups: list[int] = []  # of legs that stood
+
+
+class Slice:
+    """One span of one source. Dialogs count in the span of their arrival, legs in that of their start; in transit ones
+    are apart: they are another proxy's dialogs too."""
+
+    __slots__ = ("source", "begin", "came", "worth", "earned", "stood", "late", "declined", "aborted", "given_up", "no_leg",
+                 "in_transit", "transit_refused", "turned_away", "standstill", "beats", "lateness", "list_failed", "list_late",
+                 "far", "causes", "full_groups")
+
+    def __init__(self, source: int, begin: int) -> None:
+        self.source, self.begin = source, begin
+        self.came = self.stood = self.late = self.declined = self.aborted = self.given_up = self.no_leg = 0
+        self.worth = self.earned = 0.0
+        self.in_transit = self.transit_refused = self.turned_away = self.list_failed = self.beats = 0
+        self.standstill = 0  # the longest time between two things that happened
+        self.lateness = 0  # the most that a timer was late
+        self.list_late = -1  # by how much the list told a start late, at most
+        self.far: dict[int, Far] = {}
+        self.causes: Counter[str] = Counter()
+        self.full_groups: set[int] = set()
+
+    @property
+    def lost(self) -> int:
+        """Dialogs that did not stand in time, and those turned away at the door."""
+        return self.came - self.stood + self.late + self.turned_away
+
+    def at(self, number: int) -> Far:
+        far = self.far.get(number)
+        if far is None:
+            far = self.far[number] = Far()
+        return far
+
+
+class Tally:
+    """Takes entries in order. `span` in tenths of a millisecond."""
+
+    def __init__(self, sources: list[Source] | list[Header], span: int) -> None:
+        self.sources, self.span = sources, span
+        self.stories = Stories(sources)
+        self.slices: list[dict[int, Slice]] = [{} for _ in sources]
+        self.heard: list[int] = [-1] * len(sources)
+        self.states: list[dict[int, tuple[int, int]]] = [{} for _ in sources]  # gw: state and start, as last listed
+        self.set_up = {True: histogram(), False: histogram()}  # direct, over a tandem
+        self.answered = histogram()  # from arrival to final answer of those that did not stand
+        self.causes: Counter[str] = Counter()
+        self.by_kind: dict[int, Counter[str]] = {}
+        self.gaps = 0
+        self.first = self.last = -1
+
+    def take(self, entry: Entry) -> None:
+        source, now, record = entry
+        self.first = now if self.first < 0 else self.first
+        self.last = max(self.last, now)
+        code = record[0]
+        here = self.slice(source, now)
+        heard = self.heard[source]
+        if code == "gap":
+            self.gaps += 1
+        elif heard >= 0 and now - heard > 0:
+            self._quiet(source, heard, now)
+        self.heard[source] = now
+        if code == BEAT:
+            here.beats += 1
+        elif code == LIST_PUSHED:
+            self._listed(here, source, now, record[2])
+        elif code == LIST_FAILED:
+            here.list_failed += 1
+        elif code == GROUP_TOLD:
+            if record[4] > 0 and record[3] <= 0:
+                here.full_groups.add(self.stories.numbers[source].get(record[2], -1))
+        elif code == TURNED_AWAY:
+            here.turned_away += 1
+        elif code == RAN_LATE:
+            here.lateness = max(here.lateness, record[2])
+        self.stories.take(entry)
+        for story in self.stories.over():
+            self._over(story)
+
+    def end(self) -> None:
+        """The trace is over: what is still open counts as such."""
+        for story in self.stories.open():
+            self._over(story)
+
+    def all_slices(self) -> list[Slice]:
+        return [one for by_begin in self.slices for _, one in sorted(by_begin.items())]
+
+    def slice(self, source: int, now: int) -> Slice:
+        begin = now - now % self.span
+        found = self.slices[source].get(begin)
+        if found is None:
+            found = self.slices[source][begin] = Slice(source, begin)
+        return found
+
+    def _quiet(self, source: int, since: int, until: int) -> None:
+        """Nothing at all happened between two times: each span that it touches is told."""
+        length = until - since
+        if length < self.span // 20:
+            return
+        begin = since - since % self.span
+        while begin <= until:
+            one = self.slice(source, begin)
+            one.standstill = max(one.standstill, length)
+            begin += self.span
+
+    def _listed(self, here: Slice, source: int, now: int, entries: list[list[Any]]) -> None:
+        states = self.states[source]
+        for gw, _, state, started in entries:
+            known = states.get(gw)
+            if state == GwState.READY and started > 0 and (known is None or started > known[1]) and states:
+                here.list_late = max(here.list_late, now - started)
+            states[gw] = (state, max(started, known[1] if known else 0))
+
+    def _over(self, story: Story) -> None:
+        here = self.slice(story.source, story.came)
+        types = self.sources[story.source].figures["types"]
+        objective, importance = types[story.kind][0], types[story.kind][3]
+        for leg in story.legs:
+            self._leg(story, leg)
+        if story.transit:
+            here.in_transit += 1
+            here.transit_refused += story.final == DECLINED
+            return
+        here.came += 1
+        here.worth += importance
+        kind = self.by_kind.setdefault(story.kind, Counter())
+        kind["came"] += 1
+        cause = story.cause()
+        if cause:
+            self.causes[cause] += 1
+            here.causes[cause] += 1
+            kind[story.final if story.final != STOOD else "cut"] += 1
+        if story.final == STOOD:
+            here.stood += 1
+            kind["stood"] += 1
+            if story.took > objective:
+                here.late += 1
+                kind["late"] += 1
+            else:
+                here.earned += importance
+                kind["in time"] += 1
+            direct = story.legs[-1].number == story.far if story.legs else True
+            self.set_up[direct].record_value(min(LONGEST, max(1, story.took * 100)))
+            return
+        here.declined += story.final == DECLINED
+        here.given_up += story.final == GIVEN_UP
+        here.aborted += story.final == "aborted"
+        here.no_leg += not story.legs
+        if story.took >= 0:
+            self.answered.record_value(min(LONGEST, max(1, story.took * 100)))
+
+    def _leg(self, story: Story, leg: Leg) -> None:
+        far = self.slice(story.source, leg.sent).at(leg.number)
+        far.legs += 1
+        if leg.stood >= 0:
+            far.stood += 1
+            if leg.number == story.far:
+                far.set_ups.append(leg.set_up)
+            if leg.how == LegEnd.CUT:
+                far.ends[leg.how] += 1
+        elif leg.how is not None:
+            far.ends[leg.how] += 1
+            if leg.how == LegEnd.FULL:
+                far.refused[leg.rsn if leg.rsn in set(Rsn) else Rsn.PROCESSOR_FULL] += 1
--- a/gingergap/trace/tape.py
+++ b/gingergap/trace/tape.py
@@ -6,12 +6,14 @@
 
 import hashlib
 import inspect
+from collections.abc import Callable
 from typing import Any
 
 from .. import brain
 from ..brain import CallController
 from ..host import Host
-from .format import CODES
+from .format import CODES, SNAPSHOT
+from .snapshot import freeze
 
 
 def module_digest() -> str:
@@ -19,9 +21,20 @@
     return hashlib.blake2s(inspect.getsource(brain).encode(), digest_size=12).hexdigest()
 
 
+def crossing(text: str) -> bytes:
+    """The id under which the traces of two proxies name one thing that passed between them, of a text that both saw."""
+    return hashlib.blake2s(text.encode("utf-8", "replace"), digest_size=8).digest()
+
+
+def answer_to(crossed: bytes) -> bytes:
+    """The id of the answer to it."""
+    return crossed[:-1] + bytes([crossed[-1] ^ 1])
+
+
 class Tape:
     """Holds at most `most` records; beyond them events are counted as lost, whole ones, with their times, until there is
-    room again: a record of half an event would replay as a difference."""
+    room again: a record of half an event would replay as a difference. After every hole the module's state is noted
+    before the next event, so that a replay can go on from there."""
 
     def __init__(self, most: int = 200_000) -> None:
         self.most = most
@@ -29,21 +42,37 @@
         self.records: list[list[Any]] = []
         self.gaps: list[tuple[int, int, int, int]] = []  # place among the records, first, last, how many
         self.dropping = False
+        self.wants_state = False
+        self.state: Callable[[], bytes] = bytes  # set by `recorded`
+
+    # --- what can happen ---
 
     def event(self, name: str, now: int, *fields: Any) -> None:
-        if not self.on:
+        if not self.on or len(self.records) >= self.most:
             self._lose(now)
             return
-        if len(self.records) >= self.most:
-            self._lose(now)
-            return
-        self.dropping = False
+        if self.dropping or self.wants_state:
+            self.dropping = self.wants_state = False
+            self.records.append([SNAPSHOT, now, self.state()])
         self.records.append([CODES[name], now, *fields])
 
     def action(self, name: str, *fields: Any) -> None:
         if not self.dropping:
             self.records.append([CODES[name], *fields])
 
+    def note(self, name: str, now: int, *fields: Any) -> None:
+        """What the module does not see. Without room it goes unnoted: no replay needs it."""
+        if self.on and not self.dropping and len(self.records) < self.most:
+            self.records.append([CODES[name], now, *fields])
+
+    def switch(self, on: bool) -> None:
+        """Recording goes on or off; what passes meanwhile is a gap, and counted."""
+        self.on = on
+
+    def after_a_hole(self) -> None:
+        """Records were lost on their way to the disk: the next event is preceded by the state."""
+        self.wants_state = True
+
     def _lose(self, now: int) -> None:
         place = len(self.records)
         if self.dropping and self.gaps and self.gaps[-1][0] == place:
@@ -146,4 +175,5 @@
     """A controller made as `CallController(host, ...)` would be, on a tape."""
     controller = RecordedController(RecordedHost(host, tape), *args, **figures)
     controller.tape = tape
+    tape.state = lambda: freeze(controller)
     return controller
