--- a/gingergap/cli/trace.py
+++ b/gingergap/cli/trace.py
@@ -287,7 +287,7 @@
         for entry in one.entries():
             tally.take(entry)
         tally.end()
-        stretches = bad_stretches(tally)
+        stretches = bad_stretches(tally.all_slices(), tally.span, tally.usual(), tally.objective())
         tables(one, tally, stretches)
         _breaks([one])
         if chart is not None:
@@ -356,6 +356,13 @@
 _switch("state", "trace", "Whether a running proxy records, where, and how much.")
 
 
+@trace.command("metrics")
+@CONTROL
+def metrics(control: str) -> None:
+    """Counts and set-up times of a running proxy, in Prometheus's text form."""
+    click.echo(_ask(control, "metrics"), nl=False)
+
+
 @trace.command("remark")
 @CONTROL
 @click.argument("text")
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -11,11 +11,13 @@
 
 from ..control.server import Control
 from ..host import TrafficType
+from ..metrics.calls import CallFigures
 from ..settings.edge import EdgeForm
 from ..sip.fields import host_port
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
-from ..trace.format import FORMAT, Header
+from ..spans.live import LiveSpans, LiveStories
+from ..trace.format import FORMAT, Header, Source
 from ..trace.recorder import Recorder, keep_budget
 from ..trace.tape import Tape, module_digest
 from ..transport.sockets import Sockets
@@ -76,6 +78,8 @@
         self.control: Control | None = None
         self.tape = Tape()
         self.recorder: Recorder | None = None
+        self.spans: LiveSpans | None = None
+        self.figures: CallFigures | None = None
         self.busy = 0.0  # the part of the time that calls take, of late
 
     def run(self) -> int:
@@ -109,6 +113,8 @@
         self.work.runner.stop()
         if self.recorder is not None:
             self.recorder.close()
+        if self.spans is not None:
+            self.spans.close()
         self.sockets.close()
         self.log.info("ended", **{key.replace(" ", "_"): value for key, value in self.proxy.counts.items()})
         return 0
@@ -143,8 +149,20 @@
 
         def apart(run: Any, *args: Any) -> Any:
             return pool.apply(run, args)
+        source = Source(header.module, header.epoch, header.instance, header.wall, header.started, header.figures)
+        self.figures = CallFigures([entry.name for entry in self.form.traffic_type])
+        told = [self.figures.over]
+        if form.spans_slower_ms is not None:
+            self.spans = LiveSpans(folder, source, units(form.spans_slower_ms))
+            told.append(self.spans.over)
+        stories = LiveStories(source, self.log, told)
+
+        def seen(records: list[list[Any]], name: str) -> None:
+            if self.spans is not None:
+                self.spans.file(name, stories.stories.place)
+            stories.take(records)
         self.recorder = Recorder(folder, self.tape, header, self.log, part=part, lasts=round(form.part_s * UNIT), clock=clock,
-                                 apart=apart)
+                                 apart=apart, seen=seen)
         self.recorder.open()
         self.work.add_sweep("trace budget", lambda: apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
                             period=10 * UNIT, limit=60 * UNIT)
@@ -198,6 +216,9 @@
                 return "left"
             case "trace":
                 return self._traced().figures()
+            case "metrics":
+                self._traced()
+                return self.figures.text()
             case "trace on" | "trace off":
                 self._traced()
                 self.tape.switch(what == "trace on")
--- /dev/null
+++ b/gingergap/spans/live.py
@@ -0,0 +1,71 @@
+"""Spans of a running proxy, beside the parts of its trace: of dialogs that did not stand or took long.
+
+Fed by the recorder with what it has just written, away from the event loop. A file for each part of the trace, under
+the same name with `.spans`: they are removed with the parts.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..trace.format import Source, timed
+from ..trace.stories import Stories, Story
+from ..trace.stream import Entry
+from .export import FileSpans
+from .tree import Files, Trees, worth_keeping
+
+
+class LiveStories:
+    """What the recorder has written, as stories; `over` is called with each that has come to its end. The recorder's
+    own errors must stay its own: what fails here is told once, and recording goes on."""
+
+    def __init__(self, source: Source, log: Any, over: list[Callable[[Story], None]]) -> None:
+        self.stories = Stories([source])
+        self.log, self.over = log, over
+        self.now = 0
+        self.failed = False
+
+    def take(self, records: list[list[Any]]) -> None:
+        for record in records:
+            if record[0] != "gap" and timed(record):
+                self.now = record[1]
+            self.stories.take(Entry(0, self.now, record))
+            for story in self.stories.over():
+                for tell in self.over:
+                    try:
+                        tell(story)
+                    except Exception as error:
+                        if not self.failed:
+                            self.log.warning("span-not-written", why=repr(error))
+                        self.failed = True
+
+
+class LiveSpans:
+    """`slower` in tenths of a millisecond: dialogs that stood sooner are not written."""
+
+    def __init__(self, folder: Path, source: Source, slower: int) -> None:
+        self.folder, self.slower = folder, slower
+        self.files = Files()
+        self.trees = Trees([source], source.wall, source.started, self.files)
+        self.name = ""
+        self.out: FileSpans | None = None
+
+    def file(self, name: str, place: int) -> None:
+        """The records that come now stand in this file, the first of them at this place among all."""
+        if name != self.name:
+            self.name = name
+            self.files.begin(place, name)
+            del self.files.begins[:-64]
+            self.close()
+
+    def over(self, story: Story) -> None:
+        tree = self.trees.tree(story)
+        if worth_keeping(tree, self.slower):
+            if self.out is None:
+                self.out = FileSpans(self.folder / f"{self.name.removesuffix('.trace')}.spans")
+            self.out.put(tree)
+
+    def close(self) -> None:
+        if self.out is not None:
+            self.out.close()
+            self.out = None
--- a/gingergap/trace/clocks.py
+++ b/gingergap/trace/clocks.py
@@ -128,5 +128,5 @@
         ends = [linprog(sign * way, A_ub=matrix, b_ub=right, bounds=limits, method="highs").fun for sign in (1.0, -1.0)]
         width = -1.0 if None in ends else -(ends[0] + ends[1])
         estimates.append(Estimate(float(found.x[offset + clock]), float(found.x[drift + clock]),
-                                  width / 2 if 0 <= width < MOST_OFFSET else -1.0))
+                                  width / 2 if 0 <= width < MOST_OFFSET / 2 else -1.0))
     return estimates, lost if lost > 0.5 else 0.0
--- a/gingergap/trace/compare.py
+++ b/gingergap/trace/compare.py
@@ -130,7 +130,7 @@
             side.noted.append(record)
         else:
             result.events += 1
-            side.at = stories.places[entry.source] - 1, entry.now
+            side.at = stories.place - 1, entry.now
             feed(side.own, record)
             try:
                 feed(side.others, record)
--- a/gingergap/trace/cut.py
+++ b/gingergap/trace/cut.py
@@ -47,16 +47,15 @@
 
 
 def start_of(trace: Trace, low: int) -> Place | None:
-    """Where a replay of what comes from `low` on can begin; none: only at the trace's start."""
-    if not trace.merged:
-        return trace.last_state_before(low)
+    """Where a replay of what comes from `low` on can begin, each source with a state before it; none: only at the
+    trace's start."""
     missing = set(range(len(trace.sources)))
     for place in reversed(trace.places()):
-        if not place.stretch.snapshots or place.stretch.last > low:
+        if not place.stretch.snapshots or place.stretch.first > low:
             continue
         reader = trace.readers[place.part]
         block = reader.block_at(place.at)
-        missing -= {entry.source for entry in trace.unpacked(reader, block) if entry.record[0] == SNAPSHOT}
+        missing -= {entry.source for entry in trace.unpacked(reader, block) if entry.record[0] == SNAPSHOT and entry.now <= low}
         if not missing:
             return place
     return None
--- a/gingergap/trace/merge.py
+++ b/gingergap/trace/merge.py
@@ -1,8 +1,9 @@
 """Several proxies' traces in one, by one clock.
 
 Always kept, whatever the clocks say: each proxy's own order, over its restarts too, and that nothing is received before
-it is sent. Three passes, each streamed: find what crossed and estimate the clocks; find the crossings that the
-estimate would still turn round; write, holding those back until what they wait for is out.
+it is sent. Three passes, each streamed: find what crossed and estimate the clocks; see whether the estimate would still
+turn a crossing round; write, and if one would be, hold back whatever waits for something that is not out yet. Only then
+does memory grow with the crossings, by their ids.
 """
 
 import hashlib
@@ -96,8 +97,10 @@
     found, given_up = estimate(len(clocks), ways, after, 0, end)
     for clock, one in zip(clocks, found, strict=True):
         clock.found = one
-    held_back = {crossed for crossed, sender, sent, receiver, received in crossings(clocks, traces)
-                 if clocks[sender].common(sent) >= clocks[receiver].common(received)}
+    turned = sum(clocks[sender].common(sent) >= clocks[receiver].common(received)
+                 for _, sender, sent, receiver, received in crossings(clocks, traces))
+    # Whoever is held back sends what it sends later too: once one crossing must wait, all are watched.
+    watched = {crossed for crossed, *_ in crossings(clocks, traces)} if turned else set()
     sources = [Source(trace.header.module, trace.header.epoch, trace.header.instance, trace.header.wall, trace.header.started,
                       trace.header.figures, round(clock.shift + clock.found.offset), round(clock.found.drift, 6),
                       round(clock.found.uncertain, 2)) for trace, clock in zip(traces, clocks, strict=True)]
@@ -108,17 +111,18 @@
     copy = Copy(path, header)
     forced = 0
     last = begin
-    for entry, pushed in ordered(clocks, traces, before, held_back):
+    for entry, pushed in ordered(clocks, traces, before, watched):
         last = max(last, entry.now)
         copy.put(entry._replace(now=last))
         forced += pushed
     copy.close()
-    return Merged(copy.records, many, len(held_back), forced, given_up, sources)
+    return Merged(copy.records, many, turned, forced, given_up, sources)
 
 
-def ordered(clocks: list[Clock], traces: list[Trace], before: dict[int, int], held_back: set[bytes]
+def ordered(clocks: list[Clock], traces: list[Trace], before: dict[int, int], watched: set[bytes]
             ) -> Iterator[tuple[Entry, bool]]:
-    """All entries by the common clock, and whether one was let go that should have waited."""
+    """All entries by the common clock, `watched` crossings received only once they are sent; and whether one was let go
+    that should have waited."""
     streams = [trace.entries() for trace in traces]
     heads: dict[int, Entry] = {}
     heap: list[tuple[int, int]] = []
@@ -134,7 +138,7 @@
             return
         heads[place] = entry
         record = entry.record
-        if record[0] == CAME and record[2] in held_back and record[2] not in sent:
+        if record[0] == CAME and record[2] in watched and record[2] not in sent:
             waiting[record[2]] = place
         else:
             heapq.heappush(heap, (clocks[place].common(entry.now), place))
@@ -155,7 +159,7 @@
             now, place = heapq.heappop(heap)
         entry = heads.pop(place)
         yield Entry(place, now, entry.record), pushed
-        if entry.record[0] == SENT and entry.record[2] in held_back:
+        if entry.record[0] == SENT and entry.record[2] in watched:
             sent.add(entry.record[2])
             waits = waiting.pop(entry.record[2], None)
             if waits is not None:
--- a/gingergap/trace/recorder.py
+++ b/gingergap/trace/recorder.py
@@ -23,17 +23,16 @@
 class Recorder:
     """`part` in bytes, `lasts` in tenths of a millisecond: a part is closed at the first that is reached. `apart` runs a
     function away from the event loop and returns its result. `clock` gives tenths of a millisecond. `seen` is handed each
-    run of written records with its file's name and the place of the first one in it, away from the event loop."""
+    run of written records with its file's name, in order, away from the event loop."""
 
     def __init__(self, folder: Path, tape: Tape, header: Header, log: Any, *, part: int, lasts: int,
                  clock: Callable[[], int], apart: Callable[..., Any],
-                 seen: Callable[[list[list[Any]], str, int], None] | None = None) -> None:
+                 seen: Callable[[list[list[Any]], str], None] | None = None) -> None:
         self.folder, self.tape, self.header, self.log = folder, tape, header, log
         self.part, self.lasts, self.clock, self.apart, self.seen = part, lasts, clock, apart, seen
         self.parts = 0
         self.writer: Writer | None = None
         self.begun = 0  # when the part was
-        self.in_part = 0  # records
         self.pending: list[tuple[int, int, int]] = []  # gaps that could not be written yet
         self.written = self.lost = self.states = self.bytes_before = 0
         self.troubled = False
@@ -94,8 +93,7 @@
             try:
                 self._next_part()
                 self._put_gaps()
-                self.writer.events([[SNAPSHOT, now, state]])
-                self.in_part = 1
+                self._put_events([[SNAPSHOT, now, state]])
                 self.states += 1
             except OSError as error:
                 self.tape.after_a_hole()  # the part lacks its state: the next event brings one
@@ -121,9 +119,8 @@
             self._trouble(error)
             return
         if self.seen is not None:
-            self.seen(block, self.writer.path.name, self.in_part)
+            self.seen(block, self.writer.path.name)
         self.written += len(block)
-        self.in_part += len(block)
         if self.troubled:
             self.troubled = False
             self.log.info("trace-goes-on", lost=self.lost)
@@ -135,7 +132,9 @@
             except OSError as error:
                 self._trouble(error)
                 return
-            del self.pending[0]
+            gap = self.pending.pop(0)
+            if self.seen is not None:
+                self.seen([["gap", *gap]], self.writer.path.name)
 
     def _trouble(self, error: OSError) -> None:
         if not self.troubled:
@@ -150,7 +149,7 @@
         path = self.folder / f"{self.header.instance}-{self.header.epoch}-{self.parts:03d}.trace"
         self.writer = Writer(path, msgspec.structs.replace(self.header, part=self.parts))
         self.parts += 1
-        self.begun, self.in_part = self.clock(), 0
+        self.begun = self.clock()
 
 
 def keep_budget(folder: Path, instance: str, budget: int, part: int, log: Any) -> int:
@@ -158,14 +157,16 @@
     whatever it takes: it is the one being written. Raises OSError."""
     files = []
     for path in folder.glob(f"{instance}-*.trace"):
-        held = path.stat()
-        files.append((held.st_mtime_ns, path.name, held.st_size, path))
+        held, spans = path.stat(), path.with_suffix(".spans")
+        beside = spans.stat().st_size if spans.exists() else 0
+        files.append((held.st_mtime_ns, path.name, held.st_size + beside, path))
     files.sort()
     total, gone = sum(file[2] for file in files), 0
     for _, _, size, path in files[:-1]:
         if total + part <= budget:
             break
         path.unlink(missing_ok=True)
+        path.with_suffix(".spans").unlink(missing_ok=True)  # spans lead to records: without them they lead nowhere
         total -= size
         gone += 1
     if gone:
--- a/gingergap/trace/replay.py
+++ b/gingergap/trace/replay.py
@@ -105,7 +105,7 @@
                 feed(self.controller, record)
         if self.difference is None:
             self.before.append(record)
-        self.place += 1
+        self.place += code != "gap"
         return self.difference is None
 
     def over(self) -> bool:
--- a/gingergap/trace/stories.py
+++ b/gingergap/trace/stories.py
@@ -38,7 +38,7 @@
 
 
 class Story:
-    """One dialog. `place` is where its arrival stands among its source's records."""
+    """One dialog. `place` is where its arrival stands among all records."""
 
     __slots__ = ("source", "dialog", "kind", "far", "width", "number", "transit", "redialled", "came", "expires", "place",
                  "legs", "final", "final_at", "ended", "last", "crossing", "hold_off")
@@ -100,18 +100,18 @@
         self.held: dict[tuple[int, int], Story] = {}
         self.done: list[Story] = []
         self.came_by: dict[tuple[int, int], bytes] = {}  # a dialog's crossing is told just before it comes
-        self.places = [0] * len(sources)
+        self.place = 0  # of the next record among all; gaps are none
         self.here = [source.figures.get("here", -1) for source in sources]
 
     def take(self, entry: Entry) -> Story | None:
         """One entry; the story that it belongs to, if any."""
         source, now, record = entry
         code = record[0]
-        place = self.places[source]
-        self.places[source] = place + 1
         if code == "gap":
             self._lost(source)
             return None
+        place = self.place
+        self.place += 1
         if code == CAME:
             story = self.held[source, record[2]] = Story(source, place, [code, now, *record[2:]])
             story.crossing = self.came_by.pop((source, record[2]), b"")
--- a/gingergap/trace/stream.py
+++ b/gingergap/trace/stream.py
@@ -111,15 +111,6 @@
         """Seconds of wall time at a time of this trace's clock."""
         return self.header.wall + (now - self.header.started) / 10_000
 
-    def last_state_before(self, now: int) -> Place | None:
-        """The last block with a snapshot in it that begins at or before a time: a replay of what comes after can begin
-        there. None: only the trace's very start will do."""
-        found = None
-        for place in self.places():
-            if place.stretch.snapshots and place.stretch.first <= now:
-                found = place
-        return found
-
 
 def opened(paths: Iterable[Path]) -> list[Trace]:
     """Files by the process that wrote them, in order of name. Folders stand for the traces in them. Raises
--- a/gingergap/trace/tally.py
+++ b/gingergap/trace/tally.py
@@ -10,12 +10,15 @@
 
 from ..host import GwState, LegEnd, Rsn
 from .format import CODES, Header, Source
-from .stories import DECLINED, GIVEN_UP, STOOD, Leg, Stories, Story
+from .stories import ABORT, CAME, DECLINE, DECLINED, GIVEN_UP, LEG_ENDED, SEND, STANDS, STOOD, Leg, Stories, Story
 from .stream import Entry
 
 BEAT, LIST_PUSHED, LIST_FAILED, GROUP_TOLD, TURNED_AWAY, RAN_LATE = (
     CODES[name] for name in ("beat", "list_pushed", "list_failed", "group_told", "turned_away", "ran_late"))
 LONGEST = 600_000_000  # microseconds in a histogram
+STANDSTILL = 2_500  # 250 ms in which nothing happened: the module's own beat comes fifty times a second
+AFTER = 10_000  # dialogs that come within a second after a standstill meet what it left behind
+OVERTAKES = 300  # 30 ms: legs that left so close to one another may change places on the way
 
 
 def histogram() -> HdrHistogram:
@@ -26,10 +29,17 @@
 class Far:
     """What happened with legs to one far end in a span: how they ended, how long they were out."""
 
-    __slots__ = ("legs", "ends", "set_ups", "stood", "refused")
+    __slots__ = ("legs", "ends", "set_ups", "stood", "refused", "overtaken", "asked", "lost", "lost_full", "lost_kept",
+                 "lost_silent", "listed_late")
 
     def __init__(self) -> None:
         self.legs = self.stood = 0
+        self.overtaken = 0  # legs still out when a later one to the same machine was answered
+        self.asked = self.lost = 0  # dialogs for it, and those that did not stand in time
+        self.lost_full = 0  # of these, no circuit was free when they came or when they were given up
+        self.lost_kept = 0  # of these, no leg was sent although circuits were free
+        self.lost_silent = 0  # of these, all was done that could be, and no answer came
+        self.listed_late = -1  # by how much the list told its new start late
         self.ends: Counter[LegEnd] = Counter()
         self.refused: Counter[int] = Counter()  # reasons of those that came back full
         self.set_ups: list[int] = []  # of legs that stood
@@ -40,8 +50,8 @@
     are apart: they are another proxy's dialogs too."""
 
     __slots__ = ("source", "begin", "came", "worth", "earned", "stood", "late", "declined", "aborted", "given_up", "no_leg",
-                 "in_transit", "transit_refused", "turned_away", "standstill", "beats", "lateness", "list_failed", "list_late",
-                 "far", "causes", "full_groups")
+                 "in_transit", "transit_refused", "turned_away", "standstill", "beats", "lateness", "list_failed", "far",
+                 "causes", "after_standstill")
 
     def __init__(self, source: int, begin: int) -> None:
         self.source, self.begin = source, begin
@@ -50,10 +60,9 @@
         self.in_transit = self.transit_refused = self.turned_away = self.list_failed = self.beats = 0
         self.standstill = 0  # the longest time between two things that happened
         self.lateness = 0  # the most that a timer was late
-        self.list_late = -1  # by how much the list told a start late, at most
+        self.after_standstill = 0  # dialogs lost that came while nothing happened, or soon after it
         self.far: dict[int, Far] = {}
         self.causes: Counter[str] = Counter()
-        self.full_groups: set[int] = set()
 
     @property
     def lost(self) -> int:
@@ -76,6 +85,10 @@
         self.slices: list[dict[int, Slice]] = [{} for _ in sources]
         self.heard: list[int] = [-1] * len(sources)
         self.states: list[dict[int, tuple[int, int]]] = [{} for _ in sources]  # gw: state and start, as last listed
+        self.free: list[dict[int, int]] = [{} for _ in sources]  # circuits to each exchange number, as last told
+        self.out: list[dict[int, dict[int, int]]] = [{} for _ in sources]  # gw: dialog: when its leg left
+        self.short: dict[tuple[int, int], bool] = {}  # dialogs that came when no circuit was free
+        self.still_until = [-1] * len(sources)  # the end of the last standstill
         self.set_up = {True: histogram(), False: histogram()}  # direct, over a tandem
         self.answered = histogram()  # from arrival to final answer of those that did not stand
         self.causes: Counter[str] = Counter()
@@ -102,13 +115,14 @@
         elif code == LIST_FAILED:
             here.list_failed += 1
         elif code == GROUP_TOLD:
-            if record[4] > 0 and record[3] <= 0:
-                here.full_groups.add(self.stories.numbers[source].get(record[2], -1))
+            self._told(source, record[2], record[3], record[4])
         elif code == TURNED_AWAY:
             here.turned_away += 1
         elif code == RAN_LATE:
             here.lateness = max(here.lateness, record[2])
-        self.stories.take(entry)
+        story = self.stories.take(entry)
+        if story is not None:
+            self._step(here, source, now, record, story)
         for story in self.stories.over():
             self._over(story)
 
@@ -120,6 +134,14 @@
     def all_slices(self) -> list[Slice]:
         return [one for by_begin in self.slices for _, one in sorted(by_begin.items())]
 
+    def usual(self) -> int:
+        """The median set-up of a direct dialog, in tenths of a millisecond."""
+        return round(self.set_up[True].get_value_at_percentile(50) / 100)
+
+    def objective(self) -> int:
+        """The shortest setup objective of any source."""
+        return min(kind[0] for source in self.sources for kind in source.figures["types"])
+
     def slice(self, source: int, now: int) -> Slice:
         begin = now - now % self.span
         found = self.slices[source].get(begin)
@@ -137,15 +159,49 @@
             one = self.slice(source, begin)
             one.standstill = max(one.standstill, length)
             begin += self.span
+        if length >= STANDSTILL:
+            self.still_until[source] = until
 
     def _listed(self, here: Slice, source: int, now: int, entries: list[list[Any]]) -> None:
         states = self.states[source]
-        for gw, _, state, started in entries:
+        for gw, number, state, started in entries:
             known = states.get(gw)
             if state == GwState.READY and started > 0 and (known is None or started > known[1]) and states:
-                here.list_late = max(here.list_late, now - started)
+                far = here.at(number)
+                far.listed_late = max(far.listed_late, now - started)
             states[gw] = (state, max(started, known[1] if known else 0))
 
+    def _told(self, source: int, gw: int, free: int, size: int) -> None:
+        if size >= 0:
+            self.free[source][self.stories.numbers[source].get(gw, -1)] = free
+
+    def _step(self, here: Slice, source: int, now: int, record: list[Any], story: Story) -> None:
+        """A record of a dialog: circuits when it came, and legs that others overtake."""
+        code, key = record[0], (source, story.dialog)
+        if code == CAME:
+            if self.free[source].get(story.far, story.width) < story.width:
+                self.short[key] = True
+            if now - self.still_until[source] <= AFTER and self.still_until[source] >= 0:
+                self.short.setdefault((-1 - source, story.dialog), True)
+        elif code == SEND:
+            self.out[source].setdefault(record[2], {})[story.dialog] = now
+        elif code in (STANDS, LEG_ENDED) and story.legs:
+            leg = story.legs[-1]
+            out = self.out[source].get(leg.gw, {})
+            left = out.pop(story.dialog, None)
+            if code == LEG_ENDED:
+                self._told(source, record[3], record[7], record[8])
+            answered = code == STANDS or leg.how in (LegEnd.BUSY, LegEnd.FULL)
+            if left is not None and answered:
+                for dialog, sent in list(out.items()):
+                    if sent < left - OVERTAKES:
+                        del out[dialog]  # once is enough
+                        if left - sent > self.objective():
+                            continue  # so long ago that another machine may answer there now
+                        self.slice(source, sent).at(leg.number).overtaken += 1
+        elif code in (DECLINE, ABORT) and self.free[source].get(story.far, story.width) < story.width:
+            self.short[key] = True
+
     def _over(self, story: Story) -> None:
         here = self.slice(story.source, story.came)
         types = self.sources[story.source].figures["types"]
@@ -158,6 +214,17 @@
             return
         here.came += 1
         here.worth += importance
+        short = self.short.pop((story.source, story.dialog), False)
+        still = self.short.pop((-1 - story.source, story.dialog), False)
+        far = here.at(story.far)
+        far.asked += 1
+        busy = story.legs and story.legs[-1].how == LegEnd.BUSY or story.final == GIVEN_UP and story.took < objective
+        if (story.final != STOOD or story.took > objective) and not busy:  # lines in use and short tempers are nobody's fault
+            far.lost += 1
+            far.lost_full += short
+            far.lost_kept += not short and not story.legs and not story.redialled  # redials are judged, full or not
+            far.lost_silent += not short and bool(story.legs) and story.legs[-1].how != LegEnd.FULL
+            here.after_standstill += still or here.standstill >= STANDSTILL
         kind = self.by_kind.setdefault(story.kind, Counter())
         kind["came"] += 1
         cause = story.cause()
