--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -8,7 +8,7 @@
 from bisect import insort
 from heapq import heappop, heappush
 
-from .host import GwState, Host, LegEnd, ListEntry, Rsn, TrafficType
+from .host import GwState, Host, KnownCaller, KnownExchange, KnownPair, Learned, LegEnd, ListEntry, Rsn, TrafficType
 
 SECOND = 10_000
 BEAT = SECOND // 50  # the one periodic timer of an instance
@@ -80,6 +80,17 @@
             self._move(-1)
         return accepted
 
+    def recall(self, known: KnownExchange, weight: float) -> None:
+        """Levels learned before a restart, drawn toward where they would start by how old they are. Circuits
+        are not known until told: should the group have another size then, the levels start anew."""
+        self.resize(known.size)
+        cap = self.cap + (known.cap - self.cap) * weight
+        self.accept_below += (known.accept_below - self.accept_below) * weight
+        self.lower_below += (known.lower_below - self.lower_below) * weight
+        self.cap = min(max(cap, self.floor), self.size)
+        self.accept_below = min(self.accept_below, self.cap - 1)
+        self.lower_below = min(self.lower_below, self.accept_below - 1)
+
     def _move(self, way: int) -> None:
         cap = self.cap + way * self.cap_step
         if self.floor <= cap <= self.size:
@@ -108,6 +119,8 @@
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
         self.quickest = SECOND // 10
         self.took = self.took_at = 0
+        self.rests_until = 0  # cold when this module began: what was sent to it before is not known
+        self.recalled = False
 
     def listed(self, entry: ListEntry) -> None:
         self.number = entry.number
@@ -117,6 +130,22 @@
             self.cold_until = entry.started + self.warm_after
             self.sent.clear()
             self.unspread = True
+            if self.recalled:  # another process: what was remembered of the one before says nothing of it
+                self.took = self.pressed_until = 0
+                self.quickest = SECOND // 10
+
+    def recall(self, now: int, known: KnownExchange, age: int, weight: float) -> None:
+        """What was learned `age` ago. A set-up time of late fades by itself, as while the module runs."""
+        self.recalled = True
+        self.rests_until = now + self.span
+        if known.size > 0:
+            self.group.recall(known, weight)
+        if known.started != self.started:
+            return
+        self.quickest += int((known.quickest - self.quickest) * weight)
+        if known.took > 0:
+            self.took, self.took_at = known.took, now - age - known.took_ago
+        self.pressed_until = now + min(max(0, known.pressed_for - age), 2 * SECOND)
 
     def cold_room(self, now: int, usual: float) -> bool:
         """Whether a cold exchange may get one more leg from here. `usual` is what one warm far end gets
@@ -126,6 +155,8 @@
         of all, so it is then one in as many spans as that takes, from a random moment on."""
         if now >= self.cold_until:
             return True
+        if now < self.rests_until:
+            return False
         share = max(3 * self.cold_share * usual, self.least) * self.span
         span = int(self.span / min(1, share))
         if self.unspread and share < 1:
@@ -364,6 +395,42 @@
         if d is not None:
             self._drop(dialog, d)
 
+    # --- memory ------------------------------------------------------------------------------------------
+
+    def learned(self, now: int, most_callers: int) -> Learned:
+        """What a module that takes this one's place should know; of callers the latest, up to so many."""
+        exchanges = [
+            KnownExchange(ex.gw, ex.started, ex.quickest, ex.took, now - ex.took_at if ex.took else 0,
+                          max(0, ex.pressed_until - now), ex.group.size, ex.group.cap,
+                          ex.group.accept_below, ex.group.lower_below) for ex in self.gws.values()]
+        pairs = [KnownPair(gw, to, until - now, span) for (gw, to), (until, span) in self.turned_back.items()
+                 if until > now]
+        pairs += [KnownPair(ex.gw, to, 0, 0) for to, held in self.carried.items() for ex in held]
+        latest = list(self.first_tried.items())[-most_callers:]
+        callers = [KnownCaller(*key, now - first) for key, first in latest]
+        return Learned(now, exchanges, pairs, callers, self.best_rate, self.pace)
+
+    def recall(self, now: int, known: Learned, age: int) -> None:
+        """Before `begin`, exchanges listed: what another module learned `age` ago (-1: nobody knows when). It
+        counts for less by the minute, as the best rate does while the module runs, and shuts nothing out:
+        whatever keeps dialogs from a far end or a tandem ends by itself."""
+        weight = 0.0 if age < 0 else 2.0 ** (-age / (60 * SECOND))
+        if age < 0:
+            known, age = known._replace(callers=[]), 60 * SECOND
+        for exchange in known.exchanges:
+            self._exchange(exchange.gw).recall(now, exchange, age, weight)
+        for gw, to, left, span in known.pairs:
+            if span:
+                until = now + min(max(0, left - age), span, 60 * SECOND)
+                self.turned_back[gw, to] = until, min(span, 60 * SECOND)
+            else:
+                self.carried.setdefault(to, []).append(self._exchange(gw))
+        for number, kind, far, ago in known.callers:
+            if age + ago < self.types[kind].no_answer_time:
+                self.first_tried[number, kind, far] = now - age - ago
+        self.best_rate = max(self.best_rate, known.best_rate * weight)
+        self.pace = known.pace * weight
+
     # --- the ordinary path -----------------------------------------------------------------------------
 
     def _route(self, dialog: int, d: Dialog) -> None:
--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -157,6 +157,9 @@
             _fail([f"{file}: {failed}"])
         except OSError as error:
             _fail([f"{folder}: {error.strerror or error}"])
+        if not form.capture:
+            click.echo(f"{folder}: traces written; the traffic was not kept, so no rule is judged")
+            return
         sys.exit(_judge(folder))
 
 
--- a/gingergap/cli/trace.py
+++ b/gingergap/cli/trace.py
@@ -145,9 +145,12 @@
     traces = _opened(files)
     done = merge(traces, out)
     _breaks(traces)
-    rows("clocks", [{"instance": source.instance, "epoch": source.epoch, "offset_ms": source.offset / 10,
-                     "drift_ppm": round(source.drift * 100, 2),
-                     "within_ms": source.uncertain / 10 if source.uncertain >= 0 else "unknown"} for source in done.sources])
+    base = min(source.wall for source in done.sources)
+    rows("clocks against the first one", [
+        {"instance": source.instance, "epoch": source.epoch,
+         "offset_ms": round((source.offset + source.started - (source.wall - base) * UNIT) / 10, 2),
+         "drift_ppm": round(source.drift * 100, 2),
+         "within_ms": round(source.uncertain / 10, 2) if source.uncertain >= 0 else "unknown"} for source in done.sources])
     many, turned = order(opened([out])[0])
     click.echo(f"{out}: {done.records} records, {many} crossings, {turned} turned round, {done.held_back} held back")
     if done.given_up:
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -150,8 +150,10 @@
         def apart(run: Any, *args: Any) -> Any:
             return pool.apply(run, args)
         source = Source(header.module, header.epoch, header.instance, header.wall, header.started, header.figures)
-        self.figures = CallFigures([entry.name for entry in self.form.traffic_type])
-        told = [self.figures.over]
+        told = []
+        if form.metrics:
+            self.figures = CallFigures([entry.name for entry in self.form.traffic_type])
+            told.append(self.figures.over)
         if form.spans_slower_ms is not None:
             self.spans = LiveSpans(folder, source, units(form.spans_slower_ms))
             told.append(self.spans.over)
@@ -162,7 +164,7 @@
                 self.spans.file(name, stories.stories.place)
             stories.take(records)
         self.recorder = Recorder(folder, self.tape, header, self.log, part=part, lasts=round(form.part_s * UNIT), clock=clock,
-                                 apart=apart, seen=seen)
+                                 apart=apart, seen=seen if told else None)
         self.recorder.open()
         self.work.add_sweep("trace budget", lambda: apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
                             period=10 * UNIT, limit=60 * UNIT)
@@ -217,7 +219,8 @@
             case "trace":
                 return self._traced().figures()
             case "metrics":
-                self._traced()
+                if self.figures is None:
+                    raise KeyError("this proxy has no (metrics true) in its (trace ...)")
                 return self.figures.text()
             case "trace on" | "trace off":
                 self._traced()
--- a/gingergap/host.py
+++ b/gingergap/host.py
@@ -61,6 +61,53 @@
     started: int  # 0: long ago
 
 
+class KnownExchange(NamedTuple):
+    """What was learned of a far end: its start as the list told it (0: long ago), the quickest set-up, the one of late and
+    how long ago that was (0 and 0: none), for how long it is still skipped as a tandem, and the levels of the own group
+    of that size."""
+
+    gw: int
+    started: int
+    quickest: int
+    took: int
+    took_ago: int
+    pressed_for: int
+    size: int
+    cap: float
+    accept_below: float
+    lower_below: float
+
+
+class KnownPair(NamedTuple):
+    """A tandem that turned dialogs to a destination back, for how much longer it is passed over, and how long it was
+    passed over last; or (both 0) one that brought a dialog there."""
+
+    gw: int
+    destination: int
+    left: int
+    span: int
+
+
+class KnownCaller(NamedTuple):
+    """A caller not served, and how long ago it first tried."""
+
+    number: str
+    kind: int
+    far: int
+    ago: int
+
+
+class Learned(NamedTuple):
+    """What a module knows that a new one would have to find out again, told at `now`."""
+
+    now: int
+    exchanges: list[KnownExchange]
+    pairs: list[KnownPair]
+    callers: list[KnownCaller]
+    best_rate: float
+    pace: float
+
+
 class Host(Protocol):
     """What a controller can ask for."""
 
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -87,7 +87,8 @@
 
 class TraceForm(Form):
     """Where the trace of a proxy goes, how large or old a part becomes, how much all parts may take, and whether it is
-    recorded from the start on. With `spans_slower_ms`, dialogs that took longer, or did not stand, are written as spans."""
+    recorded from the start on. With `spans_slower_ms`, dialogs that took longer, or did not stand, are written as spans;
+    with `metrics` dialogs and legs are counted for the control socket."""
 
     folder: str
     part_mb: Annotated[float, Field(gt=0)] = 16
@@ -95,6 +96,7 @@
     budget_mb: Annotated[float, Field(gt=0)] = 256
     recording: bool = True
     spans_slower_ms: Annotated[float, Field(ge=0)] | None = None
+    metrics: bool = False
 
     @model_validator(mode="after")
     def _room(self) -> Self:
--- a/gingergap/standins/caller.py
+++ b/gingergap/standins/caller.py
@@ -224,7 +224,7 @@
 def play(plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float,
          report: Path) -> None:
     """Call for the day's length, let the last tries end, and write what became of each dialog."""
-    capture = Capture(report / f"part-callers-{home}.jsonl")
+    capture = Capture(report / f"part-callers-{home}.jsonl", plan.day.capture)
     callers = Callers(plan, home, address, proxy, epoch, capture)
     callers.run(plan.day.seconds)
     longest = max(entry.patience_s for entry in plan.day.traffic_type)
--- a/gingergap/standins/capture.py
+++ b/gingergap/standins/capture.py
@@ -19,14 +19,18 @@
 
 
 class Capture:
-    """Lines of one process. `at` is in seconds of the machine's monotonic clock, the same for all processes."""
+    """Lines of one process. `at` is in seconds of the machine's monotonic clock, the same for all processes. Without
+    `messages` only notes are kept: a day too long to be judged."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, messages: bool = True) -> None:
+        self.messages = messages
         self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
 
     def message(self, transport: str, source: str, target: str, data: bytes, times: list[float],
                 at: float | None = None) -> None:
         """`times`: after how many seconds each copy goes on; none for a lost message."""
+        if not self.messages:
+            return
         line: dict[str, Any] = {"at": round(time.monotonic() if at is None else at, 5), "transport": transport,
                                 "from": source, "to": target,
                                 "message": data.decode("utf-8", "backslashreplace")}
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -514,7 +514,7 @@
          proxies: dict[tuple[str, int], int], homes: dict[tuple[str, int], int], report: Path,
          proxy_tcp: bool) -> None:
     """Run an exchange's machines until the process is ended. `homes` tells which exchange an address belongs to."""
-    capture = Capture(report / f"part-exchange-{number}.jsonl")
+    capture = Capture(report / f"part-exchange-{number}.jsonl", plan.day.capture)
     shared = SharedCircuits(report / "circuits", plan.day.exchanges)
     running: dict[Life, Machine] = {}
 
--- a/gingergap/standins/exchange_list.py
+++ b/gingergap/standins/exchange_list.py
@@ -62,6 +62,6 @@
 
 def play(plan: Plan, address: tuple[str, int], addresses: dict[int, list[str]], epoch: float,
          proxies: frozenset[tuple[str, int]], report: Path) -> None:
-    ExchangeList(plan, address, addresses, epoch, proxies, Capture(report / "part-list.jsonl")).run()
+    ExchangeList(plan, address, addresses, epoch, proxies, Capture(report / "part-list.jsonl", plan.day.capture)).run()
     while True:
         gevent.sleep(60)
--- a/gingergap/trace/anonymise.py
+++ b/gingergap/trace/anonymise.py
@@ -26,7 +26,7 @@
 from .snapshot import BadSnapshotError, from_state, state_of
 from .stream import Trace
 
-DIALOG_CAME, REMARK = CODES["dialog_came"], CODES["remark"]
+DIALOG_CAME, RECALL, REMARK = CODES["dialog_came"], CODES["recall"], CODES["remark"]
 NUMBER_AT = 6  # in dialog_came
 DIGITS, MIXED = string.digits, string.digits + string.ascii_letters
 PIECES = {DIGITS: (6, 28), MIXED: (4, 16)}  # the cipher's shortest and the longest piece it is given
@@ -144,6 +144,9 @@
                 record = entry.record
                 if record[0] == DIALOG_CAME:
                     record[NUMBER_AT] = numbers.number(record[NUMBER_AT])
+                elif record[0] == RECALL:
+                    callers = [[numbers.number(caller[0]), *caller[1:]] for caller in record[2][3]]
+                    record[2] = [*record[2][:3], callers, *record[2][4:]]
                 elif record[0] == REMARK:
                     record[2] = numbers.text(record[2])
                 elif record[0] == SNAPSHOT:
--- a/gingergap/trace/compare.py
+++ b/gingergap/trace/compare.py
@@ -17,7 +17,7 @@
 from typing import Any, NamedTuple
 
 from .. import brain
-from .format import CODES, DIALOG_AT, FIRST_ACTION, FIRST_NOTE, NAMES, SNAPSHOT, BadTraceError, Source
+from .format import CODES, DIALOG_AT, FIRST_NOTE, NAMES, SNAPSHOT, BadTraceError, Source, is_action, is_event
 from .replay import Asked, controller_of, feed
 from .snapshot import BadSnapshotError, freeze, thaw
 from .stories import STOOD, Stories, Story
@@ -114,7 +114,7 @@
 
     for entry in entries:
         side, record, code = sides[entry.source], entry.record, entry.record[0]
-        if code == "gap" or code == SNAPSHOT or code < FIRST_ACTION:
+        if code == "gap" or code == SNAPSHOT or is_event(code):
             settle(entry.source)
         stories.take(entry)
         if code == "gap":
@@ -125,8 +125,8 @@
         elif code >= FIRST_NOTE:
             pass
         elif side.own is None:
-            result.passed_over += code < FIRST_ACTION
-        elif code >= FIRST_ACTION:
+            result.passed_over += is_event(code)
+        elif is_action(code):
             side.noted.append(record)
         else:
             result.events += 1
--- a/gingergap/trace/copy.py
+++ b/gingergap/trace/copy.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from .format import FIRST_ACTION, SNAPSHOT, BadTraceError, Header, Writer
+from .format import SNAPSHOT, BadTraceError, Header, Writer, is_event
 from .stream import Entry
 
 EACH_BLOCK = 5_000  # records
@@ -29,7 +29,7 @@
             self._write(lambda: self.writer.gap(first, last, lost, entry.source if self.merged else None))
             self.gaps += 1
             return
-        if len(self.held) >= EACH_BLOCK and (code < FIRST_ACTION or code == SNAPSHOT):
+        if len(self.held) >= EACH_BLOCK and (is_event(code) or code == SNAPSHOT):
             self._flush()
         self.held.append(entry)
 
--- a/gingergap/trace/format.py
+++ b/gingergap/trace/format.py
@@ -37,8 +37,10 @@
 # What the module does not see: its own state, bytes that left for or came from another proxy under an id that both
 # know, a dialog turned away before it, the process running late, an operator's words.
 NOTE_NAMES = ("snapshot", "sent", "came", "turned_away", "ran_late", "remark")
-FIRST_ACTION, FIRST_NOTE = len(EVENT_NAMES), 32
+LATER_EVENT_NAMES = ("recall",)  # events that came when the actions had their codes already
+FIRST_ACTION, FIRST_LATER, FIRST_NOTE = len(EVENT_NAMES), 24, 32
 CODES = {name: code for code, name in enumerate((*EVENT_NAMES, *ACTION_NAMES))}
+CODES |= {name: FIRST_LATER + place for place, name in enumerate(LATER_EVENT_NAMES)}
 CODES |= {name: FIRST_NOTE + place for place, name in enumerate(NOTE_NAMES)}
 NAMES = {code: name for name, code in CODES.items()}
 SNAPSHOT = CODES["snapshot"]
@@ -111,9 +113,19 @@
     snapshots: int = 0
 
 
+def is_event(code: int) -> bool:
+    """Whether the module was told of it."""
+    return code < FIRST_ACTION or FIRST_LATER <= code < FIRST_NOTE
+
+
+def is_action(code: int) -> bool:
+    """Whether the module asked for it."""
+    return FIRST_ACTION <= code < FIRST_LATER
+
+
 def timed(record: list[Any]) -> bool:
     """Whether a record carries its own time: actions don't."""
-    return not FIRST_ACTION <= record[0] < FIRST_NOTE
+    return not is_action(record[0])
 
 
 def pack(kind: int, payload: bytes) -> bytes:
@@ -124,14 +136,21 @@
 def events_block(records: list[list[Any]], sources: list[tuple[int, int]] | None = None) -> bytes:
     """Records in order, the first one with a time of its own. Of a merged trace, with source and common time of each."""
     if sources is None:
-        times = [record[1] for record in records if timed(record)]
-        first, last = times[0], times[-1]
+        first, last = records[0][1], next(record[1] for record in reversed(records) if timed(record))
     else:
         first, last = sources[0][1], sources[-1][1]
-    dialogs = [record[DIALOG_AT[record[0]]] for record in records if record[0] in DIALOG_AT]
-    dialogs = [dialog for dialog in dialogs if dialog >= 0]
-    frame = FRAMES[FORMAT].pack(first, last, len(records), min(dialogs, default=-1), max(dialogs, default=-1),
-                                sum(record[0] == SNAPSHOT for record in records))
+    low, high, snapshots = 1 << 62, -1, 0
+    for record in records:
+        at = DIALOG_AT.get(record[0])
+        if at is not None:
+            dialog = record[at]
+            if dialog > high:
+                high = dialog
+            if 0 <= dialog < low:
+                low = dialog
+        elif record[0] == SNAPSHOT:
+            snapshots += 1
+    frame = FRAMES[FORMAT].pack(first, last, len(records), low if high >= 0 else -1, high, snapshots)
     held = records if sources is None else [[*source, *record] for source, record in zip(sources, records, strict=True)]
     return pack(EVENTS, frame + zstandard.ZstdCompressor(level=3).compress(ENCODER.encode(held)))
 
--- a/gingergap/trace/recorder.py
+++ b/gingergap/trace/recorder.py
@@ -13,7 +13,7 @@
 import gevent
 import msgspec
 
-from .format import FIRST_ACTION, SNAPSHOT, Header, Writer, timed
+from .format import SNAPSHOT, Header, Writer, is_event, timed
 from .tape import Tape
 
 EACH_BLOCK = 20_000  # records
@@ -109,7 +109,7 @@
             self.writer.events(block)
         except OSError as error:
             times = [record[1] for record in block if timed(record)]
-            many = sum(record[0] < FIRST_ACTION for record in block)
+            many = sum(is_event(record[0]) for record in block)
             self.lost += many
             self.pending.append((times[0], times[-1], many))
             if len(self.pending) > 1:  # one gap, however long the disk is full
@@ -179,7 +179,7 @@
     found, begun = [], 0
     while begun < len(records):
         end = min(begun + each, len(records))
-        while end < len(records) and records[end][0] >= FIRST_ACTION and records[end][0] != SNAPSHOT:
+        while end < len(records) and not is_event(records[end][0]) and records[end][0] != SNAPSHOT:
             end += 1
         found.append(records[begun:end])
         begun = end
--- a/gingergap/trace/replay.py
+++ b/gingergap/trace/replay.py
@@ -10,8 +10,8 @@
 from typing import Any, NamedTuple
 
 from .. import brain
-from ..host import GwState, LegEnd, ListEntry, TrafficType
-from .format import CODES, FIRST_ACTION, FIRST_NOTE, NAMES, SNAPSHOT, Header, Source
+from ..host import GwState, KnownCaller, KnownExchange, KnownPair, Learned, LegEnd, ListEntry, TrafficType
+from .format import CODES, FIRST_NOTE, NAMES, SNAPSHOT, Header, Source, is_action, is_event
 from .snapshot import thaw
 from .stream import Entry
 
@@ -55,10 +55,20 @@
     elif name == "leg_ended":
         now, dialog, gw, how, rsn, over, free, size = fields
         controller.leg_ended(now, dialog, gw, LegEnd(how), rsn, over, free, size)
+    elif name == "recall":
+        now, told, age = fields
+        controller.recall(now, learned_of(told), age)
     else:
         getattr(controller, name)(*fields)
 
 
+def learned_of(told: list[Any]) -> Learned:
+    """What a module was told of another's memory, from plain lists."""
+    at, exchanges, pairs, callers, best_rate, pace = told
+    return Learned(at, [KnownExchange(*one) for one in exchanges], [KnownPair(*one) for one in pairs],
+                   [KnownCaller(*one) for one in callers], best_rate, pace)
+
+
 class Replay:
     """One source's records, one at a time. `make` gives the controller at the start."""
 
@@ -77,6 +87,8 @@
         """Whether all is alike so far; once it is not, nothing more is compared. Raises BadSnapshotError."""
         if self.difference is not None:
             return False
+        if type(record) is tuple:
+            record = list(record)
         code = record[0]
         if code == "gap":
             self._expect_nothing()
@@ -90,8 +102,8 @@
         elif code >= FIRST_NOTE:
             pass
         elif self.controller is None:
-            self.passed_over += code < FIRST_ACTION
-        elif code >= FIRST_ACTION:
+            self.passed_over += is_event(code)
+        elif is_action(code):
             asked = self.host.done.popleft() if self.host.done else None
             if asked != record:
                 self._differs(record, asked)
@@ -150,4 +162,4 @@
     shown = ", ".join(field.hex() if isinstance(field, bytes) else str(field) for field in fields)
     if record[0] >= FIRST_NOTE:
         return f"# {name}({shown})"
-    return f"{name}({shown})" if record[0] < FIRST_ACTION else f"    -> {name}({shown})"
+    return f"{name}({shown})" if is_event(record[0]) else f"    -> {name}({shown})"
--- a/gingergap/trace/tally.py
+++ b/gingergap/trace/tally.py
@@ -107,7 +107,7 @@
             self.gaps += 1
         elif heard >= 0 and now - heard > 0:
             self._quiet(source, heard, now)
-        self.heard[source] = now
+        self.heard[source] = -1 if code == "gap" else now  # what a gap held is not known to be silence
         if code == BEAT:
             here.beats += 1
         elif code == LIST_PUSHED:
--- a/gingergap/trace/tape.py
+++ b/gingergap/trace/tape.py
@@ -11,10 +11,15 @@
 
 from .. import brain
 from ..brain import CallController
-from ..host import Host
-from .format import CODES, SNAPSHOT
+from ..host import Host, Learned
+from .format import ACTION_NAMES, CODES, EVENT_NAMES, SNAPSHOT
 from .snapshot import freeze
 
+(BEGIN, BEAT, PEER_TOLD, LIST_PUSHED, LIST_FAILED, GROUP_TOLD, DIALOG_CAME, DIALOG_STANDS, LEG_ENDED, DIALOG_GONE) = (
+    CODES[name] for name in EVENT_NAMES)
+RECALL = CODES["recall"]
+SEND_LEG, CANCEL_LEG, DECLINE, ABORT, WAKE_AFTER, TELL_ALL, SUBSCRIBE = (CODES[name] for name in ACTION_NAMES)
+
 
 def module_digest() -> str:
     """Which text of the module decided."""
@@ -39,39 +44,48 @@
     def __init__(self, most: int = 200_000) -> None:
         self.most = most
         self.on = True
-        self.records: list[list[Any]] = []
+        self.records: list[tuple[Any, ...]] = []
         self.gaps: list[tuple[int, int, int, int]] = []  # place among the records, first, last, how many
         self.dropping = False
         self.wants_state = False
+        self.plain = True  # on, nothing dropped, no state asked for: a record only has to be appended
         self.state: Callable[[], bytes] = bytes  # set by `recorded`
 
     # --- what can happen ---
 
-    def event(self, name: str, now: int, *fields: Any) -> None:
+    def event(self, record: tuple[Any, ...]) -> None:
+        """A code, the time, the fields. Tuples: the collector of garbage lets go of them at its first look, of lists never."""
+        if self.plain and len(self.records) < self.most:
+            self.records.append(record)
+            return
+        now = record[1]
         if not self.on or len(self.records) >= self.most:
             self._lose(now)
             return
+        self.plain = True  # before the look at what asks for a state: the writer's thread may ask meanwhile
         if self.dropping or self.wants_state:
             self.dropping = self.wants_state = False
-            self.records.append([SNAPSHOT, now, self.state()])
-        self.records.append([CODES[name], now, *fields])
+            self.records.append((SNAPSHOT, now, self.state()))
+        self.records.append(record)
 
-    def action(self, name: str, *fields: Any) -> None:
+    def action(self, record: tuple[Any, ...]) -> None:
         if not self.dropping:
-            self.records.append([CODES[name], *fields])
+            self.records.append(record)
 
     def note(self, name: str, now: int, *fields: Any) -> None:
         """What the module does not see. Without room it goes unnoted: no replay needs it."""
         if self.on and not self.dropping and len(self.records) < self.most:
-            self.records.append([CODES[name], now, *fields])
+            self.records.append((CODES[name], now, *fields))
 
     def switch(self, on: bool) -> None:
         """Recording goes on or off; what passes meanwhile is a gap, and counted."""
         self.on = on
+        self.plain = False
 
     def after_a_hole(self) -> None:
         """Records were lost on their way to the disk: the next event is preceded by the state."""
         self.wants_state = True
+        self.plain = False
 
     def _lose(self, now: int) -> None:
         place = len(self.records)
@@ -81,8 +95,9 @@
         else:
             self.gaps.append((place, now, now, 1))
         self.dropping = True
+        self.plain = False
 
-    def take(self) -> tuple[list[list[Any]], list[tuple[int, int, int, int]]]:
+    def take(self) -> tuple[list[tuple[Any, ...]], list[tuple[int, int, int, int]]]:
         """All that was noted since the last taking, and the gaps in it."""
         records, gaps = self.records, self.gaps
         self.records, self.gaps = [], []
@@ -96,31 +111,31 @@
         self.host, self.tape = host, tape
 
     def send_leg(self, dialog: int, gw: int, limit: int) -> None:
-        self.tape.action("send_leg", dialog, gw, limit)
+        self.tape.action((SEND_LEG, dialog, gw, limit))
         self.host.send_leg(dialog, gw, limit)
 
     def cancel_leg(self, dialog: int, leg: int) -> None:
-        self.tape.action("cancel_leg", dialog, leg)
+        self.tape.action((CANCEL_LEG, dialog, leg))
         self.host.cancel_leg(dialog, leg)
 
     def decline(self, dialog: int, hold_off: int) -> None:
-        self.tape.action("decline", dialog, hold_off)
+        self.tape.action((DECLINE, dialog, hold_off))
         self.host.decline(dialog, hold_off)
 
     def abort(self, dialog: int) -> None:
-        self.tape.action("abort", dialog)
+        self.tape.action((ABORT, dialog))
         self.host.abort(dialog)
 
     def wake_after(self, delay: int) -> None:
-        self.tape.action("wake_after", delay)
+        self.tape.action((WAKE_AFTER, delay))
         self.host.wake_after(delay)
 
     def tell_all(self, told: bytes) -> None:
-        self.tape.action("tell_all", told)
+        self.tape.action((TELL_ALL, told))
         self.host.tell_all(told)
 
     def subscribe(self) -> None:
-        self.tape.action("subscribe")
+        self.tape.action((SUBSCRIBE,))
         self.host.subscribe()
 
 
@@ -130,44 +145,48 @@
     tape: Tape
 
     def begin(self, now: int) -> None:
-        self.tape.event("begin", now)
+        self.tape.event((BEGIN, now))
         super().begin(now)
 
     def beat(self, now: int) -> None:
-        self.tape.event("beat", now)
-        super().beat(now)
+        self.tape.event((BEAT, now))
+        CallController.beat(self, now)
 
     def peer_told(self, now: int, told: bytes) -> None:
-        self.tape.event("peer_told", now, told)
-        super().peer_told(now, told)
+        self.tape.event((PEER_TOLD, now, told))
+        CallController.peer_told(self, now, told)
 
     def list_pushed(self, now: int, entries: list, whole: bool) -> None:
-        self.tape.event("list_pushed", now, [[int(part) for part in entry] for entry in entries], whole)
+        self.tape.event((LIST_PUSHED, now, [[int(part) for part in entry] for entry in entries], whole))
         super().list_pushed(now, entries, whole)
 
+    def recall(self, now: int, known: Learned, age: int) -> None:
+        self.tape.event((RECALL, now, known, age))
+        super().recall(now, known, age)
+
     def list_failed(self, now: int) -> None:
-        self.tape.event("list_failed", now)
+        self.tape.event((LIST_FAILED, now))
         super().list_failed(now)
 
     def group_told(self, now: int, gw: int, free: int, size: int) -> None:
-        self.tape.event("group_told", now, gw, free, size)
-        super().group_told(now, gw, free, size)
+        self.tape.event((GROUP_TOLD, now, gw, free, size))
+        CallController.group_told(self, now, gw, free, size)
 
     def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str, expires_in: int,
                     transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
-        self.tape.event("dialog_came", now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
-        super().dialog_came(now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
+        self.tape.event((DIALOG_CAME, now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised))
+        CallController.dialog_came(self, now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
 
     def dialog_stands(self, now: int, dialog: int, took: int) -> None:
-        self.tape.event("dialog_stands", now, dialog, took)
-        super().dialog_stands(now, dialog, took)
+        self.tape.event((DIALOG_STANDS, now, dialog, took))
+        CallController.dialog_stands(self, now, dialog, took)
 
     def leg_ended(self, now: int, dialog: int, gw: int, how, rsn: int, over: bool, free: int, size: int) -> None:
-        self.tape.event("leg_ended", now, dialog, gw, int(how), int(rsn), over, free, size)
-        super().leg_ended(now, dialog, gw, how, rsn, over, free, size)
+        self.tape.event((LEG_ENDED, now, dialog, gw, int(how), int(rsn), over, free, size))
+        CallController.leg_ended(self, now, dialog, gw, how, rsn, over, free, size)
 
     def dialog_gone(self, now: int, dialog: int) -> None:
-        self.tape.event("dialog_gone", now, dialog)
+        self.tape.event((DIALOG_GONE, now, dialog))
         super().dialog_gone(now, dialog)
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -169,7 +169,7 @@
     found = [entry.record for entry in select(trace, dialog=5)]
     assert found[0][0] == CODES["dialog_came"] and found[0][2] == 5
     assert 0 < len(unpacked) < len(trace.places())
-    everything = [record for record in tape.records if record[0] in trace_format.DIALOG_AT
+    everything = [list(record) for record in tape.records if record[0] in trace_format.DIALOG_AT
                   and record[trace_format.DIALOG_AT[record[0]]] == 5]
     assert found == everything
     middle = tape.records[len(tape.records) // 2]
@@ -181,14 +181,14 @@
 def test_a_tape_that_is_full_loses_whole_events_and_counts_them():
     tape = Tape(most=4)
     for now in range(5):
-        tape.event("beat", now)
-        tape.action("wake_after", 200)
+        tape.event((CODES["beat"], now))
+        tape.action((CODES["wake_after"], 200))
     tape.note("remark", 5, "no room for this")
     records, gaps = tape.take()
     assert len(records) == 4 and gaps == [(4, 2, 4, 3)]
     tape.state = lambda: b"as it is"
-    tape.event("beat", 9)
-    assert tape.take() == ([[SNAPSHOT, 9, b"as it is"], [CODES["beat"], 9]], [])
+    tape.event((CODES["beat"], 9))
+    assert tape.take() == ([(SNAPSHOT, 9, b"as it is"), (CODES["beat"], 9)], [])
 
 
 def recorder(tmp_path, tape, header, **more):
@@ -240,7 +240,7 @@
     one = recorder(tmp_path, tape, Header(FORMAT, "m", "e1", "p0", 0.0, 0, {}), lasts=1_000, clock=lambda: now[0])
     tape.state = lambda: b"state"
     for now[0] in range(0, 3_000, 100):
-        tape.event("beat", now[0])
+        tape.event((CODES["beat"], now[0]))
         one.step()
     one.close()
     assert len(list(one.folder.glob("*.trace"))) == 3
@@ -252,7 +252,7 @@
     tape.state = lambda: b"state"
     for begun in range(0, 3_000, 300):
         for now in range(begun, begun + 300):
-            tape.event("beat", now * 7919 % 100_003)
+            tape.event((CODES["beat"], now * 7919 % 100_003))
         one.step()
     (one.folder / "q0-e1-000.trace").write_bytes(b"another instance's")
     before = len(list(one.folder.glob("p0-*.trace")))
@@ -285,7 +285,7 @@
     inner, one.writer.file = one.writer.file, Disk()
     for now in range(6):
         full[0] = 2 <= now < 4
-        tape.event("beat", now * 100)
+        tape.event((CODES["beat"], now * 100))
         one.step()
     one.close()
     reader = Reader(next(one.folder.glob("*.trace")))
@@ -381,11 +381,11 @@
     tape.records, tape.state = [], lambda: freeze(behind.controller)
     tape.switch(False)
     for now in range(3):
-        tape.event("beat", 100_000 + now)
-        tape.action("wake_after", 200)
+        tape.event((CODES["beat"], 100_000 + now))
+        tape.action((CODES["wake_after"], 200))
     tape.note("remark", 100_003, "unheard")
     tape.switch(True)
-    tape.event("beat", 100_010)
+    tape.event((CODES["beat"], 100_010))
     found, gaps = tape.take()
     assert [record[0] for record in found] == [SNAPSHOT, CODES["beat"]] and gaps == [(0, 100_000, 100_002, 3)]
     assert records
