Memory across restarts: a store of what was learned and of dialogs that stand

A restarted proxy knew nothing: it asked slow and dead exchanges anew, took a drained machine of its settings for ready until the list came, and knew no dialog that stood.

The store keeps records with checksums in SQLite (apsw, write-ahead, every batch durable), written by background tasks; the module tells and recalls what it learned, weighed by age; the list's word holds over a restart; dialogs that stand are known, their late answers passed back instead of released, and set against the switch's own count. A property test found that a remembered quickest set-up of 0.85 s kept a far end shut for good: what is remembered is never slower than a fresh guess.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -8,7 +8,18 @@
 from bisect import insort
 from heapq import heappop, heappush
 
-from .host import GwState, Host, KnownCaller, KnownExchange, KnownPair, Learned, LegEnd, ListEntry, Rsn, TrafficType
+from .host import (
+    GwState,
+    Host,
+    KnownCaller,
+    KnownExchange,
+    KnownPair,
+    Learned,
+    LegEnd,
+    ListEntry,
+    Rsn,
+    TrafficType,
+)
 
 SECOND = 10_000
 BEAT = SECOND // 50  # the one periodic timer of an instance
@@ -142,7 +153,8 @@
             self.group.recall(known, weight)
         if known.started != self.started:
             return
-        self.quickest += int((known.quickest - self.quickest) * weight)
+        # Slower than a fresh guess is nothing to begin with: it would keep all back, and nothing mend it.
+        self.quickest += int((min(known.quickest, self.quickest) - self.quickest) * weight)
         if known.took > 0:
             self.took, self.took_at = known.took, now - age - known.took_ago
         self.pressed_until = now + min(max(0, known.pressed_for - age), 2 * SECOND)
--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from ..settings.forms import BadSettingsError, Form
+from .store import store
 from .trace import trace
 
 FILE = click.Path(path_type=Path)
@@ -268,3 +269,4 @@
 
 
 main.add_command(trace)
+main.add_command(store)
--- a/gingergap/duties/keeper.py
+++ b/gingergap/duties/keeper.py
@@ -84,6 +84,19 @@
         for held in self.held.values():
             self._look(now, held, present)
 
+    def recall(self, duty: str, counter: int) -> None:
+        """A counter that this member had heard of before it was started again: no older one is asked for or granted."""
+        self.voter.newest[duty] = max(counter, self.voter.newest.get(duty, 0))
+        if duty in self.held:
+            self.held[duty].claim.heard = max(counter, self.held[duty].claim.heard)
+
+    def counters(self) -> dict[str, int]:
+        """The highest counter heard of for each duty."""
+        heard = {name: held.claim.heard for name, held in self.held.items() if held.claim.heard}
+        for duty, counter in self.voter.newest.items():
+            heard[duty] = max(counter, heard.get(duty, 0))
+        return heard
+
     def asked(self, now: int, duty: str, token: Token, lasts: int, done_ago: int) -> tuple[bool, int]:
         """Another asks for our vote: whether it has it, and the highest counter heard of."""
         held = self.held.get(duty)
--- a/gingergap/edge/calls.py
+++ b/gingergap/edge/calls.py
@@ -43,6 +43,15 @@
         self.rsn = 0
 
 
+class NoServer:
+    """In place of the server transaction of a dialog that stood before this process began."""
+
+    __slots__ = ("owner", "request")
+
+    def __init__(self) -> None:
+        self.owner = self.request = None
+
+
 class Onward:
     """A request within a dialog that is passed on: its server transaction, and the way onward."""
 
--- a/gingergap/edge/coordination.py
+++ b/gingergap/edge/coordination.py
@@ -37,15 +37,17 @@
     def __init__(self, proxy: EdgeProxy, clock: Callable[[], int], log: Any, load: Callable[[], float], *, budget: float,
                  longest_dialog: int) -> None:
         self.proxy, self.clock = proxy, clock
-        self.plan = Background(Random(secrets.randbits(64)), {"duties": WorkClass(budget), "sweeps": WorkClass(budget)})
+        self.plan = Background(Random(secrets.randbits(64)), {
+            "duties": WorkClass(budget), "sweeps": WorkClass(budget), "store": WorkClass(budget)})
         self.runner = Runner(self.plan, clock, load, log, self._over)
         self.over: Callable[[str, bool], None] = lambda name, done: None
         self.runner.add("sweep dialogs", "sweeps", lambda: self._sweep(longest_dialog), period=5 * SECOND, limit=60 * SECOND,
                         first_in=5 * SECOND)
 
-    def add_sweep(self, name: str, run: Callable[[], bool], *, period: int, limit: int) -> None:
+    def add_sweep(self, name: str, run: Callable[[], bool], *, period: int, limit: int, kind: str = "sweeps",
+                  deadline: int | None = None) -> None:
         """Housekeeping of another part of this process; `run` says whether it was done."""
-        self.runner.add(name, "sweeps", run, period=period, limit=limit, first_in=period)
+        self.runner.add(name, kind, run, period=period, limit=limit, first_in=period, deadline=deadline)
 
     def _over(self, name: str, done: bool) -> None:
         self.over(name, done)
@@ -63,7 +65,7 @@
 
     def __init__(self, proxy: EdgeProxy, work: LocalWork, clock: Callable[[], int], log: Any, *, name: str, address: str,
                  listen: str, key: bytes, everybody: dict[str, str], weight: int, period: int, lasts: int, probe_every: int,
-                 probe_limit: int) -> None:
+                 probe_limit: int, tokens: dict[str, int] | None = None) -> None:
         self.proxy, self.work, self.clock, self.log, self.name = proxy, work, clock, log, name
         self.everybody = everybody
         life = time.time_ns() // 1_000_000 << 8 | secrets.randbits(8)
@@ -75,6 +77,8 @@
         duties.append(Duty("check list", 2 * probe_every, 2 * probe_limit, cost=0.2, worth=2.0, once=False))
         self.keeper = Keeper(self, Random(secrets.randbits(64)), now, name, life, frozenset(everybody), duties, lasts=lasts,
                              settle=2 * period, patience=period)
+        for duty, counter in (tokens or {}).items():
+            self.keeper.recall(duty, counter)
         self.learned: dict[str, tuple[float, int, str]] = {}  # what: value, when by the own clock, who learned it
         self.runs: dict[str, int] = {}
         work.over = self._run_over
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -15,12 +15,15 @@
 from ..brain import CallController
 from ..host import GwState, LegEnd, ListEntry, Rsn, TrafficType
 from ..sip.dialogs import next_hop, release_of
-from ..sip.fields import address_of, seconds_of, tag_of, top_via, uri_of, via_of
+from ..sip.fields import address_of, host_port, seconds_of, tag_of, top_via, uri_of, via_of
 from ..sip.message import BadMessageError, Message, response
 from ..sip.transactions import MAGIC, Client, Hop, Lost, Server, Transactions, Wire
+from ..store.audit import Audit
+from ..store.memory import Memory, Recalled, Word
+from ..store.records import KeptStanding
 from ..trace.tape import Tape, answer_to, crossing, recorded
 from . import words
-from .calls import Asked, Call, Leg, Onward
+from .calls import Asked, Call, Leg, NoServer, Onward
 from .circuits import Circuits
 from .door import Door
 from .numbering import Numbering
@@ -94,10 +97,11 @@
                  widths: list[int], numbering: Numbering, door: Door, default_expires: int,
                  most_transactions: int, t1: int, release_guard: int, most_legs: int, longest_hold_off: int,
                  tells: bool, cold_from: float, warm_after: int, multiple: float, fall_span: int,
-                 tape: Tape | None = None) -> None:
+                 tape: Tape | None = None, memory: Memory | None = None, recalled: Recalled | None = None) -> None:
         self.wire, self.log, self.fresh = wire, log, fresh
         self.address, self.domain, self.here = address, domain, here
-        self.tape = tape
+        self.tape, self.memory = tape, memory
+        self.audit = Audit()
         self.types, self.kinds, self.widths = types, kinds, widths
         self.numbering, self.door, self.default_expires = numbering, door, default_expires
         self.now, self.wall_at_start, self.started_at = now, wall, now
@@ -138,8 +142,12 @@
         for number, name, (host, port) in exchanges:
             gw = self._gw(name, number)
             self.hops[gw] = Hop("UDP", host, port)
+            if memory is not None:
+                memory.known(name, number, f"{host}:{port}", "UDP")
             known.append(ListEntry(gw, number, GwState.READY, 0))
         self.controller.list_pushed(now, known, True)
+        if recalled is not None:
+            self._recall(now, recalled)
         self.controller.begin(now)
         self._subscribe(now, self.subscribers[GROUPS], self.subscribers[GROUPS].watching.want(now))
 
@@ -258,7 +266,11 @@
             self.messages_out[owner] -= 1
 
     def stray_response(self, now: int, message: Message) -> None:
-        self._release(now, message)
+        call = self.by_key.get((message.call_id, tag_of(message.get("From"))))
+        if call is not None and call.leg is not None and call.leg.tag == tag_of(message.get("To")):
+            self._pass_back(message)  # the 2xx of a dialog that stood before this process began: its ACK was lost
+        else:
+            self._release(now, message)
 
     def client_lost(self, now: int, client: Client, how: Lost) -> None:
         owner = client.owner
@@ -463,6 +475,9 @@
             self.open_dialogs -= 1
             self._count("stand")
             self.transactions.respond(now, call.server, message)
+            if self.memory is not None:
+                self.memory.stood(*call.key, KeptStanding(call.kind, call.width, call.far, self.ids[leg.gw], leg.far,
+                                                          self._wall(call.arrived), call.transit, tag))
             call.invite = None
             call.number = ""
             leg.client.request = call.server.request = None
@@ -500,6 +515,9 @@
             self._note("came", answer_to(leg.crossing), call.index)
         if over:
             self._forget(call)
+        if type(call.server) is NoServer:  # the module never heard of it
+            self.audit.over(leg.far, call.index)
+            return
         self.controller.leg_ended(now, call.index, leg.gw, how, rsn, over, *self.circuits.count(leg.far))
 
     def _final(self, now: int, call: Call, status: int, fields: list[tuple[str, str]]) -> None:
@@ -508,6 +526,8 @@
         self._answer(now, call.server, status, fields)
 
     def _forget(self, call: Call) -> None:
+        if call.stands and self.calls.pop(call.index, None) is not None and self.memory is not None:
+            self.memory.over(*call.key)
         self.calls.pop(call.index, None)
         if self.by_key.get(call.key) is call:
             del self.by_key[call.key]
@@ -684,6 +704,10 @@
                 state = GwState.GONE
             self.log.info("exchange-listed", exchange=line.id, number=line.number, state=line.state,
                           started=line.started)
+            if self.memory is not None:
+                self.memory.listed(line.id, Word(line.number, int(state), line.started, self._wall(now),
+                                                 "" if hop is None else f"{hop.host}:{hop.port}",
+                                                 "UDP" if hop is None else hop.transport))
             entries.append(ListEntry(gw, line.number, state, self._start(now, gw, line.started)))
         self.controller.list_pushed(now, entries, body.state == "full")
         self._settle(now)
@@ -714,6 +738,9 @@
             self._group_told(now, line.number, *self.circuits.told(line.number, line.free, line.size))
 
     def _group_told(self, now: int, number: int, free: int, size: int) -> None:
+        for dialog in self.audit.told(number, free, size):
+            self._count("remembered dialogs that were over")
+            self.forget_standing(now, dialog)
         for gw, held in enumerate(self.numbers):
             if held == number and gw in self.controller.gws:
                 self.controller.group_told(now, gw, free, size)
@@ -725,6 +752,65 @@
             self._note("came", crossing(message.call_id), -1)
             self.controller.peer_told(now, message.body)
 
+    # --- memory over restarts --------------------------------------------------------------------------------
+
+    def _recall(self, now: int, recalled: Recalled) -> None:
+        """What the process before this one knew: the list's words, what was learned, the dialogs that stand."""
+        entries = []
+        for id_, word in recalled.words.items():
+            if word.state == GwState.GONE and id_ not in self.gws:
+                continue  # a machine that came and went: nobody asks for it
+            gw = self._gw(id_, word.number)
+            if word.address:
+                self.hops[gw] = Hop(word.transport, *host_port(word.address))
+            state = GwState(word.state) if self.hops[gw] is not None else GwState.GONE
+            entries.append(ListEntry(gw, word.number, state, self._start(now, gw, word.started)))
+        self.controller.list_pushed(now, entries, False)
+        gws = [self.gws.get(id_, -1) for id_ in recalled.ids]
+        learned = recalled.learned._replace(
+            now=now,
+            exchanges=[known._replace(gw=gws[known.gw], started=self._start(now, gws[known.gw], recalled.starts.get(
+                recalled.ids[known.gw], 0.0))) for known in recalled.learned.exchanges if gws[known.gw] >= 0],
+            pairs=[pair._replace(gw=gws[pair.gw]) for pair in recalled.learned.pairs if gws[pair.gw] >= 0])
+        self.controller.recall(now, learned, recalled.age)
+        for (call_id, tag), kept in recalled.standing.items():
+            self._stands_still(now, (call_id, tag), kept)
+
+    def _stands_still(self, now: int, key: tuple[str, str], kept: KeptStanding) -> None:
+        """A dialog that stood before this process began: its requests find their way by their routes; here is known that
+        it stands, over which group, and since when."""
+        arrived = self.started_at + int((kept.since - self.wall_at_start) * SECOND)
+        call = Call(self.call_count, NoServer(), None, min(kept.kind, len(self.types) - 1), kept.width, kept.far, key,
+                    kept.transit, False, min(arrived, now), "")
+        self.call_count += 1
+        self.serial += 1
+        call.leg = Leg(call, self.gws.get(kept.leg, -1), kept.leg_number, 0, self.serial, now)
+        call.leg.tag = kept.to_tag
+        call.legs = 1
+        call.stands = call.answered = True
+        self.calls[call.index] = self.by_key[key] = call
+        self.audit.add(kept.leg_number, kept.since, call.index, kept.width)
+        self._count("remembered")
+
+    def learned(self, now: int, most_callers: int) -> None:
+        """Tell the memory what the module knows."""
+        self.memory.learned(self._wall(now), self.controller.learned(now, most_callers), self.ids)
+        self.memory.forgotten(self._wall(now))
+
+    def _wall(self, now: int) -> float:
+        return self.wall_at_start + (now - self.started_at) / SECOND
+
+    def _pass_back(self, message: Message) -> None:
+        """A response without a transaction goes to where its next Via says (section 16.11)."""
+        message.pop_first("Via")
+        try:
+            via = top_via(message)
+        except BadMessageError:
+            return
+        port = via.params.get("rport", "")
+        self.wire.transmit(bytes(message), Hop(via.transport, via.params.get("received", via.host),
+                                               int(port) if port.isdigit() else via.port))
+
     # --- background work ----------------------------------------------------------------------------------
 
     def probe(self, now: int, hop: Hop, told: Callable[[Message | None], None], duty: str) -> None:
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -17,6 +17,7 @@
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
 from ..spans.live import LiveSpans, LiveStories
+from ..store.memory import Memory, Recalled
 from ..trace.format import FORMAT, Header, Source
 from ..trace.recorder import Recorder, keep_budget
 from ..trace.tape import Tape, module_digest
@@ -25,6 +26,7 @@
 from .door import Door
 from .numbering import Numbering
 from .proxy import EdgeProxy
+from .remembering import Remembering
 
 TICK = 0.005  # seconds between looks at what is due
 UNIT = 10_000  # tenths of a millisecond in a second
@@ -42,7 +44,7 @@
 
 
 def proxy_of(form: EdgeForm, wire: Any, log: Any, now: int, wall: float, fresh: Any,
-             tape: Tape | None = None) -> EdgeProxy:
+             tape: Tape | None = None, memory: Memory | None = None, recalled: Recalled | None = None) -> EdgeProxy:
     """The proxy that a settings file describes."""
     types = [TrafficType(units(entry.setup_objective_ms), units(entry.no_answer_time_ms), entry.late_share,
                          entry.importance, entry.repeatable, None) for entry in form.traffic_type]
@@ -60,7 +62,8 @@
         t1=units(form.t1_ms), release_guard=units(form.release_guard_ms) + 1, most_legs=form.most_legs,
         longest_hold_off=units(form.longest_hold_off_ms), tells=form.tell_peers,
         cold_from=form.cold.from_share, warm_after=units(form.cold.warm_after_ms) + 1,
-        multiple=form.cold.multiple, fall_span=units(form.cold.span_ms) + 1, tape=tape)
+        multiple=form.cold.multiple, fall_span=units(form.cold.span_ms) + 1, tape=tape,
+        memory=memory, recalled=recalled)
 
 
 class EdgeProcess:
@@ -79,6 +82,7 @@
         self.tape = Tape()
         self.recorder: Recorder | None = None
         self.spans: LiveSpans | None = None
+        self.store: Remembering | None = None
         self.figures: CallFigures | None = None
         self.busy = 0.0  # the part of the time that calls take, of late
 
@@ -88,15 +92,22 @@
         except OSError as error:
             self.log.error("address-taken", listen=self.form.listen, why=error.strerror)
             return 2
+        recalled = self._open_store()
         self.proxy = proxy_of(self.form, self.sockets, self.log, clock(), time.time(),
-                              lambda size: secrets.token_hex(size // 2), None if self.form.trace is None else self.tape)
+                              lambda size: secrets.token_hex(size // 2), None if self.form.trace is None else self.tape,
+                              None if self.store is None else self.store.memory, recalled)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.drain)
         self.log.info("serving", listen=self.form.listen, here=self.form.here)
         self.work = LocalWork(self.proxy, clock, self.log, lambda: self.busy, budget=self.form.background_ms_per_s,
                               longest_dialog=round(self.form.longest_dialog_s * UNIT))
         try:
-            self._open_coordination()
+            self._open_coordination({} if recalled is None else recalled.tokens)
+            if self.store is not None:
+                if self.coordination is not None:
+                    self.store.counters = self.coordination.keeper.counters
+                self.store.start(self.proxy, self.work, clock, every=self.form.store.every_ms / 1000,
+                                 learn_every=self.form.store.learn_every_ms / 1000)
             self._open_control()
             self._open_trace()
         except OSError as error:
@@ -111,6 +122,8 @@
         if self.control is not None:
             self.control.close()
         self.work.runner.stop()
+        if self.store is not None:
+            self.store.close()
         if self.recorder is not None:
             self.recorder.close()
         if self.spans is not None:
@@ -119,7 +132,25 @@
         self.log.info("ended", **{key.replace(" ", "_"): value for key, value in self.proxy.counts.items()})
         return 0
 
-    def _open_coordination(self) -> None:
+    def _open_store(self) -> Recalled | None:
+        form = self.form.store
+        if form is None:
+            return None
+        self.store = Remembering(
+            Path(form.folder), self.form.name, self.log, [entry.importance for entry in self.form.traffic_type],
+            word_lasts=form.word_lasts_s, longest_dialog=self.form.longest_dialog_s, most_callers=form.most_callers,
+            caller_lasts=max(entry.no_answer_time_ms for entry in self.form.traffic_type) / 1000, apart=self._apart)
+        recalled = self.store.open()
+        if self.store.book is None:
+            self.store = None
+        return recalled
+
+    @staticmethod
+    def _apart(run: Any, *args: Any) -> Any:
+        """In a thread, while other greenlets go on."""
+        return gevent.get_hub().threadpool.apply(run, args)
+
+    def _open_coordination(self, tokens: dict[str, int]) -> None:
         form = self.form.coordination
         if form is None:
             return
@@ -129,7 +160,8 @@
             self.proxy, self.work, clock, self.log, name=self.form.name, address=everybody[self.form.name],
             listen=listens[self.form.name], key=form.key.encode(), everybody=everybody, weight=form.weight,
             period=units(form.period_ms),
-            lasts=units(form.lease_ms), probe_every=units(form.probe_every_ms), probe_limit=units(form.probe_limit_ms))
+            lasts=units(form.lease_ms), probe_every=units(form.probe_every_ms), probe_limit=units(form.probe_limit_ms),
+            tokens=tokens)
         self.coordination.open()
 
     def _open_control(self) -> None:
@@ -141,14 +173,11 @@
         form = self.form.trace
         if form is None:
             return
-        pool = gevent.get_hub().threadpool
         header = Header(FORMAT, module_digest(), secrets.token_hex(4), self.form.name, self.proxy.wall_at_start,
                         self.proxy.started_at, self.proxy.figures)
         folder, part, budget = Path(form.folder), round(form.part_mb * 2**20), round(form.budget_mb * 2**20)
         self.tape.switch(form.recording)
 
-        def apart(run: Any, *args: Any) -> Any:
-            return pool.apply(run, args)
         source = Source(header.module, header.epoch, header.instance, header.wall, header.started, header.figures)
         told = []
         if form.metrics:
@@ -164,9 +193,9 @@
                 self.spans.file(name, stories.stories.place)
             stories.take(records)
         self.recorder = Recorder(folder, self.tape, header, self.log, part=part, lasts=round(form.part_s * UNIT), clock=clock,
-                                 apart=apart, seen=seen if told else None)
+                                 apart=self._apart, seen=seen if told else None)
         self.recorder.open()
-        self.work.add_sweep("trace budget", lambda: apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
+        self.work.add_sweep("trace budget", lambda: self._apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
                             period=10 * UNIT, limit=60 * UNIT)
 
     def drain(self) -> None:
@@ -218,6 +247,10 @@
                 return "left"
             case "trace":
                 return self._traced().figures()
+            case "store":
+                if self.store is None:
+                    raise KeyError("this proxy has no (store ...) in its settings, or could not open it")
+                return self.store.figures()
             case "metrics":
                 if self.figures is None:
                     raise KeyError("this proxy has no (metrics true) in its (trace ...)")
--- a/gingergap/settings/day.py
+++ b/gingergap/settings/day.py
@@ -103,6 +103,7 @@
     longest_hold_off_ms: Milliseconds = 2_000
     tell_peers: bool = True
     coordination: bool = False
+    store: bool = False  # proxies remember over their restarts
     capture: bool = True  # without it nothing is judged from the traffic: for days too long to be kept
     fault: list[FaultForm] = []
 
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -105,6 +105,17 @@
         return self
 
 
+class StoreForm(Form):
+    """What is kept over restarts: where, how often changes are written and what was learned is looked through, how long the
+    list's word on an exchange counts at a start, and of how many callers something is kept."""
+
+    folder: str
+    every_ms: Milliseconds = 100
+    learn_every_ms: Milliseconds = 5_000
+    word_lasts_s: Annotated[float, Field(gt=0)] = 3_600
+    most_callers: Count = 100_000
+
+
 class EdgeForm(Form):
     """A signalling proxy. The seed starts the module's chance; the rest is said in docs/edge.md."""
 
@@ -126,6 +137,7 @@
     coordination: CoordinationForm | None = None
     control: str | None = None
     trace: TraceForm | None = None
+    store: StoreForm | None = None
     background_ms_per_s: Annotated[float, Field(gt=0, le=500)] = 50
     longest_dialog_s: Annotated[float, Field(gt=0)] = 14_400
     drain_limit_s: Annotated[float, Field(gt=0)] = 60
--- a/gingergap/standins/player.py
+++ b/gingergap/standins/player.py
@@ -2,6 +2,7 @@
 
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -153,6 +154,9 @@
     def _edge(self, number: int) -> None:
         day, cold = self.day, self.day.cold
         more: dict[str, Any] = {}
+        if day.store:
+            shutil.rmtree(self.folder / f"store-{number}", ignore_errors=True)
+            more["store"] = {"folder": f"store-{number}", "learn_every_ms": 1_000}
         if day.coordination:
             more["coordination"] = {
                 "key": f"the key of a day with seed {self.seed}", "period_ms": 300, "lease_ms": 1_500, "probe_every_ms": 1_000,
--- a/gingergap/store/book.py
+++ b/gingergap/store/book.py
@@ -140,21 +140,28 @@
         return self._open(path)
 
     def _readable(self, path: Path) -> Iterator[tuple[Any, ...]]:
-        """Rows of a damaged file, each kind as far as it can be read, from both ends."""
-        seen: set[tuple[str, str]] = set()
+        """Rows of a damaged file. A scan ends at the first page that is gone, so the keys are gathered from both ends of the
+        table and of its index, and each row is then looked up by itself: only what was on such a page is lost."""
         try:
             db = apsw.Connection(f"file:{path}?mode=ro&immutable=1", flags=apsw.SQLITE_OPEN_READONLY | apsw.SQLITE_OPEN_URI,
                                  vfs=self.vfs)
         except apsw.Error:
             return
-        for way in ("ASC", "DESC"):
+        keys: dict[tuple[str, str], None] = {}
+        for source, order in (("item", "kind {0}, key {0}"), ("item INDEXED BY item_by_age", "kind {0}, seen {0}")):
+            for way in ("ASC", "DESC"):
+                try:
+                    for kind, key in db.execute(f"SELECT kind, key FROM {source} ORDER BY {order.format(way)}"):
+                        keys[kind, key] = None
+                except apsw.Error:
+                    continue
+        for kind, key in keys:
             try:
-                for row in db.execute(f"SELECT kind, key, body, checksum, seen FROM item ORDER BY kind {way}, key {way}"):
-                    if row[:2] not in seen:
-                        seen.add(row[:2])
-                        yield row
+                row = next(db.execute("SELECT body, checksum, seen FROM item WHERE kind = ? AND key = ?", (kind, key)), None)
             except apsw.Error:
                 continue
+            if row is not None:
+                yield kind, key, *row
         db.close()
 
     class _Copy:
@@ -210,34 +217,58 @@
 
     def commit(self, changes: Iterable[Change]) -> int:
         """Put and take away, all or nothing; how many bytes of records. Raises BadStoreError, with nothing of it done."""
-        written = 0
+        changes = list(changes)
         try:
-            with self.db:
-                for kind, key, body, seen in changes:
-                    if body is None:
-                        self.db.execute("DELETE FROM item WHERE kind = ? AND key = ?", (kind, key))
-                        continue
-                    data, check = packed(kind, key, body)
-                    written += len(data) + len(key)
-                    self.db.execute("INSERT OR REPLACE INTO item VALUES (?, ?, ?, ?, ?)", (kind, key, data, check, seen))
+            try:
+                return self._put(changes)
+            except apsw.CorruptError:
+                self._reopen_damaged()
+                return self._put(changes)
         except apsw.FullError:
             raise BadStoreError(f"{self.path}: the disk is full") from None
         except apsw.Error as error:
             raise BadStoreError(f"{self.path}: {error}") from None
+
+    def _put(self, changes: list[Change]) -> int:
+        written = 0
+        with self.db:
+            for kind, key, body, seen in changes:
+                if body is None:
+                    self.db.execute("DELETE FROM item WHERE kind = ? AND key = ?", (kind, key))
+                    continue
+                data, check = packed(kind, key, body)
+                written += len(data) + len(key)
+                self.db.execute("INSERT OR REPLACE INTO item VALUES (?, ?, ?, ?, ?)", (kind, key, data, check, seen))
         return written
 
+    def _reopen_damaged(self) -> None:
+        """A page turned out to be gone while the store was in use."""
+        self.db.close()
+        self.db = self._salvage(self.path)
+
     def items(self, kind: str, since: float | None = None) -> Iterator[Item]:
         """Records of a kind, seen since then; one that is corrupt is passed over and told in `damage`."""
         more, bound = ("", (kind,)) if since is None else (" AND seen >= ?", (kind, since))
-        rows = self.db.execute(f"SELECT key, body, checksum, seen FROM item WHERE kind = ?{more}", bound)
+        query = f"SELECT key, body, checksum, seen FROM item WHERE kind = ?{more}"
+        given: set[str] = set()
+        mended = False
+        rows = self.db.execute(query, bound)
         while True:
             try:
                 key, body, check, seen = next(rows)
             except StopIteration:
                 return
             except apsw.CorruptError as error:
-                self.damage.append(f"{kind}: the rest can't be read: {error}")
-                return
+                if mended:
+                    self.damage.append(f"{kind}: the rest can't be read: {error}")
+                    return
+                mended = True
+                self._reopen_damaged()
+                rows = self.db.execute(query, bound)
+                continue
+            if key in given:
+                continue
+            given.add(key)
             try:
                 yield Item(kind, key, unpacked(kind, key, body, check), seen)
             except BadRecordError as bad:
--- a/gingergap/store/memory.py
+++ b/gingergap/store/memory.py
@@ -49,6 +49,10 @@
     transport: str
 
 
+def word_of(body: KeptExchange) -> Word:
+    return Word(body.number, body.state, body.started, body.word_at, body.address, body.transport)
+
+
 class Recalled(NamedTuple):
     """What a start goes by. `age` in tenths of a millisecond, -1 unknown; `words` and `learned` name exchanges by id:
     `ids` gives the id for each gw in `learned`. `starts` are exchanges' starts as kept, wall time."""
@@ -60,7 +64,6 @@
     starts: dict[str, float]
     standing: dict[tuple[str, str], KeptStanding]
     tokens: dict[str, int]
-    starts_before: int  # starts of this process in short order before this one
 
 
 class Memory:
@@ -85,6 +88,10 @@
         key = parts(call_id, tag)
         self.pending[STANDING, key] = Change(STANDING, key, None)
 
+    def known(self, id_: str, number: int, address: str, transport: str) -> None:
+        """An exchange of the settings, of which the list has told nothing."""
+        self.words.setdefault(id_, Word(number, GwState.READY, 0.0, 0.0, address, transport))
+
     def listed(self, id_: str, word: Word) -> None:
         """The list told of an exchange: written with what is known of it."""
         self.words[id_] = word
@@ -190,8 +197,8 @@
     for item in items(EXCHANGE):
         body = item.body
         starts[item.key] = body.started
-        if age >= 0 and (fresh := wall - body.word_at) <= word_lasts and fresh >= -age / UNIT - 1:
-            words[item.key] = Word(body.number, body.state, body.started, body.word_at, body.address, body.transport)
+        if age >= 0 and wall - body.word_at <= word_lasts:
+            words[item.key] = word_of(body)
         exchanges.append(KnownExchange(place(item.key), 0, body.quickest, body.took, body.took_ago, body.pressed_for, body.size,
                                        body.cap, body.accept_below, body.lower_below))
     pairs = []
@@ -224,4 +231,4 @@
             standing[call_id, tag] = item.body
     tokens = {item.key: item.body.counter for item in items(TOKEN)}
     learned = Learned(0, exchanges, pairs, callers, figures.best_rate, figures.pace)
-    return Recalled(age, words, learned, ids, starts, standing, tokens, 0)
+    return Recalled(age, words, learned, ids, starts, standing, tokens)
