--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -143,7 +143,8 @@
 @click.argument("file", type=FILE)
 @click.option("--seed", type=int, default=None, help="Draws of the day; the file's own where left out.")
 @click.option("--report", type=FILE, default=None, help="Folder for capture.jsonl and report.json.")
-def day_play(file: Path, seed: int | None, report: Path | None) -> None:
+@click.option("--stores", type=FILE, default=None, help="Folder of store-N folders with which the proxies begin.")
+def day_play(file: Path, seed: int | None, report: Path | None, stores: Path | None) -> None:
     """Play a day and judge it: exit 0 with all rules kept, 1 with one broken, 2 on bad input."""
     import tempfile
 
@@ -153,7 +154,7 @@
     with tempfile.TemporaryDirectory(prefix="gingergap-day-") as scratch:
         folder = report if report is not None else Path(scratch)
         try:
-            Player(form, file, form.seed if seed is None else seed, folder).play()
+            Player(form, file, form.seed if seed is None else seed, folder, stores).play()
         except DayFailedError as failed:
             _fail([f"{file}: {failed}"])
         except OSError as error:
--- a/gingergap/standins/player.py
+++ b/gingergap/standins/player.py
@@ -77,9 +77,10 @@
 class Player:
     """One day in one folder."""
 
-    def __init__(self, day: DayForm, path: Path, seed: int, folder: Path) -> None:
+    def __init__(self, day: DayForm, path: Path, seed: int, folder: Path, stores: Path | None = None) -> None:
+        """`stores` holds a folder `store-N` for each proxy that shall begin with what another day left."""
         self.day, self.path, self.seed, self.folder = day, path.resolve(), seed, folder.resolve()
-        self.plan = Plan(day, seed)
+        self.plan, self.stores = Plan(day, seed), stores
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.logs: list[Any] = []
         count = day.exchanges
@@ -155,7 +156,10 @@
         day, cold = self.day, self.day.cold
         more: dict[str, Any] = {}
         if day.store:
-            shutil.rmtree(self.folder / f"store-{number}", ignore_errors=True)
+            own = self.folder / f"store-{number}"
+            shutil.rmtree(own, ignore_errors=True)
+            if self.stores is not None and (self.stores / own.name).is_dir():
+                shutil.copytree(self.stores / own.name, own)
             more["store"] = {"folder": f"store-{number}", "learn_every_ms": 1_000}
         if day.coordination:
             more["coordination"] = {
