--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -11,14 +11,13 @@
 
 from ..control.server import Control
 from ..host import TrafficType
-from ..metrics.calls import CallFigures
 from ..settings.edge import EdgeForm
 from ..sip.fields import host_port
 from ..sip.message import BadMessageError, Message
 from ..sip.transactions import Hop
-from ..spans.live import LiveSpans, LiveStories
 from ..store.memory import Memory, Recalled
 from ..trace.format import FORMAT, Header, Source
+from ..trace.live import LiveStories
 from ..trace.recorder import Recorder, keep_budget
 from ..trace.tape import Tape, module_digest
 from ..transport.sockets import Sockets
@@ -81,9 +80,9 @@
         self.control: Control | None = None
         self.tape = Tape()
         self.recorder: Recorder | None = None
-        self.spans: LiveSpans | None = None
+        self.spans: Any = None
         self.store: Remembering | None = None
-        self.figures: CallFigures | None = None
+        self.figures: Any = None
         self.busy = 0.0  # the part of the time that calls take, of late
 
     def run(self) -> int:
@@ -179,11 +178,13 @@
         self.tape.switch(form.recording)
 
         source = Source(header.module, header.epoch, header.instance, header.wall, header.started, header.figures)
-        told = []
+        told: list[Any] = []
         if form.metrics:
+            from ..metrics.calls import CallFigures  # its library and that of spans take longer to load than all the rest
             self.figures = CallFigures([entry.name for entry in self.form.traffic_type])
             told.append(self.figures.over)
         if form.spans_slower_ms is not None:
+            from ..spans.live import LiveSpans
             self.spans = LiveSpans(folder, source, units(form.spans_slower_ms))
             told.append(self.spans.over)
         stories = LiveStories(source, self.log, told)
--- a/gingergap/spans/live.py
+++ b/gingergap/spans/live.py
@@ -4,42 +4,14 @@
 the same name with `.spans`: they are removed with the parts.
 """
 
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
-from ..trace.format import Source, timed
-from ..trace.stories import Stories, Story
-from ..trace.stream import Entry
+from ..trace.format import Source
+from ..trace.stories import Story
 from .export import FileSpans
 from .tree import Files, Trees, worth_keeping
 
 
-class LiveStories:
-    """What the recorder has written, as stories; `over` is called with each that has come to its end. The recorder's
-    own errors must stay its own: what fails here is told once, and recording goes on."""
-
-    def __init__(self, source: Source, log: Any, over: list[Callable[[Story], None]]) -> None:
-        self.stories = Stories([source])
-        self.log, self.over = log, over
-        self.now = 0
-        self.failed = False
-
-    def take(self, records: list[list[Any]]) -> None:
-        for record in records:
-            if record[0] != "gap" and timed(record):
-                self.now = record[1]
-            self.stories.take(Entry(0, self.now, record))
-            for story in self.stories.over():
-                for tell in self.over:
-                    try:
-                        tell(story)
-                    except Exception as error:
-                        if not self.failed:
-                            self.log.warning("span-not-written", why=repr(error))
-                        self.failed = True
-
-
 class LiveSpans:
     """`slower` in tenths of a millisecond: dialogs that stood sooner are not written."""
 
--- a/tests/test_spans.py
+++ b/tests/test_spans.py
@@ -14,9 +14,10 @@
 from gingergap.sip.fields import top_via
 from gingergap.sip.message import Message
 from gingergap.sip.transactions import Hop
-from gingergap.spans.live import LiveSpans, LiveStories
+from gingergap.spans.live import LiveSpans
 from gingergap.spans.tree import Files, Trees, trees, worth_keeping
 from gingergap.trace.format import CODES, FORMAT, Header, Source
+from gingergap.trace.live import LiveStories
 from gingergap.trace.merge import merge
 from gingergap.trace.stories import stories_of
 from gingergap.trace.stream import opened
