--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -255,6 +255,43 @@
     Watch(control, every).run()
 
 
+@main.command("emulate")
+@click.argument("file", type=FILE)
+@click.option("--seed", "seeds", type=int, multiple=True, help="Draws of the day; the file's own where left out. May be repeated.")
+@click.option("--policy", default="module", show_default=True, help="module, direct, random tandem, reservation, or a brain.py.")
+@click.option("--exchanges", type=click.IntRange(2, 2_000), default=None, help="As many exchanges instead of the file's.")
+@click.option("--json", "as_json", is_flag=True, help="A JSON object a line.")
+def emulate(file: Path, seeds: tuple[int, ...], policy: str, exchanges: int | None, as_json: bool) -> None:
+    """Play a day in simulated time: exit 0 with all rules kept, 1 with one broken, 2 on bad input."""
+    from ..emulator.day import Day
+    from ..emulator.versions import UnknownPolicyError, maker
+    from ..settings.day import DayForm
+    from .tables import rows
+    form = _read(file, day=DayForm)
+    if exchanges is not None:
+        form = form.model_copy(update={"exchanges": exchanges})
+    kept, lines = True, []
+    for seed in seeds or (form.seed,):
+        try:
+            make = maker(policy, seed, form)
+        except UnknownPolicyError as error:
+            _fail([f"policy {policy}: {error}"])
+        day = Day(form, seed, make).run()
+        figures = {"seed": seed, "policy": policy, **day.figures()}
+        kept = kept and (day.rules.kept or policy not in ("module",) and not policy.endswith(".py"))
+        if as_json:
+            click.echo(json.dumps(figures))
+            continue
+        lines.append({"seed": seed, **{name: figures[name] for name in ("offered", "stood", "service", "legs_a_dialog", "seconds")},
+                      "p50 p90 p99 ms": " ".join(f"{value:g}" for value in figures["setup_ms"].values()),
+                      "rules broken": sum(rule["broken"] for rule in figures["rules"].values())})
+        for rule, when, why in day.rules.breaches[:5]:
+            click.echo(f"seed {seed}: rule {rule} at {when / 10_000:.3f} s: {why}")
+    if lines:
+        rows(f"{form.name}, emulated, {policy}", lines)
+    sys.exit(0 if kept else 1)
+
+
 def _judge(folder: Path) -> int:
     from ..standins.checker import BadCaptureError, check
     from ..standins.report import offers_in, whole
