--- /dev/null
+++ b/experiments/departures.sexp
@@ -0,0 +1,17 @@
+; What each departure from the paper's mechanism is worth: each one taken out of the module, alone.
+(experiment
+  (name "departures")
+  (day "mesh.sexp")
+  (measure "service")
+  (policy (name "module"))
+  (policy (name "nothing kept back") (change (old "        if self._kept_back(d, direct):") (new "        if False:")))
+  (policy (name "nothing waits") (change (old "        if d.redialled or until <= self.now:") (new "        if True:")))
+  (policy (name "no pressed tandems") (change (old "        return (ex.pressed_until > self.now\n") (new "        return False and (ex.pressed_until > self.now\n")))
+  (policy (name "silent legs stay out") (change (old "                and self.now - ex.out.get(dialog, 0) > 3 * self.pace):") (new "                and False):")))
+  (policy (name "turn-backs forgotten") (change (old "            self.turned_back[(ex.gw, d.far)] = (now + span, span)") (new "            pass")))
+  (policy (name "proxies tell nothing") (change (old "        if self.tell_at is not None and now >= self.tell_at:") (new "        if False:")))
+  (policy (name "direct") (base "direct"))
+  (policy (name "reservation") (base "reservation"))
+  (factor (field "exchanges") (level 6 20 60))
+  (round 6)
+  (most-seeds 18))
--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -292,6 +292,91 @@
     sys.exit(0 if kept else 1)
 
 
+@main.group()
+def experiment() -> None:
+    """Many emulated days, compared."""
+
+
+def _experiment(file: Path, folder: Path) -> Any:
+    from ..experiments.cells import BadExperimentError
+    from ..experiments.runner import Runner
+    from ..settings.day import DayForm
+    from ..settings.experiment import ExperimentForm
+    form = _read(file, experiment=ExperimentForm)
+    day = _read(file.parent / form.day, day=DayForm)
+    try:
+        runner = Runner(form, day, folder)
+    except BadExperimentError as bad:
+        _fail([f"{file}: {bad}"])
+    except OSError as error:
+        _fail([f"{error.filename or folder}: {error.strerror or error}"])
+    for line in runner.results.damage:
+        click.echo(f"left out, to be run again: {line}", err=True)
+    return runner
+
+
+RESULTS = click.option("--results", required=True, type=FILE, help="Folder of the results; what is there is gone on with.")
+
+
+@experiment.command("run")
+@click.argument("file", type=FILE)
+@RESULTS
+@click.option("--workers", type=click.IntRange(1, 256), default=None, help="Processes; one a core where left out.")
+def experiment_run(file: Path, results: Path, workers: int | None) -> None:
+    """Run an experiment, or go on with it: exit 0, 1 where the program's own module broke a rule."""
+    import os
+
+    from rich.progress import Progress
+
+    from .tables import rows
+    runner = _experiment(file, results)
+    with Progress(transient=True) as progress:
+        task = progress.add_task(runner.form.name, total=None)
+        runner.told = lambda done, wanted: progress.update(task, completed=done, total=wanted)
+        runner.run(workers or os.cpu_count() or 1)
+    from ..experiments.report import table
+    rows(runner.form.name, table(runner))
+    sys.exit(_broken(runner))
+
+
+@experiment.command("report")
+@click.argument("file", type=FILE)
+@RESULTS
+@click.option("--out", type=FILE, required=True, help="The page (.html); the chart goes beside it as .png.")
+def experiment_report(file: Path, results: Path, out: Path) -> None:
+    """Write what an experiment came to as a page and a chart."""
+    from ..experiments.report import chart, page
+    runner = _experiment(file, results)
+    try:
+        out.write_text(page(runner))
+        out.with_suffix(".png").write_bytes(chart(runner))
+    except OSError as error:
+        _fail([f"{out}: {error.strerror}"])
+    click.echo(f"{out}: {len(runner.results.rows)} emulated days")
+
+
+@experiment.command("compare")
+@click.argument("file", type=FILE)
+@RESULTS
+def experiment_compare(file: Path, results: Path) -> None:
+    """Print the comparisons as far as they are known: exit 0, 1 where the program's own module broke a rule."""
+    from ..experiments.report import effects, table
+    from .tables import rows
+    runner = _experiment(file, results)
+    rows(runner.form.name, table(runner))
+    rows("what the factors do", effects(runner))
+    sys.exit(_broken(runner))
+
+
+def _broken(runner: Any) -> int:
+    """Whether a version of the module broke a rule on any day; baselines are not held to them."""
+    own = {policy.name for policy in runner.form.policy if policy.module or policy.base == "module"}
+    bad = [key for key, row in runner.results.rows.items() if row["broken"] and key[1] in own]
+    for cell, policy, seed in bad[:5]:
+        click.echo(f"{policy} broke a rule: cell {cell or 'the only one'}, seed {seed}", err=True)
+    return 1 if bad else 0
+
+
 def _judge(folder: Path) -> int:
     from ..standins.checker import BadCaptureError, check
     from ..standins.report import offers_in, whole
