Sockets and emulator side by side; set-up times reach an experiment's rows

An experiment's rows held 0 for p50, p90 and p99: they were looked up under names that the figures don't have.

--- a/benchmarks/validation.py
+++ b/benchmarks/validation.py
@@ -41,8 +41,8 @@
 
 def emulated(day, seed):
     figures = Day(read(ROOT / "days" / f"{day}.sexp", day=DayForm), seed).run().figures()
-    return {"service": figures["service"], "stood": figures["stood"] / figures["offered"], "p50": figures["setup_ms"]["p50.0"],
-            "p90": figures["setup_ms"]["p90.0"], "tries": figures["tries"] / figures["offered"],
+    return {"service": figures["service"], "stood": figures["stood"] / figures["offered"], "p50": figures["setup_ms"]["p50"],
+            "p90": figures["setup_ms"]["p90"], "tries": figures["tries"] / figures["offered"],
             "legs": figures["rules"][2]["judged"] / figures["offered"]}
 
 
@@ -96,9 +96,10 @@
         played = dict(zip(cases, pool.map(lambda case: on_sockets(*case, asked.top), cases), strict=True))
     for day in DAYS:
         print(day)
+        runs = [emulated(day, seed) for seed in seeds]
         for name in ("service", "stood", "p50", "p90", "tries", "legs"):
             sockets = [played[day, seed][name] for seed in seeds]
-            simulated = [emulated(day, seed)[name] for seed in seeds]
+            simulated = [run[name] for run in runs]
             print(f"  {name:8} sockets {statistics.mean(sockets):8.3f} ({min(sockets):.3f} to {max(sockets):.3f}), emulated "
                   f"{statistics.mean(simulated):8.3f} ({min(simulated):.3f} to {max(simulated):.3f})")
     speed()
--- a/gingergap/experiments/runner.py
+++ b/gingergap/experiments/runner.py
@@ -39,7 +39,7 @@
     return {"cell": work.cell, "policy": work.policy, "seed": work.seed,
             **{name: float(figures[name]) for name in ("service", "service_at_end", "stood", "offered", "legs_a_dialog", "declined",
                                                        "events", "seconds")},
-            "p50": times.get("p50.0", 0.0), "p90": times.get("p90.0", 0.0), "p99": times.get("p99.0", 0.0),
+            "p50": times.get("p50", 0.0), "p90": times.get("p90", 0.0), "p99": times.get("p99", 0.0),
             "tandems": float(figures["stood_over_tandems"]),
             "broken": float(sum(rule["broken"] for rule in figures["rules"].values()))}
 
