--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -368,6 +368,34 @@
     sys.exit(_broken(runner))
 
 
+@experiment.command("search")
+@click.argument("file", type=FILE)
+@click.option("--days", type=click.IntRange(1, 100_000), default=60, show_default=True, help="Days to draw.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--faults", "most", type=click.IntRange(1, 12), default=4, show_default=True, help="Troubles a day, at most.")
+@click.option("--out", type=FILE, required=True, help="The worst day, shrunk to the least that still shows it.")
+def experiment_search(file: Path, days: int, seed: int, most: int, out: Path) -> None:
+    """Draw troubles onto a day and keep the worst: where the module breaks a rule, or serves least against the best baseline.
+    Exit 0, 1 where a rule was broken."""
+    from ..experiments.search import BROKEN, searched, shrunk
+    from ..settings.day import DayForm
+    from ..standins.player import form as written
+    from .tables import rows
+    day = _read(file, day=DayForm)
+    found = sorted(searched(day, seed, days, most), key=lambda one: -one.badness)
+    rows("worst days", [{"badness": round(one.badness, 4), "than": one.than or "a rule broken", "seed": one.seed,
+                         "faults": " ".join(fault.kind for fault in one.day.fault)} for one in found[:8]])
+    least = shrunk(found[0], 0.8)
+    values = least.day.model_copy(update={"seed": least.seed, "name": f"{day.name}-worst"}).model_dump(by_alias=False)
+    try:
+        out.write_text(written("day", **values) + "\n")
+    except OSError as error:
+        _fail([f"{out}: {error.strerror}"])
+    click.echo(f"{out}: seed {least.seed}, badness {least.badness:.4f}, {len(least.day.fault)} faults, "
+               f"{least.day.exchanges} exchanges, {least.day.seconds:g} s")
+    sys.exit(1 if least.badness >= BROKEN else 0)
+
+
 def _broken(runner: Any) -> int:
     """Whether a version of the module broke a rule on any day; baselines are not held to them."""
     own = {policy.name for policy in runner.form.policy if policy.module or policy.base == "module"}
