--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -386,7 +386,7 @@
     rows("worst days", [{"badness": round(one.badness, 4), "than": one.than or "a rule broken", "seed": one.seed,
                          "faults": " ".join(fault.kind for fault in one.day.fault)} for one in found[:8]])
     least = shrunk(found[0], 0.8)
-    values = least.day.model_copy(update={"seed": least.seed, "name": f"{day.name}-worst"}).model_dump(by_alias=False)
+    values = least.day.model_copy(update={"seed": least.seed}).model_dump(by_alias=False)  # its name is part of its draws
     try:
         out.write_text(written("day", **values) + "\n")
     except OSError as error:
--- a/gingergap/emulator/proxies.py
+++ b/gingergap/emulator/proxies.py
@@ -100,7 +100,7 @@
     def kill(self) -> None:
         if not self.running:
             return
-        if self.remembers:
+        if self.remembers and hasattr(self.controller, "learned"):  # baselines know nothing worth keeping
             self.kept = self.controller.learned(self.engine.now, 100_000), list(self.ids), dict(self.words)
         self.running = False
         self.life += 1
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -7,7 +7,7 @@
 from gingergap.cli.main import main
 from gingergap.experiments.search import BROKEN, Found, faults, judged, searched, shrunk, smaller
 from gingergap.settings.day import DayForm, FaultForm
-from gingergap.settings.forms import parse
+from gingergap.settings.forms import parse, read
 
 DAY = """(day (name "d") (seconds 12) (exchanges 6) (rate 6)
   (traffic-type (name "a") (share 1) (circuits 1) (hold-s 2) (setup-objective-ms 1500) (no-answer-time-ms 9000) (patience-s 3))
@@ -69,3 +69,10 @@
     assert done.exit_code == 0, done.output
     assert CliRunner().invoke(main, ["settings", "check", str(out)]).exit_code == 0
     assert CliRunner().invoke(main, ["emulate", str(out)]).exit_code == 0
+    again = read(out, day=DayForm)
+    assert f"badness {judged(again, again.seed)[0]:.4f}" in done.output
+
+
+def test_baselines_are_played_on_days_on_which_proxies_remember():
+    day = day_of("kill-proxy").model_copy(update={"store": True})
+    assert judged(day, 1)[1] in ("direct", "random tandem", "reservation")
