One mechanism for commands' bad input and for machines pushed over; what nothing used is gone

The trace and store commands each had their own copy of turning an error into a line, and the emulator its own copy of the stand-ins' rule by which a cold machine falls over: each stands once now. Unused parts of the emulator went.

--- a/gingergap/cli/store.py
+++ b/gingergap/cli/store.py
@@ -2,34 +2,13 @@
 
 import sys
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 
-FOLDER = click.argument("folder", type=click.Path(path_type=Path))
-
-
-def _fail(line: str) -> NoReturn:
-    click.echo(line, err=True)
-    sys.exit(2)
-
+from .lines import Group, fail
 
-class Command(click.Command):
-    """A command whose bad input is one line and exit 2."""
-
-    def invoke(self, ctx: click.Context) -> Any:
-        from ..store.book import BadStoreError
-        from ..store.records import BadRecordError
-        try:
-            return super().invoke(ctx)
-        except (BadStoreError, BadRecordError) as bad:
-            _fail(str(bad))
-        except OSError as error:
-            _fail(f"{error.filename or 'a file'}: {error.strerror or error}")
-
-
-class Group(click.Group):
-    command_class = Command
+FOLDER = click.argument("folder", type=click.Path(path_type=Path))
 
 
 @click.group(cls=Group)
@@ -40,7 +19,7 @@
 def _book(folder: Path) -> Any:
     from ..store.book import FILE, Book
     if not (folder / FILE).exists():
-        _fail(f"{folder}: no store there")
+        fail(f"{folder}: no store there")
     book = Book(folder)
     for line in book.damage:
         click.echo(f"damage: {line}")
@@ -129,4 +108,4 @@
     try:
         rows("store", [{"what": name, "value": str(value)} for name, value in ask(control, "store").items()])
     except NoAnswerError as error:
-        _fail(str(error))
+        fail(str(error))
--- a/gingergap/cli/trace.py
+++ b/gingergap/cli/trace.py
@@ -3,38 +3,17 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 
+from .lines import Group, fail
+
 FILE = click.Path(path_type=Path)
 FILES = click.argument("files", type=FILE, nargs=-1, required=True)
 UNIT = 10_000
 
 
-def _fail(line: str, code: int = 2) -> NoReturn:
-    click.echo(line, err=True)
-    sys.exit(code)
-
-
-class Command(click.Command):
-    """A command whose bad input is one line and exit 2."""
-
-    def invoke(self, ctx: click.Context) -> Any:
-        from ..trace.format import BadTraceError
-        from ..trace.snapshot import BadSnapshotError
-        try:
-            return super().invoke(ctx)
-        except (BadTraceError, BadSnapshotError) as bad:
-            _fail(str(bad))
-        except OSError as error:
-            _fail(f"{error.filename or 'a file'}: {error.strerror or error}")
-
-
-class Group(click.Group):
-    command_class = Command
-
-
 @click.group(cls=Group)
 def trace() -> None:
     """Traces of what proxies' decision modules saw and decided. FILES are parts, or folders of them."""
@@ -49,7 +28,7 @@
     """One process's parts, or one merged or cut file."""
     traces = _opened(files)
     if len(traces) > 1:
-        _fail(f"the files are of more than one process ({', '.join(one.name for one in traces)}): give the parts of one, "
+        fail(f"the files are of more than one process ({', '.join(one.name for one in traces)}): give the parts of one, "
               "or merge them")
     return traces[0]
 
@@ -170,11 +149,11 @@
     try:
         numbers = Numbers(key.read_bytes().strip())
     except ValueError as error:
-        _fail(f"{key}: {error}")
+        fail(f"{key}: {error}")
     traces = _opened(files)
     for one in traces:
         if any(reader.path.resolve().parent == out.resolve() for reader in one.readers):
-            _fail(f"{out}: the originals are there; name another folder")
+            fail(f"{out}: the originals are there; name another folder")
     for one in traces:
         for copy in anonymise(one, numbers, out):
             click.echo(f"{copy.path}: {copy.records} records")
@@ -192,7 +171,7 @@
     traces = _opened(files)
     for one in traces:
         if one.header.bare:
-            _fail(f"{one.name}: a bare cut can't be replayed")
+            fail(f"{one.name}: a bare cut can't be replayed")
     if module is not None:
         sys.exit(_compared(traces, module))
     began = time.perf_counter()
@@ -298,7 +277,7 @@
             try:
                 draw(one, tally, stretches, name)
             except ValueError as error:
-                _fail(f"{name}: {error}")
+                fail(f"{name}: {error}")
             click.echo(f"{name}: drawn")
 
 
@@ -339,7 +318,7 @@
     try:
         return ask(path, what)
     except NoAnswerError as error:
-        _fail(str(error))
+        fail(str(error))
 
 
 CONTROL = click.option("--control", required=True, help="The proxy's control socket.")
--- a/gingergap/emulator/day.py
+++ b/gingergap/emulator/day.py
@@ -34,7 +34,7 @@
 class Holds:
     """Circuits held for a leg: the groups, the machine at its end, and for a two-leg dialog the call at the tandem."""
 
-    __slots__ = ("source", "number", "width", "machine", "released", "beyond", "tandem", "caller", "back")
+    __slots__ = ("source", "number", "width", "machine", "released", "beyond", "tandem")
 
     def __init__(self, source: int, number: int, width: int, machine: Machine) -> None:
         self.source, self.number, self.width, self.machine = source, number, width, machine
@@ -449,7 +449,7 @@
 
     def _transit_told(self, proxy: Proxy, leg: Leg, status: int, cause: int) -> None:
         if status == 200:
-            if proxy.running and not self._want(proxy, leg):
+            if proxy.running and not proxy.stood(leg):
                 self._release(leg)
             return
         self._release(leg, work=False)
@@ -472,12 +472,9 @@
             self._release(leg)
 
     def _taken(self, proxy: Proxy, leg: Leg) -> None:
-        if not self._want(proxy, leg):
+        if not proxy.stood(leg):  # nobody wants it any more
             self._release(leg)
 
-    def _want(self, proxy: Proxy, leg: Leg) -> bool:
-        return proxy.stood(leg)
-
     def _leg_failed(self, proxy: Proxy, leg: Leg, how: LegEnd, rsn: int) -> None:
         if proxy.running:
             proxy.when_awake(proxy.ended, leg, how, rsn)
@@ -494,9 +491,6 @@
             holds.tandem.when_awake(holds.tandem.given_up, holds.beyond)
         self._release(leg, work=False)
 
-    def hang_up(self, leg: Leg) -> None:
-        self._release(leg)
-
     def _release(self, leg: Leg, work: bool = True) -> None:
         """Free what a leg holds, beyond a tandem too; the release is work at the far end."""
         holds = leg.holds
--- a/gingergap/emulator/machines.py
+++ b/gingergap/emulator/machines.py
@@ -24,15 +24,11 @@
                          or strike.fault.kind in ("slow", "ageing", "pauses") and life.number in strike.members]
         self.silences = [(strike.fault.at, strike.fault.at + strike.fault.lasts) for strike in plan.strikes
                          if strike.fault.kind == "silence" and life.number in strike.members]
-        self.done_work = 0.0
 
     def runs(self, now: int) -> bool:
         at = now / SECOND
         return self.life.born <= at < self.life.dies
 
-    def drains(self, now: int) -> bool:
-        return now / SECOND >= self.life.drains
-
     def silent(self, now: int) -> bool:
         at = now / SECOND
         return self.fallen or any(begin <= at < end for begin, end in self.silences)
@@ -50,7 +46,6 @@
         """Work on the line; when it is done."""
         begin = max(now / SECOND, self.free_at)
         self.free_at = self._finish(begin, ms / 1000)
-        self.done_work += ms
         return round(self.free_at * SECOND)
 
     def _finish(self, at: float, left: float) -> float:
@@ -68,16 +63,7 @@
 
     def arrived(self, now: int) -> bool:
         """A set-up reached the machine: cold ones weigh; whether it has just fallen over, for good."""
-        at, cold = now / SECOND, self.plan.day.cold
-        if at > self.warm_at:
+        if self.fallen or not self.plan.pushed_over(self.life, self.arrivals, now / SECOND):
             return False
-        span = cold.span_ms / 1000
-        self.arrivals.append(at)
-        while self.arrivals[0] <= at - span:
-            self.arrivals.popleft()
-        age = max(0.0, at - span - self.life.born)
-        can = self.plan.capacity() * (cold.from_share + (1 - cold.from_share) * age / (cold.warm_after_ms / 1000))
-        if len(self.arrivals) > cold.multiple * can * span and not self.fallen:
-            self.fallen = True
-            return True
-        return False
+        self.fallen = True
+        return True
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -204,16 +204,7 @@
 
     def _arrived(self) -> None:
         """Set-ups that reach a cold machine weigh; too many for too long and it is down for good."""
-        cold, now = self.plan.day.cold, self.now()
-        if self.life.born == LONG_AGO or now - self.life.born > cold.warm_after_ms / 1000:
-            return
-        span = cold.span_ms / 1000
-        self.arrivals.append(now)
-        while self.arrivals[0] <= now - span:
-            self.arrivals.popleft()
-        age = max(0.0, now - span - self.life.born)
-        can = self.plan.capacity() * (cold.from_share + (1 - cold.from_share) * age / (cold.warm_after_ms / 1000))
-        if len(self.arrivals) > cold.multiple * can * span and not self.fallen:
+        if self.plan.pushed_over(self.life, self.arrivals, self.now()) and not self.fallen:
             self.fallen = True
             self.capture.note("fell over", exchange=self.life.id, number=self.life.number)
 
--- a/gingergap/standins/script.py
+++ b/gingergap/standins/script.py
@@ -3,6 +3,7 @@
 """
 
 import random
+from collections import deque
 from typing import NamedTuple
 
 from ..settings.day import DayForm, FaultForm
@@ -145,6 +146,20 @@
                 speed = 0.0
         return speed
 
+    def pushed_over(self, life: Life, arrivals: deque[float], now: float) -> bool:
+        """A set-up reaches a machine now, after those in `arrivals`, to which it is added: whether a cold one has had more
+        of them over the agreed span than the agreed multiple of what it can."""
+        cold = self.day.cold
+        warm, span = cold.warm_after_ms / 1000, cold.span_ms / 1000
+        if life.born == LONG_AGO or now - life.born > warm:
+            return False
+        arrivals.append(now)
+        while arrivals[0] <= now - span:
+            arrivals.popleft()
+        age = max(0.0, now - span - life.born)
+        can = self.capacity() * (cold.from_share + (1 - cold.from_share) * age / warm)
+        return len(arrivals) > cold.multiple * can * span
+
     def rate(self, number: int, now: float) -> float:
         """First tries a second at an exchange."""
         rate = self.day.rate
--- a/gingergap/trace/compare.py
+++ b/gingergap/trace/compare.py
@@ -84,6 +84,7 @@
         if whole:
             self.own, self.others = controller_of(source, self.own_host), controller_of(source, self.other_host, other)
         self.noted: list[list[Any]] = []
+        self.at = 0, 0  # place and time of the event under way
 
     def begin(self, state: bytes) -> None:
         self.own = thaw(state, self.own_host)
