--- a/gingergap/__main__.py
+++ b/gingergap/__main__.py
@@ -1,5 +1,12 @@
-"""`python -m gingergap`: the same as the `gingergap` command."""
+"""`python -m gingergap`: the same as the `gingergap` command. `serve` loads only what the service needs."""
 
-from .cli.main import main
+import sys
 
-main()
+if sys.argv[1:] == ["serve"]:
+    from .service.process import main
+
+    sys.exit(main())
+else:
+    from .cli.main import main
+
+    main()
--- a/gingergap/benchlink/__main__.py
+++ b/gingergap/benchlink/__main__.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
+from ..facts import BadFactError
 from .codec import BadLineError, decode, encode
 from .proxy import Proxy
 
@@ -36,7 +37,7 @@
         else:
             try:
                 _take(proxies, msg, now, lists, out)
-            except BadLineError as bad:
+            except BadFactError as bad:
                 raise BadLineError(f"line {number}: {event}: {bad}") from None
             except Exception as error:  # the module failed: the wire has an action for that
                 print(f"{msg['Proxy']}: {event}: {error!r}", file=sys.stderr)
--- a/gingergap/benchlink/codec.py
+++ b/gingergap/benchlink/codec.py
@@ -3,7 +3,8 @@
 import json
 from typing import Any
 
-NUMBER = (int, float)
+from ..facts import NUMBER, BadFactError, is_a
+
 REQUIRED: dict[str, dict[str, Any]] = {
     "Tick": {"Time": int},
     "End": {},
@@ -28,15 +29,10 @@
 ENTRY_OPTIONAL: dict[str, Any] = {"Dc": int, "Model": int, "Weight": NUMBER, "Born": int}
 
 
-class BadLineError(Exception):
+class BadLineError(BadFactError):
     """A line that the wire does not allow."""
 
 
-def is_a(value: Any, kind: Any) -> bool:
-    """Whether a decoded value has a wire type; true and false are no numbers."""
-    return isinstance(value, kind) and (kind is bool or not isinstance(value, bool))
-
-
 def _check(msg: dict[str, Any], required: dict[str, Any], optional: dict[str, Any], where: str) -> None:
     for field, kind in required.items():
         if field not in msg:
--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -4,11 +4,10 @@
 from typing import Any
 
 from ..brain import CallController
-from ..host import GwState, LegEnd, ListEntry, TrafficType
-from .codec import BadLineError, encode, is_a
+from ..facts import UNIT, Facts, at_most, circuits_in, controller_facts, gw_state, rsn_of
+from ..host import LegEnd, ListEntry
+from .codec import BadLineError, encode
 
-UNIT = 100  # microseconds in a tenth of a millisecond
-SAFETY = 1  # a span between two rounded clocks may seem one unit longer than it was
 LEG_ENDS = {
     "success": LegEnd.ENDED, "failure": LegEnd.BUSY, "overloaded": LegEnd.FULL, "timed_out": LegEnd.NO_ANSWER,
     "unreachable": LegEnd.UNREACHABLE, "broken": LegEnd.CUT, "withdrawn": LegEnd.CANCELLED,
@@ -17,11 +16,6 @@
 REDIALLED, IN_TRANSIT, WAS_CUT = 2, 8, 16
 
 
-def at_least(us: float) -> int:
-    """A span that must have passed."""
-    return -(-int(us) // UNIT) + SAFETY
-
-
 def _hex(text: str) -> bytes:
     try:
         return bytes.fromhex(text)
@@ -29,50 +23,6 @@
         raise BadLineError("field Bytes is ill-typed") from None
 
 
-def at_most(us: float) -> int:
-    """A span that must not have passed yet."""
-    return int(us) // UNIT
-
-
-class Facts:
-    """Reads the start message, naming the field when something is missing or ill-typed."""
-
-    def __init__(self, values: Any, where: str) -> None:
-        self.values, self.where = values, where
-
-    def part(self, name: str) -> "Facts":
-        return Facts(self.get(name, dict), f"{self.where}.{name}")
-
-    def get(self, name: str, kind: Any, default: Any = None) -> Any:
-        value = self.values.get(name, default)
-        if value is None:
-            raise BadLineError(f"field {self.where}.{name} is missing")
-        if not is_a(value, kind):
-            raise BadLineError(f"field {self.where}.{name} is ill-typed")
-        return value
-
-
-def traffic_types(facts: Facts, family: Facts) -> list[TrafficType]:
-    number = (int, float)
-    pools = family.get("PoolsByClass", list, [])
-    types = []
-    for place, lane in enumerate(facts.get("Lanes", list)):
-        if not isinstance(lane, dict):
-            raise BadLineError(f"field Facts.Lanes[{place}] is ill-typed")
-        lane = Facts(lane, f"Facts.Lanes[{place}]")
-        types.append(TrafficType(
-            setup_objective=at_most(lane.get("OnTime", number)),
-            no_answer_time=at_most(lane.get("Deadline", number)),
-            late_share=float(lane.get("LateShare", number, 0.0)),
-            importance=float(lane.get("Value", number, 1.0)),
-            repeatable=lane.get("Repeat", str, "safe") == "safe",
-            pools=frozenset(pools[place]) if place < len(pools) and pools[place] is not None else None,
-        ))
-    if not types:
-        raise BadLineError("field Facts.Lanes is empty")
-    return types
-
-
 class Proxy:
     """The host of one controller. Ids turn into small indices here, and back."""
 
@@ -86,26 +36,10 @@
         self.legs_out: dict[int, int] = {}
         self.ended: set[int] = set()
         self.dialogs = 0
-        number = (int, float)
         start = Facts(facts, "Facts")
-        family, ceilings, rules = start.part("Specifics"), start.part("Ceilings"), start.part("Rules")
-        self.tells_wait = family.get("GivesWait", bool, False)
-        self.controller = make(
-            self, seed, family.get("Here", int, -1), start.get("NInstances", int),
-            traffic_types(start, family),
-            release_guard=at_least(family.get("Guard", number, 0)),
-            most_legs=ceilings.get("MostTries", int, 1),
-            longest_hold_off=(at_most(ceilings.get("MaxRetryAfter", number, 0))
-                              if ceilings.get("RetryAfter", bool, False) else 0),
-            may_cancel=ceilings.get("Cancelling", bool, False),
-            may_tell=ceilings.get("PeerMessages", bool, False),
-            centre_advises=family.get("RouteAdvice", bool, False),
-            must_ask=start.get("MembershipMode", str, "push") == "ask",
-            cold_from=float(rules.get("ColdFrom", number, 1.0)),
-            warm_after=at_least(rules.get("WarmAfter", number, 0)),
-            multiple=float(rules.get("OverloadFactor", number, 1.0)),
-            fall_span=at_least(rules.get("Fall", number, 0)),
-        )
+        self.tells_wait = start.part("Specifics").get("GivesWait", bool, False)
+        here, proxies, types, figures = controller_facts(start)
+        self.controller = make(self, seed, here, proxies, types, **figures)
         self.controller.begin(now_us // UNIT)
 
     # --- what the controller asks for ---
@@ -193,9 +127,7 @@
             return
         self.legs_out[dialog] -= 1
         free, size = self._stats(msg)
-        rsn = msg.get("Reason") or 0
-        if self.tells_wait and rsn >= 16 and rsn % 16 == 3:
-            rsn = 3  # a stated wait is added to "processor full"
+        rsn = rsn_of(msg.get("Reason") or 0, self.tells_wait)
         self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, bool(msg.get("Ended")),
                                   free, size)
         if msg.get("Ended"):
@@ -204,15 +136,12 @@
             self._forget(dialog)
 
     def _entry(self, entry: dict[str, Any]) -> ListEntry:
-        state = entry["Availability"]
-        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"],
-                         GwState(state) if state in (0, 1, 2) else GwState.GONE,
+        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"], gw_state(entry["Availability"]),
                          (entry.get("Born") or 0) // UNIT)
 
     def _stats(self, msg: dict[str, Any]) -> tuple[int, int]:
         """Free circuits and size of the group; -1 where not told."""
-        stats = msg.get("ServerStats") or {}
-        return int(stats.get("idle", -1)), int(stats.get("circuits", -1))
+        return circuits_in(msg.get("ServerStats") or {})
 
     def _gw(self, switch: str) -> int:
         if switch not in self.gw_of:
--- /dev/null
+++ b/gingergap/service/calls.py
@@ -0,0 +1,438 @@
+"""The host of one controller in service: calls and their legs as plain state, the time handed in, no sockets.
+
+Whoever owns the sockets calls one method for each thing that happens and does what `Wire` asks. A call keeps its id
+from its caller through to the switch; a leg is known by the connection (`link`) that it went out on, since a switch
+echoes nothing else. Ends that arise while the controller is at work are put aside and told once it has returned.
+
+Times are whole tenths of a millisecond of the Unix clock.
+"""
+
+from collections import deque
+from collections.abc import Callable, Hashable
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+from ..brain import CallController
+from ..callers import lines
+from ..facts import NOTES, Facts, circuits_in, controller_facts
+from ..host import GwState, LegEnd, ListEntry, Rsn
+from ..switches import words
+
+MS = 10  # tenths of a millisecond
+SECOND = 10_000
+REMEMBERED = 10 * SECOND  # for how long an id that ended is known, so that words that come twice change nothing
+DECLINED, ABORTED = 34, 41  # causes of Q.850: no circuit available, temporary failure
+USELESS = 100  # Q.850: invalid information element contents
+NORMAL = 16
+BUSY = (486, 500)
+
+Conn = Hashable
+Link = Hashable
+
+
+class Wire(Protocol):
+    """What the owner of the sockets does for its calls. Nothing here blocks or calls back."""
+
+    def to_caller(self, conn: Conn | None, data: bytes) -> None:
+        """None: any caller that may be told, now or when there is one."""
+
+    def link_to(self, gw: int, used: set[Link]) -> Link | None:
+        """A connection for a set-up, none of those used; perhaps still opening. None: there is no way there."""
+
+    def is_up(self, link: Link) -> bool: ...
+
+    def to_link(self, link: Link, data: bytes) -> None: ...
+
+    def to_switch(self, gw: int, data: bytes) -> None:
+        """On any connection there, or the next that is opened."""
+
+    def spoilt(self, link: Link) -> None:
+        """Nothing new on this connection: a set-up on it was never answered."""
+
+
+class Call:
+    """A call from its set-up to its last word."""
+
+    __slots__ = ("id", "dialog", "conn", "kind", "number", "sdp", "gw", "link", "legs", "used", "sent_at", "until",
+                 "stands", "over", "width")
+
+    def __init__(self, id: str, dialog: int, conn: Conn | None, kind: str, number: str, sdp: str, width: int) -> None:
+        self.id, self.dialog, self.conn = id, dialog, conn
+        self.kind, self.number, self.sdp, self.width = kind, number, sdp, width
+        self.gw = -1
+        self.link: Link | None = None
+        self.legs = 0
+        self.used: set[Link] = set()
+        self.sent_at = -1  # when the leg was written; -1 while its connection is opening
+        self.until = 0
+        self.stands = self.over = False
+
+
+class Calls:
+    """One proxy's calls. Raises BadFactError where the settings can't be read."""
+
+    def __init__(self, wire: Wire, now: int, seed: int, settings: dict[str, Any],
+                 make: Callable[..., CallController] = CallController) -> None:
+        self.wire = wire
+        start = Facts(settings, "settings")
+        here, proxies, self.types, figures = controller_facts(start)
+        self.kinds = {str(lane.get("Name", place)): place for place, lane in enumerate(start.get("Lanes", list))}
+        self.widths = start.part("Specifics").get("ClassWidth", list, [])
+        self.most_open = start.part("Ceilings").get("OpenCap", int, 20_000)
+        self.ids: list[str] = []  # switches by gw
+        self.gw_of: dict[str, int] = {}
+        self.numbers: dict[int, int] = {}  # gw: exchange number
+        self.by_id: dict[str, Call] = {}
+        self.by_dialog: dict[int, Call] = {}
+        self.on_link: dict[Link, dict[str, Call]] = {}
+        self.on_conn: dict[Conn, dict[str, Call]] = {}
+        self.standing: dict[int, dict[str, Call]] = {}  # gw: calls that stand there
+        self.lately: dict[str, int] = {}  # ids that are over: when they are forgotten
+        self.called_off: dict[tuple[str, Link], tuple[int, int, str]] = {}  # gw, leg, number of a leg given up
+        self.due: list[tuple[int, int, int]] = []  # a leg's time: (when, dialog, leg)
+        self.dialogs = 0
+        self.later: deque[tuple[Call, int, LegEnd, int, bool]] = deque()
+        self.now = self.beat_at = now
+        self.counts: dict[str, int] = {}
+        self.controller = make(self, seed, here, proxies, self.types, **figures)
+        self.controller.begin(now)
+
+    # --- what the controller asks for ---
+
+    def send_leg(self, dialog: int, gw: int, limit: int) -> None:
+        call = self.by_dialog[dialog]
+        call.legs += 1
+        call.gw, call.until, call.sent_at = gw, self.now + limit, -1
+        heappush(self.due, (call.until, dialog, call.legs))
+        link = self.wire.link_to(gw, call.used)
+        call.link = link
+        if link is None:
+            self._over(call, LegEnd.UNREACHABLE)
+            return
+        call.used.add(link)
+        self.on_link.setdefault(link, {})[call.id] = call
+        if self.wire.is_up(link):
+            self._invite(call)
+
+    def cancel_leg(self, dialog: int, leg: int) -> None:
+        call = self.by_dialog.get(dialog)
+        if call is None or call.link is None or call.stands or leg != call.legs - 1:
+            return
+        link = call.link
+        if self._call_off(call):
+            self.wire.spoilt(link)
+            self._over(call, LegEnd.CANCELLED)
+        else:
+            self._over(call, LegEnd.UNREACHABLE)  # its connection was not made: it never left
+
+    def decline(self, dialog: int, hold_off: int) -> None:
+        self._answer(dialog, DECLINED, hold_off // MS)
+
+    def abort(self, dialog: int) -> None:
+        self._answer(dialog, ABORTED, 0)
+
+    def wake_after(self, delay: int) -> None:
+        self.beat_at = self.now + delay
+
+    def tell_all(self, told: bytes) -> None:
+        """Proxies tell each other nothing here: the platform gives them no way."""
+
+    def subscribe(self) -> None:
+        """The event bus is read anyway."""
+
+    # --- callers ---
+
+    def set_up(self, now: int, conn: Conn, id: str, kind: str, left: int, number: str, far: int, width: int, advised: int,
+               transit: bool, redialled: bool, cut: bool, sdp: str) -> None:
+        self.now = now
+        place = self.kinds.get(kind)
+        if place is None:
+            self.unusable(now, conn, id, "field class names no traffic type")
+            return
+        most = self.widths[place] if place < len(self.widths) else width
+        if left * MS > self.types[place].no_answer_time + MS or width > most or far not in self.controller.by_number:
+            self.unusable(now, conn, id, "field left, width or dest is out of range")
+            return
+        if id in self.by_id:
+            self._taken_twice(conn, self.by_id[id])
+            return
+        if len(self.by_dialog) >= self.most_open:
+            self.count("refused: too many open")
+            self.wire.to_caller(conn, lines.release(id, DECLINED, 500))
+            return
+        call = Call(id, self.dialogs, conn, kind, number, sdp, width)
+        self.dialogs += 1
+        self.by_id[id] = self.by_dialog[call.dialog] = call
+        self.on_conn.setdefault(conn, {})[id] = call
+        self.lately.pop(id, None)
+        self.controller.dialog_came(now, call.dialog, place, far, width, number, left * MS, transit, redialled, cut,
+                                    -1 if transit else advised)
+        self._tell_later()
+
+    def _taken_twice(self, conn: Conn, call: Call) -> None:
+        """An id that is open already. On another connection that one is turned away; on the same one nobody can tell
+        which of the two an answer would be for, so neither gets one that says it stands."""
+        self.count("refused: id is open already")
+        if call.conn != conn or call.stands:
+            self.wire.to_caller(conn, lines.release(call.id, USELESS))
+        elif not call.over:
+            self.wire.to_caller(conn, lines.release(call.id, USELESS))
+            self._give_up(call)
+
+    def unusable(self, now: int, conn: Conn, id: str, why: str) -> None:
+        self.count(f"refused: {why}")
+        self.wire.to_caller(conn, lines.release(id, USELESS))
+
+    def stands_at(self, now: int, conn: Conn, id: str, kind: str, number: str, switch: str) -> None:
+        """A call that stood before this process began; it may be known."""
+        self.now = now
+        gw = self.gw_of.get(switch)
+        if id in self.by_id or id in self.lately or gw is None:
+            return
+        call = Call(id, -1, conn, kind, number, "", 0)
+        call.gw, call.stands, call.over = gw, True, True
+        self.by_id[id] = call
+        self.standing.setdefault(gw, {})[id] = call
+
+    def released(self, now: int, conn: Conn, id: str, cause: int) -> None:
+        """A caller gives its set-up up, or ends a call that stands."""
+        self.now = now
+        call = self.by_id.get(id)
+        if call is None:
+            return
+        if call.stands:
+            self.wire.to_caller(conn, lines.released(id))
+            self.wire.to_switch(call.gw, words.bye(call.number, id, call.legs + 1, cause))
+            self._ended(call, LegEnd.ENDED)
+        elif call.conn == conn:
+            self._give_up(call)
+        self._tell_later()
+
+    def pinged(self, now: int, conn: Conn, id: str, passed: bool) -> None:
+        self.wire.to_caller(conn, lines.pong(id, passed))
+
+    def conn_gone(self, now: int, conn: Conn) -> None:
+        self.now = now
+        for call in list(self.on_conn.pop(conn, {}).values()):
+            call.conn = None
+            if not call.stands:
+                self._give_up(call)
+        self._tell_later()
+
+    def _give_up(self, call: Call) -> None:
+        """Nobody waits for it any more. Its leg is called off: it went well as far as anybody knows, so this must not
+        count against the far end."""
+        if call.over:
+            return
+        call.over = True
+        self._off_conn(call)
+        self.controller.dialog_gone(self.now, call.dialog)
+        if call.link is not None:
+            self._call_off(call)
+            self._over(call, LegEnd.NOT_SENT)
+        self._forget(call)
+
+    # --- switches ---
+
+    def link_up(self, now: int, link: Link) -> None:
+        """A connection has been made: what waited for it leaves."""
+        self.now = now
+        for call in list(self.on_link.get(link, {}).values()):
+            if call.sent_at < 0:
+                self._invite(call)
+
+    def link_lost(self, now: int, link: Link, was_up: bool) -> None:
+        """A connection is over, or was never made: set-ups on it are in doubt, or never ran."""
+        self.now = now
+        for call in list(self.on_link.get(link, {}).values()):
+            self.count("legs cut with their connection" if was_up else "legs to nobody")
+            self._leg_over(call, LegEnd.CUT if was_up and call.sent_at >= 0 else LegEnd.UNREACHABLE)
+        self.on_link.pop(link, None)
+        for key in [key for key in self.called_off if key[1] == link]:
+            del self.called_off[key]  # a set-up is given up with its connection
+        self._tell_later()
+
+    def answered(self, now: int, gw: int, link: Link, id: str, sdp: str) -> None:
+        self.now = now
+        call = self._leg_on(link, id)
+        if call is None:
+            off = self.called_off.pop((id, link), None)
+            if off is not None:  # it crossed the CANCEL, and stands at the switch
+                self.count("crossed answers released")
+                self.wire.to_link(link, words.ack(off[2], id, off[1]) + words.bye(off[2], id, off[1] + 1, NORMAL))
+            return
+        self.wire.to_link(link, words.ack(call.number, id, call.legs))
+        del self.on_link[link][id]
+        self._off_conn(call)
+        call.stands, call.link = True, None
+        took = now - call.sent_at
+        self.standing.setdefault(gw, {})[id] = call
+        self.wire.to_caller(call.conn, lines.answer(id, sdp))
+        call.sdp, call.used = "", set()
+        self.controller.dialog_stands(now, call.dialog, took)
+        self._tell_later()
+
+    def refused(self, now: int, gw: int, link: Link, id: str, status: int, word: str, report: dict[str, float]) -> None:
+        self.now = now
+        self.called_off.pop((id, link), None)
+        free, size = circuits_in(report)
+        call = self._leg_on(link, id)
+        if call is None:
+            if size >= 0:
+                self.controller.group_told(now, gw, free, size)
+            return
+        self.wire.to_link(link, words.ack(call.number, id, call.legs))
+        how = (LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY
+               else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT)
+        self.count(f"legs refused {status} {word}")
+        self._leg_over(call, how, NOTES.get(word, Rsn.NONE), free, size)
+        self._tell_later()
+
+    def call_released(self, now: int, gw: int, link: Link, id: str, cause: int, report: dict[str, float]) -> None:
+        """A call that stands has come to its end or was cut; or a set-up broke on its way."""
+        self.now = now
+        self.wire.to_link(link, words.bye_heard(id))
+        free, size = circuits_in(report)
+        if size >= 0:
+            self.controller.group_told(now, gw, free, size)
+        call = self.by_id.get(id)
+        if call is None:
+            if id not in self.lately:  # from before this process began
+                self.lately[id] = now + REMEMBERED
+                self.wire.to_caller(None, lines.release(id, cause))
+        elif call.stands:
+            self.wire.to_caller(call.conn, lines.release(id, cause))
+            self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
+        elif self._leg_on(link, id) is call:
+            self._leg_over(call, LegEnd.CUT)
+        self._tell_later()
+
+    def reported(self, now: int, gw: int, report: dict[str, float]) -> None:
+        self.now = now
+        free, size = circuits_in(report)
+        if size >= 0:
+            self.controller.group_told(now, gw, free, size)
+
+    def machine_lost(self, now: int, gw: int) -> None:
+        """Nothing comes from there and nothing is taken: what stood there is over."""
+        self.now = now
+        for call in list(self.standing.get(gw, {}).values()):
+            self.count("calls cut with their machine")
+            self.wire.to_caller(call.conn, lines.release(call.id, ABORTED))
+            self._ended(call, LegEnd.CUT)
+        self._tell_later()
+
+    def listed(self, now: int, whole: bool, entries: list[tuple[str, int, GwState, int]]) -> None:
+        """The list's words: id, exchange number, state, start (0: long ago)."""
+        self.now = now
+        told = []
+        for name, number, state, started in entries:
+            if name not in self.gw_of:
+                self.gw_of[name] = len(self.ids)
+                self.ids.append(name)
+            gw = self.gw_of[name]
+            number = self.numbers.setdefault(gw, number) if number < 0 else number
+            self.numbers[gw] = number
+            told.append(ListEntry(gw, number, state, started))
+        self.controller.list_pushed(now, told, whole)
+        self._tell_later()
+
+    # --- time ---
+
+    def beat(self, now: int) -> None:
+        """Whatever is due by now."""
+        self.now = now
+        while self.due and self.due[0][0] <= now:
+            _, dialog, leg = heappop(self.due)
+            call = self.by_dialog.get(dialog)
+            if call is not None and call.legs == leg and call.link is not None and not call.stands:
+                link = call.link
+                self._call_off(call)
+                self.wire.spoilt(link)
+                self._leg_over(call, LegEnd.NO_ANSWER)
+        while self.lately:
+            id = next(iter(self.lately))
+            if self.lately[id] > now:
+                break
+            del self.lately[id]
+        if now >= self.beat_at:
+            self.controller.beat(now)
+        self._tell_later()
+
+    # --- inside ---
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def _invite(self, call: Call) -> None:
+        call.sent_at = self.now
+        within = max(1, (call.until - self.now) // MS)
+        self.wire.to_link(call.link, words.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
+
+    def _leg_on(self, link: Link, id: str) -> Call | None:
+        return self.on_link.get(link, {}).get(id)
+
+    def _call_off(self, call: Call) -> bool:
+        """Take a leg off its connection, with CANCEL where it had left; whether it had."""
+        link = call.link
+        self.on_link[link].pop(call.id, None)
+        call.link = None
+        if call.sent_at < 0:
+            return False
+        self.called_off[call.id, link] = call.gw, call.legs, call.number
+        self.wire.to_link(link, words.cancel(call.number, call.id, call.legs))
+        return True
+
+    def _over(self, call: Call, how: LegEnd, rsn: int = 0) -> None:
+        """Tell the controller of a leg's end once it has returned."""
+        self.later.append((call, call.gw, how, rsn, call.over))
+
+    def _leg_over(self, call: Call, how: LegEnd, rsn: int = 0, free: int = -1, size: int = -1) -> None:
+        if call.link is not None:
+            self.on_link[call.link].pop(call.id, None)
+            call.link = None
+        self.controller.leg_ended(self.now, call.dialog, call.gw, how, rsn, call.over, free, size)
+        self._forget(call)
+
+    def _tell_later(self) -> None:
+        while self.later:
+            call, gw, how, rsn, over = self.later.popleft()
+            if call.dialog in self.by_dialog:
+                self.controller.leg_ended(self.now, call.dialog, gw, how, rsn, over or call.over, -1, -1)
+                self._forget(call)
+
+    def _answer(self, dialog: int, cause: int, wait: int) -> None:
+        call = self.by_dialog[dialog]
+        if call.over:
+            return
+        call.over = True
+        self.count("declined" if cause == DECLINED else "aborted")
+        self._off_conn(call)
+        self.wire.to_caller(call.conn, lines.release(call.id, cause, wait))
+        self._forget(call)
+
+    def _ended(self, call: Call, how: LegEnd) -> None:
+        """A call that stood is over."""
+        call.over = True
+        self.standing[call.gw].pop(call.id, None)
+        self._off_conn(call)
+        if call.dialog >= 0:
+            self.controller.leg_ended(self.now, call.dialog, call.gw, how, 0, True, -1, -1)
+        self._forget(call)
+
+    def _off_conn(self, call: Call) -> None:
+        held = self.on_conn.get(call.conn)
+        if held is not None:
+            held.pop(call.id, None)
+            if not held:
+                del self.on_conn[call.conn]
+
+    def _forget(self, call: Call) -> None:
+        """A call's ids go once it is over and no leg of it is out."""
+        if call.over and call.link is None and self.by_id.get(call.id) is call:
+            del self.by_id[call.id]
+            self.lately[call.id] = self.now + REMEMBERED
+            if all(entry[0] is not call for entry in self.later):
+                self.by_dialog.pop(call.dialog, None)
+        elif call.over and call.link is None:
+            self.by_dialog.pop(call.dialog, None)
--- /dev/null
+++ b/gingergap/service/far.py
@@ -0,0 +1,210 @@
+"""The connections to one switch: a few, opened as they are needed, and whether anybody is there.
+
+A set-up gets a connection of its own while there are any, since what spoils one answer spoils all that wait on its
+connection. What a switch says of its group is taken from one of them, in order; each says the same.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+import gevent
+from gevent import socket
+
+from ..sip.message import BadMessageError
+from ..switches.words import Reader
+from ..transport.stream import Stream
+
+MOST_LINKS = 4  # a switch tells states on so many at most
+MOST_QUEUED = 1 << 18
+LONGEST_WRITE = 2.0
+STALLED = 0.25  # seconds: messages come in one piece, so one that has stood half for this long won't be whole
+SILENT = 1.5  # seconds without a word before a new connection asks whether anybody is there
+LOST = 2.5  # seconds for which nobody was there before the machine counts as lost
+AGAIN = 0.2  # seconds between tries to connect
+
+
+class Owner(Protocol):
+    """Who hears of connections; the proxy's process."""
+
+    def clock(self) -> int: ...
+
+    def link_up(self, link: Link) -> None: ...
+
+    def link_lost(self, link: Link, was_up: bool) -> None: ...
+
+    def link_busy(self, link: Link) -> int:
+        """How many set-ups are out on it."""
+
+    def machine_lost(self, far: Far) -> None: ...
+
+    def standing_at(self, far: Far) -> int: ...
+
+    def spoilt_by(self, link: Link, why: str) -> None: ...
+
+    calls: Any
+
+
+class Link(Stream):
+    """One connection to a switch."""
+
+    def __init__(self, far: Far) -> None:
+        super().__init__(None, most_queued=MOST_QUEUED, longest_write=LONGEST_WRITE)
+        self.far = far
+        self.reader = Reader(self)
+        self.up = self.retired = False
+        self.heard_at = 0.0
+        self.state: dict[str, float] = {}
+
+    def open(self) -> None:
+        if not self.connect(self.far.address, self.far.connect_timeout):
+            return
+        self.up = True
+        self.far.came_up(self)
+        self.read()
+
+    def came(self, data: bytes) -> None:
+        self.heard_at = self.far.heard_at = self.far.now()
+        try:
+            self.reader.feed(data)
+        except BadMessageError as bad:
+            self.far.owner.spoilt_by(self, str(bad))
+            self.close(True)
+
+    def ended(self, reset: bool) -> None:
+        self.far.gone(self, reset and self.up)
+
+    # --- what the reader makes of it ---
+
+    def answered(self, id: str, sdp: str) -> None:
+        owner = self.far.owner
+        owner.calls.answered(owner.clock(), self.far.gw, self, id, sdp)
+
+    def refused(self, id: str, status: int, word: str, report: dict[str, float]) -> None:
+        owner = self.far.owner
+        owner.calls.refused(owner.clock(), self.far.gw, self, id, status, word, report)
+
+    def released(self, id: str, cause: int, report: dict[str, float]) -> None:
+        owner = self.far.owner
+        owner.calls.call_released(owner.clock(), self.far.gw, self, id, cause, report)
+
+    def reported(self, report: dict[str, float]) -> None:
+        self.state = report
+        if self.far.main is self:
+            owner = self.far.owner
+            owner.calls.reported(owner.clock(), self.far.gw, report)
+
+
+class Far:
+    """One switch by its id. Connections belong to the id: another switch may come to its address. Times in seconds."""
+
+    def __init__(self, owner: Owner, gw: int, address: tuple[str, int], connect_timeout: float) -> None:
+        self.owner, self.gw, self.address, self.connect_timeout = owner, gw, address, connect_timeout
+        self.links: list[Link] = []
+        self.main: Link | None = None
+        self.waiting: list[bytes] = []  # for the next connection
+        self.wanted = True
+        self.heard_at = self.tried_at = 0.0
+        self.failed_since = 0.0  # 0 while the last try to connect went well or none has ended
+
+    def now(self) -> float:
+        return self.owner.clock() / 10_000
+
+    def close(self) -> None:
+        self.wanted = False
+        for link in list(self.links):
+            link.close(True)
+
+    def link_to(self, used: set[Any]) -> Link | None:
+        """A connection for a set-up: a free one, else a new one, else the least busy. None: nobody is there."""
+        free = [link for link in self.links if not link.retired and link not in used]
+        up = sorted((self.owner.link_busy(link), not link.up, place) for place, link in enumerate(free))
+        if up and up[0][0] == 0 and free[up[0][2]].up:
+            return free[up[0][2]]
+        if self.failed_since and not any(link.up for link in free):
+            return None
+        if len([link for link in self.links if not link.retired]) < MOST_LINKS:
+            return self._open()
+        return free[up[0][2]] if up else self._open()
+
+    def send(self, data: bytes) -> None:
+        """On any connection, or the next."""
+        for link in self.links:
+            if link.up and not link.retired:
+                link.put(data)
+                return
+        self.waiting.append(data)
+        del self.waiting[:-1000]
+
+    def _open(self) -> Link:
+        link = Link(self)
+        self.links.append(link)
+        self.tried_at = self.now()
+        gevent.spawn(link.open)
+        return link
+
+    def came_up(self, link: Link) -> None:
+        self.failed_since = 0.0
+        self.heard_at = link.heard_at = self.now()
+        waiting, self.waiting = self.waiting, []
+        for data in waiting:
+            link.put(data)
+        self._choose_main()
+        self.owner.link_up(link)
+
+    def gone(self, link: Link, was_up: bool) -> None:
+        if link in self.links:
+            self.links.remove(link)
+        if not was_up and not self.failed_since:
+            self.failed_since = self.now()
+        if self.main is link:
+            self._choose_main()
+        self.owner.link_lost(link, was_up)
+
+    def _choose_main(self) -> None:
+        """States are taken from one connection: by several they would come out of order."""
+        if self.main is not None and self.main in self.links and not self.main.retired:
+            return
+        self.main = next((link for link in self.links if link.up and not link.retired), None)
+        if self.main is not None and self.main.state:
+            self.main.reported(self.main.state)
+
+    def look(self) -> None:
+        """From time to time: stalled messages, retired connections, and whether anybody is there."""
+        now = self.now()
+        for link in list(self.links):
+            if link.retired and self.owner.link_busy(link) == 0:
+                link.close(True)
+            elif link.up and link.reader.partial and now - link.heard_at > STALLED:
+                self.owner.spoilt_by(link, "a message stands half")
+                link.close(True)
+        standing = self.owner.standing_at(self)
+        if not self.wanted and not standing:
+            for link in list(self.links):
+                if self.owner.link_busy(link) == 0:
+                    link.close(True)
+            return
+        up = [link for link in self.links if link.up and not link.retired]
+        opening = any(not link.up for link in self.links)
+        if not opening and now - self.tried_at >= AGAIN and (
+                not up or standing and now - self.heard_at > SILENT):
+            self._open()
+        # A vanished machine resets nothing: what stood there is over when new connections have failed for so long.
+        if self.failed_since and now - self.failed_since > LOST and now - self.heard_at > LOST:
+            if standing:
+                self.owner.machine_lost(self)
+            for link in up:
+                link.close(True)
+
+
+def create_listener(address: tuple[str, int]) -> socket.socket:
+    """Raises OSError where the address is taken."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(512)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- /dev/null
+++ b/gingergap/service/process.py
@@ -0,0 +1,370 @@
+"""The proxy in service as a process: sockets, one timer, signals, an orderly end.
+
+Everything that comes in ends up in one call of `Calls` at a time, in order; nothing inside it blocks.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from ..callers.lines import BadCallerError, Lines
+from ..facts import BadFactError, Facts
+from ..host import GwState
+from ..listfeed.poll import BadFeedError, Line, Poll, address_of, events_after, state_of
+from ..transport.stream import Stream
+from .calls import Calls
+from .far import Far, Link, create_listener
+from .told import Told, read, told
+
+TICK = 0.01  # seconds between looks at what is due
+LOOK = 10  # ticks between looks at connections
+MOST_QUEUED = 1 << 18  # bytes
+LONGEST_WRITE = 2.0
+SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
+REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
+HOLD = 1000  # milliseconds that the bus may hold a question
+PATIENCE = 0.4  # seconds beyond that before it is asked on another connection
+READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
+LAST = 0.75  # seconds after SIGTERM until nothing new is taken
+SETTLE = 0.1  # seconds from closing connections that rest to the end: what crossed the close is sent elsewhere
+
+
+def log(event: str, **fields: Any) -> None:
+    """One line on standard error. The logging library of the other commands takes more memory than all the rest here."""
+    words = [f"{name}={str(value)!r}" if " " in str(value) else f"{name}={value}" for name, value in fields.items()]
+    print(time.strftime("%H:%M:%S"), event, *words, file=sys.stderr, flush=True)
+
+
+class Caller(Stream):
+    """One connection from callers."""
+
+    def __init__(self, process: Process, sock: socket.socket) -> None:
+        super().__init__(sock, most_queued=MOST_QUEUED, longest_write=LONGEST_WRITE)
+        self.process = process
+        self.lines = Lines(self)
+        self.since = self.said_at = process.seconds()
+        self.spoken = self.known = False
+
+    def came(self, data: bytes) -> None:
+        self.said_at = self.process.seconds()
+        try:
+            self.lines.feed(data)
+        except BadCallerError as bad:
+            self.process.calls.count(f"closed: {str(bad)[:60]}")
+            self.close(True)
+
+    def ended(self, reset: bool) -> None:
+        self.process.caller_gone(self)
+
+    # --- what the lines are ---
+
+    def set_up(self, id: str, *figures: Any) -> None:
+        self.spoken = True
+        self.process.calls.set_up(self.process.clock(), self, id, *figures)
+
+    def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
+        self.spoken = self.known = True
+        self.process.calls.stands_at(self.process.clock(), self, id, kind, number, switch)
+
+    def released(self, id: str, cause: int) -> None:
+        self.spoken = True
+        self.process.calls.released(self.process.clock(), self, id, cause)
+
+    def pinged(self, id: str) -> None:
+        self.spoken = True
+        self.process.pinged(self, id)
+
+    def unusable(self, id: str, why: str) -> None:
+        self.spoken = True
+        self.process.calls.unusable(self.process.clock(), self, id, why)
+
+
+class Process:
+    """One running proxy; the Wire of its calls and the Owner of its connections."""
+
+    def __init__(self, path: Path, config: Told) -> None:
+        self.path, self.config = path, config
+        self.ahead = time.time_ns() - time.monotonic_ns()  # the Unix clock, without its steps
+        self.callers: dict[Caller, None] = {}
+        self.most_callers = config.sockets // 2
+        self.fars: dict[int, Far] = {}
+        self.untold: list[bytes] = []  # releases that no caller could be told yet
+        self.tests: list[tuple[Caller, str]] = []
+        self.started = self.seconds()
+        self.ready = False
+        self.ending: float | None = None
+        self.over = Event()
+        self.last = 0
+        self.bus = config.bus
+        self.feed: gevent.Greenlet | None = None
+        ceilings = Facts(config.settings, "settings").part("Ceilings")
+        self.connect_timeout = ceilings.get("ConnectTimeout", int, 500_000) / 1e6
+        self.calls = Calls(self, self.clock(), config.seed, config.settings)
+        for number, whole, entries in events_after(0, config.known):
+            self.listed(number, whole, entries)
+        self.last = max(self.last, config.known.offset)
+
+    def clock(self) -> int:
+        """Now, in tenths of a millisecond of the Unix clock."""
+        return (time.monotonic_ns() + self.ahead) // 100_000
+
+    def seconds(self) -> float:
+        return self.clock() / 10_000
+
+    def run(self) -> int:
+        try:
+            self.listener = create_listener(self.config.listen)
+        except OSError as error:
+            print(f"LB_LISTEN: {self.config.listen[0]}:{self.config.listen[1]}: {error.strerror}", file=sys.stderr)
+            return 2
+        gevent.signal_handler(signal.SIGTERM, self.end)
+        gevent.signal_handler(signal.SIGINT, self.end)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
+        log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.fars))
+        self.feed = gevent.spawn(self._follow)
+        ticker, acceptor = gevent.spawn(self._tick), gevent.spawn(self._accept)
+        self.over.wait()
+        for greenlet in (ticker, acceptor, self.feed):
+            greenlet.kill(block=False)
+        log("ended", **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()})
+        return 0
+
+    # --- the wire of the calls ---
+
+    def to_caller(self, conn: Caller | None, data: bytes) -> None:
+        if conn is not None and not conn.closed:
+            conn.put(data)
+            return
+        other = next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+        if other is not None:
+            other.put(data)
+        else:
+            self.untold.append(data)
+            del self.untold[:-1000]
+
+    def link_to(self, gw: int, used: set[Any]) -> Link | None:
+        far = self.fars.get(gw)
+        return far.link_to(used) if far is not None else None
+
+    def is_up(self, link: Link) -> bool:
+        return link.up
+
+    def to_link(self, link: Link, data: bytes) -> None:
+        link.put(data)
+
+    def to_switch(self, gw: int, data: bytes) -> None:
+        far = self.fars.get(gw)
+        if far is not None:
+            far.send(data)
+
+    def spoilt(self, link: Link) -> None:
+        link.retired = True
+
+    # --- the owner of the connections ---
+
+    def link_up(self, link: Link) -> None:
+        self.calls.link_up(self.clock(), link)
+
+    def link_lost(self, link: Link, was_up: bool) -> None:
+        self.calls.link_lost(self.clock(), link, was_up)
+
+    def link_busy(self, link: Link) -> int:
+        return len(self.calls.on_link.get(link, ()))
+
+    def standing_at(self, far: Far) -> int:
+        return len(self.calls.standing.get(far.gw, ()))
+
+    def machine_lost(self, far: Far) -> None:
+        log("machine-lost", switch=self.calls.ids[far.gw], calls=self.standing_at(far))
+        self.calls.machine_lost(self.clock(), far.gw)
+
+    def spoilt_by(self, link: Link, why: str) -> None:
+        self.calls.count(f"link closed: {why[:60]}")
+
+    def caller_gone(self, caller: Caller) -> None:
+        self.callers.pop(caller, None)
+        self.calls.conn_gone(self.clock(), caller)
+
+    def pinged(self, caller: Caller, id: str) -> None:
+        if self.ready:
+            self.calls.pinged(self.clock(), caller, id, self.ending is None)
+        else:
+            self.tests.append((caller, id))
+
+    # --- callers' connections ---
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                if self.ending is not None:
+                    return
+                gevent.sleep(0.05)
+                continue
+            if len(self.callers) >= self.most_callers and not self._make_room():
+                sock.close()
+                continue
+            caller = Caller(self, sock)
+            self.callers[caller] = None
+            gevent.spawn(caller.read)
+
+    def _make_room(self) -> bool:
+        """Close the oldest that has said nothing, else the one that rests longest."""
+        resting = [caller for caller in self.callers if caller not in self.calls.on_conn]
+        if not resting:
+            return False
+        min(resting, key=lambda caller: (caller.spoken, caller.said_at)).close(True)
+        return True
+
+    def _look_at_callers(self) -> None:
+        now = self.seconds()
+        for caller in list(self.callers):
+            quiet = now - caller.said_at
+            if quiet <= SPEAK:
+                if not caller.spoken and now - caller.since > 2 * SPEAK:
+                    caller.close(True)  # drips bytes and never a line
+                continue
+            if caller not in self.calls.on_conn and (not caller.spoken or caller.lines.held or quiet > REST):
+                caller.close(True)
+
+    # --- the list ---
+
+    def listed(self, number: int, whole: bool, entries: list[Line]) -> None:
+        self.last = number
+        self.calls.listed(self.clock(), whole, [(line.uid, line.pod_group, state_of(line), line.boot_ms * 10)
+                                                for line in entries])
+        named = {self.calls.gw_of[line.uid] for line in entries}
+        if whole:
+            for gw, far in self.fars.items():
+                far.wanted = far.wanted and gw in named
+        for line in entries:
+            gw, state = self.calls.gw_of[line.uid], state_of(line)
+            far = self.fars.get(gw)
+            if state == GwState.READY and self.calls.numbers[gw] != self.calls.controller.here:
+                address = address_of(line.endpoint)
+                if far is not None and far.address != address:
+                    far.close()
+                    far = None
+                if far is None:
+                    far = self.fars[gw] = Far(self, gw, address, self.connect_timeout)
+                far.wanted = True
+            elif far is not None and state == GwState.GONE:
+                far.wanted = False
+
+    def _follow(self) -> None:
+        """Ask the bus, for ever; a break or silence is asked again at once, then with a short rest."""
+        troubles = 0
+        while True:
+            host = f"{self.bus[0]}:{self.bus[1]}"
+            sock = None
+            try:
+                sock = socket.create_connection(self.bus, 1.0)
+                poll = Poll(host)
+                while True:
+                    sock.sendall(poll.ask(self.last, HOLD))
+                    batch = None
+                    with gevent.Timeout(HOLD / 1000 + PATIENCE, OSError("the bus is silent")):
+                        while batch is None:
+                            batch = poll.feed(sock.recv(65_536))
+                    for number, whole, entries in events_after(self.last, batch):
+                        self.listed(number, whole, entries)
+                    troubles = 0
+            except (OSError, BadFeedError) as error:
+                troubles += 1
+                if troubles in (1, 10, 100):
+                    log("bus-trouble", bus=host, why=str(error)[:100], times=troubles)
+            finally:
+                if sock is not None:
+                    sock.close()
+            gevent.sleep(0 if troubles <= 1 else 0.2)
+
+    # --- time ---
+
+    def _tick(self) -> None:
+        ticks = 0
+        while True:
+            gevent.sleep(TICK)
+            ticks += 1
+            try:
+                self.calls.beat(self.clock())
+                if ticks % LOOK == 0 or not self.ready:
+                    self._look()
+            except Exception as error:  # one event that fails must not end the timer: the other calls go on
+                log("event-failed", error=repr(error))
+                import traceback
+                traceback.print_exc()
+
+    def _look(self) -> None:
+        for far in list(self.fars.values()):
+            far.look()
+            if not far.wanted and not far.links and not self.standing_at(far):
+                del self.fars[far.gw]
+        self._look_at_callers()
+        if self.untold:
+            known = next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+            if known is not None:
+                untold, self.untold = self.untold, []
+                for data in untold:
+                    known.put(data)
+        if not self.ready and (self.seconds() - self.started > READY
+                               or all(far.main is not None and far.main.state for far in self.fars.values())):
+            self.ready = True
+            for caller, id in self.tests:
+                self.pinged(caller, id)
+            self.tests.clear()
+        if self.ending is not None:
+            self._look_at_end()
+
+    # --- signals ---
+
+    def reload(self) -> None:
+        """SIGHUP: the bus of the file that is there now. A file that can't be read changes nothing."""
+        try:
+            config = read(self.path)
+        except BadFactError as bad:
+            log("configuration-kept", file=self.path, why=bad)
+            return
+        log("configuration-read", bus=f"{config.bus[0]}:{config.bus[1]}")
+        self.bus = config.bus
+        self.feed.kill(block=False)
+        self.feed = gevent.spawn(self._follow)
+
+    def end(self) -> None:
+        """SIGTERM: go on until nothing new can come, answer what was taken, then end."""
+        if self.ending is None:
+            self.ending = self.seconds()
+            log("ending", open=len(self.calls.by_dialog))
+
+    def _look_at_end(self) -> None:
+        if self.seconds() - self.ending < LAST or self.calls.on_conn:
+            return
+        self.listener.close()
+        for caller in list(self.callers):
+            caller.close(True)
+        gevent.sleep(SETTLE)
+        self.over.set()
+
+
+def main() -> int:
+    """Exit 2 with one line where the environment or the configuration is not as it should be."""
+    try:
+        path, config = told(os.environ)
+        process = Process(path, config)
+    except (BadFactError, BadFeedError) as bad:
+        print(bad, file=sys.stderr)
+        return 2
+    gc.collect()
+    gc.freeze()  # what is loaded stays: the collector needn't look at it again
+    gc.set_threshold(5_000, 10, 1_000)
+    return process.run()
--- a/gingergap/sip/framing.py
+++ b/gingergap/sip/framing.py
@@ -1,23 +1,35 @@
 """Messages cut out of a stream by Content-Length (RFC 3261 section 18.3), in bounded memory."""
 
+from collections.abc import Callable, Iterator
+from typing import Any
+
 from .message import MOST_HEAD, BadMessageError, Message, name_of, parse
 
 MOST_BODY = 65_536
 
 
+def parse_in_stream(whole: bytes) -> Message:
+    return parse(whole, stream=True)
+
+
 class Framer:
     """Feed bytes as they come; whole messages come out. A stream whose framing is lost can't be mended:
-    BadMessageError is raised and the connection is to be closed."""
+    BadMessageError is raised and the connection is to be closed. `most_message` bounds head and body together;
+    `read` makes a message of its bytes."""
 
-    def __init__(self, most_body: int = MOST_BODY) -> None:
-        self.most_body = most_body
+    def __init__(self, most_body: int = MOST_BODY, most_message: int = MOST_HEAD + 4 + MOST_BODY,
+                 read: Callable[[bytes], Any] = parse_in_stream) -> None:
+        self.most_body, self.most_message, self.read = most_body, most_message, read
         self.held = bytearray()
         self.searched = 0  # no empty line ends before here: a slow sender must not cost a search each byte
 
-    def feed(self, data: bytes) -> list[Message | BadMessageError]:
+    def feed(self, data: bytes) -> list[Any]:
         """Messages that are now whole. One that is framed but unusable comes as its error, in its place."""
+        return list(self.cut(data))
+
+    def cut(self, data: bytes) -> Iterator[Any]:
+        """The same one by one: what stands before bytes that are no message has come and counts."""
         self.held += data
-        found: list[Message | BadMessageError] = []
         while True:
             if self.searched == 0:
                 blank = 0
@@ -30,20 +42,22 @@
                 if len(self.held) > MOST_HEAD:
                     raise BadMessageError("header over the size limit", 513)
                 self.searched = max(0, len(self.held) - 3)
-                return found
+                return
             self.searched = cut
             if cut > MOST_HEAD:
                 raise BadMessageError("header over the size limit", 513)
             end = cut + 4 + self._length(bytes(self.held[:cut]))
+            if end > self.most_message:
+                raise BadMessageError("the message is over the size limit", 513)
             if len(self.held) < end:
-                return found
+                return
             whole = bytes(self.held[:end])
             del self.held[:end]
             self.searched = 0
             try:
-                found.append(parse(whole, stream=True))
+                yield self.read(whole)
             except BadMessageError as bad:
-                found.append(bad)
+                yield bad
 
     def _length(self, head: bytes) -> int:
         length = None
--- /dev/null
+++ b/gingergap/switches/__init__.py
@@ -0,0 +1,1 @@
+"""The switches' SIP, without I/O, on the messages and framing of `sip`: its few methods read, and written."""
--- a/gingergap/transport/sockets.py
+++ b/gingergap/transport/sockets.py
@@ -8,17 +8,16 @@
 import socket as system
 import struct
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 import gevent
 from gevent import socket
-from gevent.event import Event
 
 from ..sip.framing import Framer
 from ..sip.message import BadMessageError, Message, parse
 from ..sip.transactions import Hop
+from .stream import Stream
 
 TIMESTAMPNS = 35  # Linux: SO_TIMESTAMPNS, and the kind of its control message
 IP_RECVERR = 11  # Linux: ICMP errors of an unconnected datagram socket can be read with their address
@@ -54,80 +53,31 @@
     def hop_failed(self, hop: Hop, reset: bool) -> None: ...
 
 
-class Connection:
-    """One stream, opened by either end. `hop` names its far end; `conn` in it is this connection's number."""
+class Connection(Stream):
+    """A stream of SIP, opened by either end. `hop` names its far end; `conn` in it is this connection's number."""
 
     def __init__(self, sockets: "Sockets", sock: socket.socket | None, hop: Hop) -> None:
-        self.sockets, self.sock, self.hop = sockets, sock, hop
-        self.queue: deque[bytes] = deque()
-        self.queued = 0
-        self.work = Event()
-        self.closed = False
-        self.writer: gevent.Greenlet | None = None
-
-    def put(self, data: bytes) -> None:
-        if self.queued + len(data) > self.sockets.most_queued:
-            # A peer that accepts and never reads: what waits for it must not grow.
-            gevent.spawn(self.close, True)
-            return
-        self.queue.append(data)
-        self.queued += len(data)
-        self.work.set()
+        super().__init__(sock, most_queued=sockets.most_queued, longest_write=sockets.longest_write)
+        self.sockets, self.hop = sockets, hop
+        self.framer = Framer()
 
     def open(self, timeout: float) -> None:
-        try:
-            sock = socket.create_connection((self.hop.host, self.hop.port), timeout,
-                                            source_address=(self.sockets.address[0], 0))
-        except OSError:
-            self.close(False)
-            return
-        sock.settimeout(None)
-        self.sock = sock
-        self.start()
+        if self.connect((self.hop.host, self.hop.port), timeout, self.sockets.address[0]):
+            self.read()
 
-    def start(self) -> None:
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.writer = gevent.spawn(self._write)
-        self._read()
-
-    def _write(self) -> None:
+    def came(self, data: bytes) -> None:
         try:
-            while not self.closed:
-                while self.queue:
-                    many = b"".join(self.queue)
-                    self.queue.clear()
-                    with gevent.Timeout(self.sockets.longest_write, OSError):
-                        self.sock.sendall(many)
-                    self.queued -= len(many)
-                self.work.clear()
-                self.work.wait()
-        except OSError:
-            self.close(True)
-
-    def _read(self) -> None:
-        framer = Framer()
-        try:
-            while data := self.sock.recv(65_536):
-                for message in framer.feed(data):
-                    if isinstance(message, BadMessageError):
-                        self.sockets.owner.got_bad(message, self.hop)
-                    else:
-                        self.sockets.deliver(message, bytes(message), self.hop)
+            for message in self.framer.cut(data):
+                if isinstance(message, BadMessageError):
+                    self.sockets.owner.got_bad(message, self.hop)
+                else:
+                    self.sockets.deliver(message, bytes(message), self.hop)
         except BadMessageError as bad:
             self.sockets.owner.got_bad(bad, self.hop)
             gevent.sleep(0)  # let the answer leave before the connection is closed
-        except OSError:
-            pass
-        self.close(True)
+            self.close(True)
 
-    def close(self, reset: bool) -> None:
-        """Close; the owner hears of it, once, so that what was under way on it ends."""
-        if self.closed:
-            return
-        self.closed = True
-        self.work.set()
-        if self.sock is not None:
-            self.sock.close()
+    def ended(self, reset: bool) -> None:
         self.sockets.connection_over(self, reset)
 
 
@@ -298,7 +248,7 @@
                 sock.close()
                 continue
             connection = self._new(sock, Hop("TCP", host, port))
-            gevent.spawn(connection.start)
+            gevent.spawn(connection.read)
 
     def _new(self, sock: socket.socket | None, hop: Hop) -> Connection:
         self.numbers += 1
--- /dev/null
+++ b/gingergap/transport/stream.py
@@ -0,0 +1,117 @@
+"""One stream connection, whatever is spoken on it: read in a greenlet, written without ever blocking, bounded.
+
+Its user says in `came` what bytes mean and in `ended` what the end means. Sending is called from within decisions,
+where no other greenlet may run: what the kernel won't take at once waits in a queue, and a peer that does not read
+is closed when the queue is full or stands still.
+"""
+
+import os
+from collections import deque
+
+import gevent
+from gevent import socket
+
+READ = 16_384
+TURN = 16_384  # bytes that one connection may bring before others have their turn
+PAUSE = 0.0005  # seconds; a timer, since sleep(0) lets up to fifty others run before the loop looks at timers
+
+
+class Stream:
+    """`most_queued` bytes may wait; a write that stands still for `longest_write` seconds ends the connection."""
+
+    def __init__(self, sock: socket.socket | None, *, most_queued: int, longest_write: float) -> None:
+        self.sock, self.most_queued, self.longest_write = sock, most_queued, longest_write
+        self.queue: deque[bytes] = deque()
+        self.queued = 0
+        self.closed = False
+        self.writer: gevent.Greenlet | None = None
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def came(self, data: bytes) -> None:
+        """Bytes have come."""
+
+    def ended(self, reset: bool) -> None:
+        """The connection is over, once. `reset`: it had been up, so what was under way on it is in doubt."""
+
+    def connect(self, address: tuple[str, int], timeout: float, source: str = "") -> bool:
+        """Open it, within seconds; what waits in the queue leaves then. Blocks its greenlet."""
+        try:
+            sock = socket.create_connection(address, timeout, source_address=(source, 0) if source else None)
+        except OSError:
+            self.close(False)
+            return False
+        if self.closed:
+            sock.close()
+            return False
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+        if self.queue:
+            self.writer = gevent.spawn(self._drain)
+        return True
+
+    def put(self, data: bytes) -> None:
+        if self.closed:
+            return
+        if self.sock is not None and not self.queue:
+            try:
+                sent = os.write(self.sock.fileno(), data)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                gevent.spawn(self.close, True)
+                return
+            if sent == len(data):
+                return
+            data = data[sent:]
+        if self.queued + len(data) > self.most_queued:
+            # A peer that accepts and never reads: what waits for it must not grow.
+            gevent.spawn(self.close, True)
+            return
+        self.queue.append(data)
+        self.queued += len(data)
+        if self.sock is not None and self.writer is None:
+            self.writer = gevent.spawn(self._drain)
+
+    def _drain(self) -> None:
+        try:
+            while self.queue and not self.closed:
+                data = self.queue[0]
+                with gevent.Timeout(self.longest_write, OSError):
+                    sent = self.sock.send(data)
+                if self.closed:
+                    return
+                self.queued -= sent
+                if sent == len(data):
+                    self.queue.popleft()
+                else:
+                    self.queue[0] = data[sent:]
+        except OSError:
+            self.close(True)
+        finally:
+            self.writer = None
+
+    def read(self) -> None:
+        """Read until the end; runs in a greenlet of its own."""
+        turn = 0
+        try:
+            while not self.closed and (data := self.sock.recv(READ)):
+                self.came(data)
+                turn += len(data)
+                if turn >= TURN:
+                    turn = 0
+                    gevent.sleep(PAUSE)
+        except OSError:
+            pass
+        self.close(True)
+
+    def close(self, reset: bool = True) -> None:
+        """Close; the user hears of it, once, so that what was under way on it ends."""
+        if self.closed:
+            return
+        self.closed = True
+        self.queue.clear()
+        if self.sock is not None:
+            self.sock.close()
+        self.ended(reset)
