--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -36,6 +36,9 @@
     def to_caller(self, conn: Conn | None, data: bytes) -> None:
         """None: any caller that may be told, now or when there is one."""
 
+    def served(self, conn: Conn) -> None:
+        """A call of this connection stands, so its far end is one of the callers that may be told of calls' ends."""
+
     def link_to(self, gw: int, used: set[Link]) -> Link | None:
         """A connection for a set-up, none of those used; perhaps still opening. None: there is no way there."""
 
@@ -267,6 +270,7 @@
         call.stands, call.link = True, None
         took = now - call.sent_at
         self.standing.setdefault(gw, {})[id] = call
+        self.wire.served(call.conn)
         self.wire.to_caller(call.conn, lines.answer(id, sdp))
         call.sdp, call.used = "", set()
         self.controller.dialog_stands(now, call.dialog, took)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -28,6 +28,7 @@
 
 TICK = 0.01  # seconds between looks at what is due
 LOOK = 10  # ticks between looks at connections
+COUNT = 1000  # ticks between lines of counts
 MOST_QUEUED = 1 << 18  # bytes
 LONGEST_WRITE = 2.0
 SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
@@ -136,9 +137,14 @@
         self.over.wait()
         for greenlet in (ticker, acceptor, self.feed):
             greenlet.kill(block=False)
-        log("ended", **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()})
+        self._log_counts("ended")
         return 0
 
+    def _log_counts(self, event: str) -> None:
+        log(event, open=len(self.calls.by_dialog), callers=len(self.callers), links=sum(len(far.links) for far in self.fars.values()),
+            standing=sum(map(len, self.calls.standing.values())),
+            **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()})
+
     # --- the wire of the calls ---
 
     def to_caller(self, conn: Caller | None, data: bytes) -> None:
@@ -152,6 +158,9 @@
             self.untold.append(data)
             del self.untold[:-1000]
 
+    def served(self, conn: Caller) -> None:
+        conn.known = True
+
     def link_to(self, gw: int, used: set[Any]) -> Link | None:
         far = self.fars.get(gw)
         return far.link_to(used) if far is not None else None
@@ -220,11 +229,12 @@
             gevent.spawn(caller.read)
 
     def _make_room(self) -> bool:
-        """Close the oldest that has said nothing, else the one that rests longest."""
+        """Close the oldest that has said nothing, else the one that rests longest; those on which calls stood last,
+        since what ends a call can be told only on them."""
         resting = [caller for caller in self.callers if caller not in self.calls.on_conn]
         if not resting:
             return False
-        min(resting, key=lambda caller: (caller.spoken, caller.said_at)).close(True)
+        min(resting, key=lambda caller: (caller.known, caller.spoken, caller.said_at)).close(True)
         return True
 
     def _look_at_callers(self) -> None:
@@ -270,6 +280,7 @@
             sock = None
             try:
                 sock = socket.create_connection(self.bus, 1.0)
+                sock.settimeout(None)  # else a question held as long as asked for counts as a trouble
                 poll = Poll(host)
                 while True:
                     sock.sendall(poll.ask(self.last, HOLD))
@@ -300,6 +311,8 @@
                 self.calls.beat(self.clock())
                 if ticks % LOOK == 0 or not self.ready:
                     self._look()
+                if ticks % COUNT == 0:
+                    self._log_counts("counts")
             except Exception as error:  # one event that fails must not end the timer: the other calls go on
                 log("event-failed", error=repr(error))
                 import traceback
