--- a/gingergap/__main__.py
+++ b/gingergap/__main__.py
@@ -2,10 +2,10 @@
 
 import sys
 
-if sys.argv[1:] == ["serve"]:
+if sys.argv[1:2] == ["serve"] and set(sys.argv[2:]) <= {"--belief"}:
     from .service.process import main
 
-    sys.exit(main())
+    sys.exit(main("--belief" in sys.argv))
 else:
     from .cli.main import main
 
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -130,6 +130,7 @@
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
         self.quickest = SECOND // 10
         self.took = self.took_at = 0
+        self.faults = 0.0  # the share of late of legs that came back with a fault in signalling
         self.rests_until = 0  # cold when this module began: what was sent to it before is not known
         self.recalled = False
 
@@ -350,6 +351,7 @@
         if d.leg_to is not None:
             self.legs_out.pop(dialog, None)
             d.leg_to.overtaken(dialog)
+            d.leg_to.faults -= d.leg_to.faults / 8
             self.pace += (took - self.pace) / 8
             self.fulls = 0
             if d.leg_to.number == d.far:
@@ -384,6 +386,10 @@
             self.turned_back[(ex.gw, d.far)] = (now + span, span)
             if ex in self.carried.get(d.far, ()):
                 self.carried[d.far].remove(ex)
+        if how == LegEnd.BUSY:
+            d.doubt = True  # it may have run: only what may be repeated goes again
+            if rsn == Rsn.NONE:
+                ex.faults += (1 - ex.faults) / 8
         if how in IN_DOUBT:
             d.doubt = True
             d.not_before = now + self.release_guard
@@ -394,7 +400,9 @@
             del self.dialogs[dialog]
         elif d.stands:
             self._abort(dialog, d)
-        elif how == LegEnd.BUSY:
+        elif how == LegEnd.BUSY and (rsn != Rsn.NONE or ex.faults > 0.9):
+            # Busy lines stay so. A fault in signalling need not: the way is tried again, for as long as any
+            # legs stand there; else each dialog would cost a broken far end all its legs.
             self._decline(dialog, d)
         elif d.not_before > now:
             heappush(self.due, (d.not_before, dialog, "again"))
--- a/gingergap/edge/words.py
+++ b/gingergap/edge/words.py
@@ -61,7 +61,7 @@
         return LegEnd.FULL, Rsn.BEYOND_TANDEM_FULL
     if cause == CONGESTION or status == 503:
         return LegEnd.FULL, Rsn.PROCESSOR_FULL
-    return LegEnd.BUSY, Rsn.NONE
+    return LegEnd.BUSY, Rsn.NONE if 500 <= status < 600 else Rsn.NO_WAY
 
 
 def declined(transit: bool, how: LegEnd | None, rsn: int, hold_off: int) -> tuple[int, list[tuple[str, str]]]:
--- a/gingergap/host.py
+++ b/gingergap/host.py
@@ -38,6 +38,7 @@
     TANDEM_DECLINED = 2
     PROCESSOR_FULL = 3
     LINES_BUSY = 4
+    NO_WAY = 5  # the number is refused, and would be by any way
     BEYOND_TANDEM_FULL = 18
 
 
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -17,6 +17,7 @@
 from ..facts import NOTES, Facts, circuits_in, controller_facts
 from ..host import GwState, LegEnd, ListEntry, Rsn
 from ..switches import words
+from .belief import Belief
 
 MS = 10  # tenths of a millisecond
 SECOND = 10_000
@@ -75,8 +76,8 @@
     """One proxy's calls. Raises BadFactError where the settings can't be read."""
 
     def __init__(self, wire: Wire, now: int, seed: int, settings: dict[str, Any],
-                 make: Callable[..., CallController] = CallController) -> None:
-        self.wire = wire
+                 make: Callable[..., CallController] = CallController, belief: Belief | None = None) -> None:
+        self.wire, self.belief = wire, belief
         start = Facts(settings, "settings")
         here, proxies, self.types, figures = controller_facts(start)
         self.kinds = {str(lane.get("Name", place)): place for place, lane in enumerate(start.get("Lanes", list))}
@@ -129,6 +130,8 @@
             self._over(call, LegEnd.UNREACHABLE)  # its connection was not made: it never left
 
     def decline(self, dialog: int, hold_off: int) -> None:
+        if self.belief is not None:
+            self.belief.dialog_declined(self.controller, dialog, self.now)
         self._answer(dialog, DECLINED, hold_off // MS)
 
     def abort(self, dialog: int) -> None:
@@ -269,6 +272,10 @@
         self._off_conn(call)
         call.stands, call.link = True, None
         took = now - call.sent_at
+        if self.belief is not None:
+            self.belief.answered(gw, took)
+            dialog = self.controller.dialogs.get(call.dialog)
+            self.belief.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), "200")
         self.standing.setdefault(gw, {})[id] = call
         self.wire.served(call.conn)
         self.wire.to_caller(call.conn, lines.answer(id, sdp))
@@ -289,6 +296,9 @@
         how = (LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY
                else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT)
         self.count(f"legs refused {status} {word}")
+        if self.belief is not None:
+            dialog = self.controller.dialogs.get(call.dialog)
+            self.belief.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), f"{status} {word}")
         self._leg_over(call, how, NOTES.get(word, Rsn.NONE), free, size)
         self._tell_later()
 
@@ -314,6 +324,8 @@
     def reported(self, now: int, gw: int, report: dict[str, float]) -> None:
         self.now = now
         free, size = circuits_in(report)
+        if self.belief is not None:
+            self.belief.told(gw, free, size)
         if size >= 0:
             self.controller.group_told(now, gw, free, size)
 
@@ -362,6 +374,8 @@
         if now >= self.beat_at:
             self.controller.beat(now)
         self._tell_later()
+        if self.belief is not None:
+            self.belief.beat(self, now)
 
     # --- inside ---
 
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -22,6 +22,7 @@
 from ..host import GwState
 from ..listfeed.poll import BadFeedError, Line, Poll, address_of, events_after, state_of
 from ..transport.stream import Stream
+from .belief import Belief
 from .calls import Calls
 from .far import Far, Link, create_listener
 from .told import Told, read, told
@@ -93,7 +94,7 @@
 class Process:
     """One running proxy; the Wire of its calls and the Owner of its connections."""
 
-    def __init__(self, path: Path, config: Told) -> None:
+    def __init__(self, path: Path, config: Told, belief: bool = False) -> None:
         self.path, self.config = path, config
         self.ahead = time.time_ns() - time.monotonic_ns()  # the Unix clock, without its steps
         self.callers: dict[Caller, None] = {}
@@ -110,7 +111,8 @@
         self.feed: gevent.Greenlet | None = None
         ceilings = Facts(config.settings, "settings").part("Ceilings")
         self.connect_timeout = ceilings.get("ConnectTimeout", int, 500_000) / 1e6
-        self.calls = Calls(self, self.clock(), config.seed, config.settings)
+        self.calls = Calls(self, self.clock(), config.seed, config.settings,
+                           belief=Belief(log) if belief else None)
         for number, whole, entries in events_after(0, config.known):
             self.listed(number, whole, entries)
         self.last = max(self.last, config.known.offset)
@@ -141,8 +143,8 @@
         return 0
 
     def _log_counts(self, event: str) -> None:
-        log(event, open=len(self.calls.by_dialog), callers=len(self.callers), links=sum(len(far.links) for far in self.fars.values()),
-            standing=sum(map(len, self.calls.standing.values())),
+        log(event, open=len(self.calls.by_dialog), callers=len(self.callers),
+            links=sum(len(far.links) for far in self.fars.values()), standing=sum(map(len, self.calls.standing.values())),
             **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()})
 
     # --- the wire of the calls ---
@@ -369,11 +371,11 @@
         self.over.set()
 
 
-def main() -> int:
+def main(belief: bool = False) -> int:
     """Exit 2 with one line where the environment or the configuration is not as it should be."""
     try:
         path, config = told(os.environ)
-        process = Process(path, config)
+        process = Process(path, config, belief)
     except (BadFactError, BadFeedError) as bad:
         print(bad, file=sys.stderr)
         return 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -273,3 +273,37 @@
     assert mesh.controller._tandems(d) == [mesh.gws[3]]
     mesh.controller.pace = 5_000.0
     assert mesh.controller._tandems(d) == []
+
+
+def test_a_fault_in_signalling_is_followed_by_another_leg_and_busy_lines_are_not(mesh):
+    for dialog, rsn in enumerate((Rsn.NONE, Rsn.LINES_BUSY, Rsn.NO_WAY)):
+        mesh.came(dialog)
+        ended(mesh, dialog, 1, LegEnd.BUSY, 100, rsn)
+    assert [leg[0] for leg in mesh.host.asked("send_leg")] == [0, 0, 1, 2]
+    assert [dialog for dialog, _ in mesh.host.asked("decline")] == [1, 2]
+
+
+def test_a_far_end_at_which_nothing_stands_costs_a_dialog_one_leg_and_is_found_again_when_one_stands(mesh):
+    """A far end that came back with a fault for half its legs lost all of these; each tried again, a broken one
+    would get six times its load."""
+    for dialog in range(20):
+        mesh.came(dialog)
+        while len(mesh.host.asked("send_leg")) > sum(len(mesh.host.asked(end)) for end in ("decline", "abort")) \
+                and not any(entry[0] == dialog for entry in mesh.host.asked("decline")):
+            ended(mesh, dialog, 1, LegEnd.BUSY, 100)
+    before = len(mesh.host.asked("send_leg"))
+    mesh.came(20)
+    ended(mesh, 20, 1, LegEnd.BUSY, 200)
+    assert len(mesh.host.asked("send_leg")) == before + 1
+    for dialog in (21, 22, 23):
+        mesh.came(dialog)
+        mesh.controller.dialog_stands(300, dialog, 100)
+    mesh.came(24)
+    ended(mesh, 24, 1, LegEnd.BUSY, 400)
+    assert [leg[0] for leg in mesh.host.asked("send_leg")].count(24) == 2
+
+
+def test_a_fault_may_have_run_so_what_must_not_repeat_is_aborted(mesh):
+    mesh.came(0, kind=2)
+    ended(mesh, 0, 1, LegEnd.BUSY, 100)
+    assert mesh.host.asked("abort") == [(0,)]
