--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -116,8 +116,8 @@
     """A far end as this proxy knows it: the list's word, the cold budget, the processor's pressure."""
 
     def __init__(self, gw: int, group: TrunkGroup, cold_from: float, warm_after: int, multiple: float,
-                 span: int, proxies: int) -> None:
-        self.gw, self.group, self.number = gw, group, -1
+                 span: int, proxies: int, ease: int = SECOND) -> None:
+        self.gw, self.group, self.number, self.ease = gw, group, -1, ease
         self.cold_share = cold_from * multiple / proxies
         self.least = 1 / proxies / SECOND  # all together a leg a second until service has been seen
         self.warm_after, self.span = warm_after, span
@@ -128,7 +128,7 @@
         self.sent: list[int] = []  # legs sent within the cold budget's span, while cold
         self.unspread = False  # a start whose first moment is still to be drawn
         self.out: dict[int, int] = {}  # dialogs with an unanswered leg here, and when it left
-        self.quickest = SECOND // 10
+        self.quickest = ease // 10
         self.took = self.took_at = 0
         self.faults = 0.0  # the share of late of legs that came back with a fault in signalling
         self.rests_until = 0  # cold when this module began: what was sent to it before is not known
@@ -144,7 +144,7 @@
             self.unspread = True
             if self.recalled:  # another process: what was remembered of the one before says nothing of it
                 self.took = self.pressed_until = 0
-                self.quickest = SECOND // 10
+                self.quickest = self.ease // 10
 
     def recall(self, now: int, known: KnownExchange, age: int, weight: float) -> None:
         """What was learned `age` ago. A set-up time of late fades by itself, as while the module runs."""
@@ -158,7 +158,7 @@
         self.quickest += int((min(known.quickest, self.quickest) - self.quickest) * weight)
         if known.took > 0:
             self.took, self.took_at = known.took, now - age - known.took_ago
-        self.pressed_until = now + min(max(0, known.pressed_for - age), 2 * SECOND)
+        self.pressed_until = now + min(max(0, known.pressed_for - age), 2 * self.ease)
 
     def cold_room(self, now: int, usual: float) -> bool:
         """Whether a cold exchange may get one more leg from here. `usual` is what one warm far end gets
@@ -192,11 +192,11 @@
         self.took_at = now
 
     def expected(self, now: int) -> int:
-        """The set-up time to expect now: of late, halved for each second without news, and no less
+        """The set-up time to expect now: of late, halved for each `ease` without news, and no less
         than the longest that a leg has been out here."""
         took = self.quickest
         if self.took > took:
-            took += int((self.took - took) * 0.5 ** ((now - self.took_at) / SECOND))
+            took += int((self.took - took) * 0.5 ** ((now - self.took_at) / self.ease))
         if self.out:
             took = max(took, now - next(iter(self.out.values())))
         return took
@@ -235,7 +235,9 @@
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
         self.centre_advises = centre_advises  # it knows at no cost what proxies would tell each other
         self.tell_at = 0 if may_tell and not centre_advises and 0 <= here < 1000 else None
-        self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies)
+        # How fast signs of pressure fade: where all is quicker, queues empty sooner, and a second is long.
+        self.ease = min(2 * kind.setup_objective // 3 for kind in types)
+        self.cold_figures = (cold_from, warm_after, multiple, fall_span, proxies, self.ease)
         self.chance = Chance(seed)
         self.gws: dict[int, Exchange] = {}
         self.by_number: dict[int, Exchange] = {}
@@ -377,12 +379,12 @@
             # whatever the cause, nobody asks again at once.
             full = self.by_number[d.far] if rsn == Rsn.BEYOND_TANDEM_FULL else ex
             full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
-            full.pressed_until = now + 2 * SECOND
+            full.pressed_until = now + 2 * self.ease
             self.fulls, self.full_at = self.fulls + 1, now
         elif how == LegEnd.FULL and ex.number != d.far:
             # The second group can't be seen from here: each turn-back tells of it for a while, and for twice
             # as long where the last one told the same, since in large fleets many pairs have no group at all.
-            span = min(2 * self.turned_back.get((ex.gw, d.far), (0, 3 * SECOND))[1], 60 * SECOND)
+            span = min(2 * self.turned_back.get((ex.gw, d.far), (0, 3 * self.ease))[1], 60 * SECOND)
             self.turned_back[(ex.gw, d.far)] = (now + span, span)
             if ex in self.carried.get(d.far, ()):
                 self.carried[d.far].remove(ex)
@@ -394,7 +396,7 @@
             d.doubt = True
             d.not_before = now + self.release_guard
             if how != LegEnd.CUT:  # silent, whatever the cause: no tandem for now
-                ex.pressed_until = now + 2 * SECOND
+                ex.pressed_until = now + 2 * self.ease
         d.answered = d.answered or over
         if d.answered:
             del self.dialogs[dialog]
@@ -527,7 +529,7 @@
         rank = kind.importance / self.top_importance * (kind.late_share if late else 1)
         took = ex.expected(self.now)
         if self.fulls > 3:  # far ends are not all full at once: it is the own processor
-            took = max(took, kind.setup_objective * 0.5 ** ((self.now - self.full_at) / SECOND))
+            took = max(took, kind.setup_objective * 0.5 ** ((self.now - self.full_at) / self.ease))
         return (took / left - 0.15 - 0.4 * rank) / 0.3 > d.luck
 
     # --- waiting ---------------------------------------------------------------------------------------
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -86,6 +86,7 @@
         self.ids: list[str] = []  # switches by gw
         self.gw_of: dict[str, int] = {}
         self.numbers: dict[int, int] = {}  # gw: exchange number
+        self.by_number: dict[int, list[int]] = {}  # and back: the machines that hold it now
         self.by_id: dict[str, Call] = {}
         self.by_dialog: dict[int, Call] = {}
         self.on_link: dict[Link, dict[str, Call]] = {}
@@ -290,7 +291,7 @@
         call = self._leg_on(link, id)
         if call is None:
             if size >= 0:
-                self.controller.group_told(now, gw, free, size)
+                self._group_told(gw, free, size)
             return
         self.wire.to_link(link, words.ack(call.number, id, call.legs))
         how = (LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY
@@ -308,7 +309,7 @@
         self.wire.to_link(link, words.bye_heard(id))
         free, size = circuits_in(report)
         if size >= 0:
-            self.controller.group_told(now, gw, free, size)
+            self._group_told(gw, free, size)
         call = self.by_id.get(id)
         if call is None:
             if id not in self.lately:  # from before this process began
@@ -327,7 +328,14 @@
         if self.belief is not None:
             self.belief.told(gw, free, size)
         if size >= 0:
-            self.controller.group_told(now, gw, free, size)
+            self._group_told(gw, free, size)
+
+    def _group_told(self, gw: int, free: int, size: int) -> None:
+        """A group leads to an exchange, not to the machine that holds its number: while one machine takes over from
+        another both speak for it, and for seconds only the old one did, so the new one's was tried blindly."""
+        held = self.by_number.get(self.numbers.get(gw, -1), ())
+        for other in held if gw in held else (gw,):  # one that has gone speaks for itself alone
+            self.controller.group_told(self.now, other, free, size)
 
     def machine_lost(self, now: int, gw: int) -> None:
         """Nothing comes from there and nothing is taken: what stood there is over."""
@@ -349,6 +357,9 @@
             gw = self.gw_of[name]
             number = self.numbers.setdefault(gw, number) if number < 0 else number
             self.numbers[gw] = number
+            held = self.by_number.setdefault(number, [])
+            if (state == GwState.GONE) == (gw in held):
+                (held.remove if state == GwState.GONE else held.append)(gw)
             told.append(ListEntry(gw, number, state, started))
         self.controller.list_pushed(now, told, whole)
         self._tell_later()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -307,3 +307,22 @@
     mesh.came(0, kind=2)
     ended(mesh, 0, 1, LegEnd.BUSY, 100)
     assert mesh.host.asked("abort") == [(0,)]
+
+
+def test_signs_of_pressure_fade_by_the_shortest_objective(mesh):
+    """Where objectives are a quarter, one full processor kept nearly all dialogs back for two seconds, while legs there
+    were answered in 22 ms."""
+    assert mesh.controller.ease == 10_000
+    mesh.controller.types = [kind._replace(setup_objective=kind.setup_objective // 4) for kind in mesh.controller.types]
+    quick = type(mesh.controller)(
+        mesh.host, 7, 0, 4, mesh.controller.types, release_guard=1_000, most_legs=4, longest_hold_off=0, may_cancel=True,
+        must_ask=False, may_tell=False, centre_advises=False, cold_from=0.4, warm_after=140_000, multiple=2.5, fall_span=1)
+    quick.list_pushed(0, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4)], True)
+    for controller, later in ((mesh.controller, 10_000), (quick, 2_500)):
+        controller.group_told(0, 1, 20, 20)
+        controller.dialog_came(0, 0, 0, 1, 1, "n", 30_000, False, False, False)
+        controller.leg_ended(0, 0, 1, LegEnd.FULL, Rsn.PROCESSOR_FULL, False, 20, 20)
+        ex = controller.gws[1]
+        assert ex.expected(0) == controller.types[0].setup_objective
+        assert abs(ex.expected(later) - ex.quickest - (ex.took - ex.quickest) / 2) < 20
+        assert 0 < ex.pressed_until <= 2 * later
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -229,6 +229,18 @@
     assert not calls.by_id and not calls.controller.dialogs
 
 
+def test_a_group_is_told_for_all_machines_that_hold_the_exchanges_number():
+    wire = NotedWire()
+    calls = made(wire)
+    calls.listed(START, False, [("s-1b", 1, GwState.READY, START), ("s-1", 1, GwState.DRAINING, 0)])
+    calls.reported(START, 1, {"idle": 3, "circuits": 40})
+    assert calls.controller.gws[4].group.free == 3
+    calls.listed(START, False, [("s-1", 1, GwState.GONE, 0)])
+    calls.reported(START, 4, {"idle": 5, "circuits": 40})
+    calls.reported(START, 1, {"idle": 9, "circuits": 40})
+    assert calls.controller.gws[4].group.free == 5 and calls.by_number[1] == [4]
+
+
 def test_settings_that_can_not_be_read_name_the_field():
     with pytest.raises(BadFactError, match=r"settings\.Lanes"):
         Calls(NotedWire(), START, 7, {**SETTINGS, "Lanes": 3})
