--- /dev/null
+++ b/tests/test_service_process.py
@@ -0,0 +1,362 @@
+"""The service as a process among scripted peers on loopback: start, calls through, bad callers and peers, signals."""
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+from test_service_calls import SDP, SETTINGS
+
+from gingergap.sip.framing import Framer
+
+WAIT = 20  # seconds for anything that must come; nothing is judged by how soon
+
+
+def listener():
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(50)
+    return sock, "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+class Peer:
+    """Accepts connections and gives each to a thread."""
+
+    def __init__(self):
+        self.sock, self.address = listener()
+        self.conns = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self.sock.accept()
+            except OSError:
+                return
+            self.conns.append(conn)
+            threading.Thread(target=self._served, args=(conn,), daemon=True).start()
+
+    def _served(self, conn):
+        try:
+            self.serve(conn)
+        except OSError:
+            pass
+
+    def close(self):
+        self.sock.close()
+        for conn in self.conns:
+            conn.close()
+
+
+def sip(first, id, cseq, extra="", body=""):
+    return (f"{first}\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {cseq}\r\n{extra}"
+            f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
+
+
+def answer(id):
+    return sip("SIP/2.0 200 OK", id, "INVITE", body=f"of {id}\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n")
+
+
+class Switch(Peer):
+    """Tells of 40 free circuits on each connection; answers set-ups by `replies` in turn, the last again and again.
+    A reply is bytes made of an id, or None for silence."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies) or [answer]
+        self.came = queue.Queue()  # (connection, message)
+        super().__init__()
+
+    def serve(self, conn):
+        conn.sendall(sip("NOTIFY sip:x@net SIP/2.0", "0" * 16, "NOTIFY", "Link-State: idle:40;circuits:40\r\n"))
+        framer = Framer()
+        while data := conn.recv(65_536):
+            for message in framer.feed(data):
+                self.came.put((conn, message))
+                if message.method == "INVITE":
+                    reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+                    made = reply(message.call_id)
+                    if made is not None:
+                        conn.sendall(made)
+
+    def next(self, method):
+        while True:
+            conn, message = self.came.get(timeout=WAIT)
+            if message.method == method:
+                return conn, message
+
+
+class Bus(Peer):
+    """Answers each question with what there is after its number, or when there is something."""
+
+    def __init__(self):
+        self.events, self.more = [], threading.Condition()
+        self.asked = queue.Queue()
+        super().__init__()
+
+    def tell(self, *lines, number=None, whole=False):
+        with self.more:
+            self.events.append({"offset": number or 2 + len(self.events),
+                                "topology": {"rev": 1, "all": whole, "targets": list(lines)}})
+            self.more.notify_all()
+
+    def serve(self, conn):
+        file = conn.makefile("rb")
+        while line := file.readline():
+            while file.readline().strip():
+                pass
+            after = int(line.split(b"from=")[1].split(b"&")[0])
+            self.asked.put(after)
+            with self.more:
+                self.more.wait_for(lambda after=after: any(e["offset"] > after for e in self.events), 0.5)
+                batch = [e for e in self.events if e["offset"] > after]
+            body = json.dumps({"offset": batch[-1]["offset"] if batch else after, "batch": batch}).encode()
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def line(uid, number, address, state="in_service"):
+    return {"uid": uid, "endpoint": address, "pod_group": number, "state": state, "boot_ms": 0}
+
+
+class Caller:
+    def __init__(self, address):
+        host, port = address.split(":")
+        self.sock = socket.create_connection((host, int(port)), WAIT)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, type, id, **more):
+        self.sock.sendall(json.dumps({"type": type, "id": id, "fields": {}, **more}).encode() + b"\n")
+
+    def set_up(self, id, far=1, left=2900):
+        self.send("setup", id, sdp=SDP, fields={"class": "voice", "left": str(left), "key": "7f",
+                                                "extras": f"dest:{far};width:1;via:-1"})
+
+    def next(self):
+        """What comes next, None when the connection is closed."""
+        try:
+            text = self.file.readline()
+        except ConnectionResetError:
+            return None
+        return json.loads(text) if text else None
+
+
+class Service:
+    """One process with its peers; exchange 0 is its own."""
+
+    def __init__(self, folder, **switches):
+        self.folder = folder
+        self.bus = Bus()
+        self.switches = {"s1": Switch(), "s2": Switch(), **switches}
+        sock, self.address = listener()
+        sock.close()
+        self.config = {
+            "name": "n0", "listen": self.address, "seed": "8c1f30d27a5be964", "bus": self.bus.address,
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 64}, "settings": SETTINGS,
+            "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"rev": 1, "all": True, "targets": [
+                line("s0", 0, "127.0.0.1:9"), *(line(uid, int(uid[1:]), switch.address)
+                                                for uid, switch in self.switches.items())]}}]}}
+        self.path = folder / "config.json"
+        self.write()
+        self.log = (folder / "log").open("w")
+        self.process = subprocess.Popen([sys.executable, "-m", "gingergap", "serve"], stderr=self.log, stdout=self.log,
+                                        env={**os.environ, "LB_CONFIG": str(self.path), "LB_NAME": "n0"})
+        while True:
+            assert self.process.poll() is None, (folder / "log").read_text()
+            try:
+                caller = self.caller()
+            except ConnectionRefusedError:
+                continue
+            caller.send("ping", "0" * 16)
+            assert caller.next()["cause"] == 1
+            break
+
+    def write(self):
+        self.path.write_text(json.dumps(self.config))
+
+    def caller(self):
+        return Caller(self.address)
+
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+        for peer in (self.bus, *self.switches.values()):
+            peer.close()
+
+
+@pytest.fixture
+def start(tmp_path):
+    running = []
+
+    def begin(**switches):
+        running.append(Service(tmp_path, **switches))
+        return running[-1]
+
+    yield begin
+    for service in running:
+        service.close()
+
+
+A, B = "a" * 16, "b" * 16
+
+
+def test_a_call_goes_through_and_its_end_comes_back_also_when_the_callers_connection_has_gone(start):
+    service = start()
+    first, second = service.caller(), service.caller()
+    first.set_up(A)
+    second.set_up(B)
+    assert first.next() == {"type": "answer", "id": A, "fields": {},
+                            "sdp": f"of {A}\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"}
+    assert second.next()["type"] == "answer"
+    switch = service.switches["s1"]
+    conn, invite = switch.next("INVITE")
+    assert invite.body.decode() == SDP
+    switch.next("ACK")
+    first.sock.close()
+    conn.sendall(sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    assert second.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
+
+
+@pytest.mark.parametrize("spoilt", [
+    lambda id: answer(id)[:40], lambda id: b"\x00\xff noise\r\n\r\n",
+    lambda id: answer(id).replace(b"Content-Length: ", b"Content-Length: 3000000"),
+    lambda id: answer(id)[:-4], lambda id: answer(B) + answer(id)[:30], lambda id: None])
+def test_a_spoilt_answer_costs_its_connection_and_the_next_leg_is_answered(start, spoilt):
+    service = start(s1=Switch(spoilt, answer))
+    caller = service.caller()
+    caller.set_up(A)
+    switch = service.switches["s1"]
+    first, _ = switch.next("INVITE")
+    if spoilt(A) is None:  # silence alone is no sign: legs elsewhere must be answered meanwhile
+        for place in range(6):
+            other = service.caller()
+            other.set_up(f"{place:016x}", far=2)
+            assert other.next()["type"] == "answer"
+    said = caller.next()
+    assert said["id"] == A and said["type"] in ("answer", "release")
+    if said["type"] == "answer":
+        assert said["sdp"].startswith(f"of {A}")
+        second, _ = switch.next("INVITE")
+        assert second is not first
+
+
+def test_an_answer_with_more_than_belongs_to_it_is_passed_on_once(start):
+    service = start(s1=Switch(lambda id: answer(B) + answer(id) + answer(id)))
+    caller = service.caller()
+    caller.set_up(A)
+    assert caller.next()["id"] == A
+    caller.send("ping", "0" * 16)
+    assert caller.next()["type"] == "pong"
+
+
+@pytest.mark.parametrize("data", [b"\xff\xfe\x00\n", b"x" * 40_000, b'{"type":"setup","id":"zz"}\n', b"[" * 9_000 + b"\n", b'{"ty',
+                                  b""])
+def test_a_bad_caller_is_closed_and_the_others_notice_nothing(start, data):
+    service = start()
+    bad, good = service.caller(), service.caller()
+    bad.sock.sendall(data)
+    good.set_up(A)
+    assert good.next()["type"] == "answer"
+    assert bad.next() is None
+
+
+def test_hundreds_that_say_nothing_do_not_shut_the_door(start):
+    service = start()
+    silent = []
+    for _ in range(150):
+        silent.append(service.caller())
+    good = service.caller()
+    good.set_up(A)
+    assert good.next()["type"] == "answer"
+
+
+def test_a_flood_that_withdraws_leaves_nothing_behind(start):
+    service = start(s1=Switch(lambda id: None))
+    flood, good = service.caller(), service.caller()
+    for place in range(300):
+        flood.set_up(f"{place:016x}")
+    for place in range(300):
+        flood.send("release", f"{place:016x}", cause=16)
+    good.set_up(B, far=2)
+    assert good.next()["type"] == "answer"
+
+
+def test_a_drain_told_by_the_bus_and_after_a_sighup_by_the_new_bus_is_kept(start):
+    service = start()
+    caller = service.caller()
+    service.bus.tell(line("s1", 1, service.switches["s1"].address, "terminating"))
+    while service.bus.asked.get(timeout=WAIT) < 2:
+        pass
+    caller.set_up(A)
+    assert caller.next()["type"] == "release"
+    (service.folder / "config.json").write_text("{")
+    service.process.send_signal(signal.SIGHUP)
+    other = Bus()
+    try:
+        while "configuration-kept" not in (service.folder / "log").read_text():
+            assert service.process.poll() is None
+        service.config["bus"] = other.address
+        service.write()
+        service.process.send_signal(signal.SIGHUP)
+        assert other.asked.get(timeout=WAIT) == 2  # the numbers go on
+        other.tell(line("s1", 1, service.switches["s1"].address), number=3)
+        while other.asked.get(timeout=WAIT) < 3:
+            pass
+        caller.set_up(B)
+        assert caller.next()["type"] == "answer"
+    finally:
+        other.close()
+
+
+def test_a_bus_that_breaks_off_is_asked_again_from_the_same_number(start):
+    service = start()
+    service.bus.asked.get(timeout=WAIT)
+    for conn in list(service.bus.conns):
+        conn.shutdown(socket.SHUT_RDWR)
+    assert service.bus.asked.get(timeout=WAIT) == 1
+
+
+def test_sigterm_answers_what_was_taken_and_ends(start):
+    service = start(s1=Switch(lambda id: None))
+    caller, late = service.caller(), service.caller()
+    caller.set_up(A, left=1500)
+    service.switches["s1"].next("INVITE")
+    service.process.send_signal(signal.SIGTERM)
+    late.set_up(B, far=2)
+    assert late.next()["type"] == "answer"
+    assert caller.next()["type"] == "release"
+    assert service.process.wait(WAIT) == 0
+
+
+@pytest.mark.parametrize(("change", "words"), [
+    ({"listen": "nowhere"}, "field config.listen"), ({"bus": 5}, "field config.bus"), ({"seed": "x"}, "field config.seed"),
+    ({"settings": {"Lanes": 3}}, "settings.Specifics"), ({"known": {"offset": "x"}}, "field known"),
+    ({"limits": {"sockets": 3}}, "config.limits.sockets"), ({"settings": None}, "field config.settings")])
+def test_a_wrong_configuration_is_told_in_one_line(tmp_path, change, words):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "seed": "1", "settings": SETTINGS,
+                                **change}))
+    done = subprocess.run([sys.executable, "-m", "gingergap", "serve"], env={**os.environ, "LB_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_missing_variable_or_file_is_told_in_one_line(tmp_path):
+    for value in ("", str(tmp_path / "none")):
+        done = subprocess.run([sys.executable, "-m", "gingergap", "serve"], env={**os.environ, "LB_CONFIG": value},
+                              capture_output=True, text=True, timeout=60)
+        assert done.returncode == 2 and done.stderr.count("\n") == 1
+
+
+def test_the_service_loads_only_what_it_needs():
+    """Memory is scarce there and a restart should be ready at once."""
+    code = ("import gingergap.service.process, sys; "
+            "print(sorted(m for m in sys.modules if m.startswith('gingergap.') or '.' not in m))")
+    loaded = set(eval(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout))
+    assert not loaded & {"structlog", "pydantic", "click", "numpy", "pyarrow", "sexpdata", "rich", "opentelemetry", "apsw"}
+    assert not {m for m in loaded if m.split(".")[1:2] and m.split(".")[1] in
+                ("store", "trace", "settings", "cli", "edge", "standins", "emulator", "duties", "membership", "benchlink")}
