--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -197,7 +197,7 @@
         if id in self.by_id or id in self.lately or gw is None:
             return
         call = Call(id, -1, conn, kind, number, "", 0)
-        call.gw, call.stands, call.over = gw, True, True
+        call.gw, call.stands, call.over, call.sent_at = gw, True, True, now
         self.by_id[id] = call
         self.standing.setdefault(gw, {})[id] = call
 
@@ -340,11 +340,14 @@
     def machine_lost(self, now: int, gw: int) -> None:
         """Nothing comes from there and nothing is taken: what stood there is over."""
         self.now = now
-        for call in list(self.standing.get(gw, {}).values()):
+        self._cut(gw, list(self.standing.get(gw, {}).values()))
+        self._tell_later()
+
+    def _cut(self, gw: int, calls: list[Call]) -> None:
+        for call in calls:
             self.count("calls cut with their machine")
             self.wire.to_caller(call.conn, lines.release(call.id, ABORTED))
             self._ended(call, LegEnd.CUT)
-        self._tell_later()
 
     def listed(self, now: int, whole: bool, entries: list[tuple[str, int, GwState, int]]) -> None:
         """The list's words: id, exchange number, state, start (0: long ago)."""
@@ -361,6 +364,9 @@
             if (state == GwState.GONE) == (gw in held):
                 (held.remove if state == GwState.GONE else held.append)(gw)
             told.append(ListEntry(gw, number, state, started))
+            # A machine that has started anew holds nothing of what stood there, and may never say so.
+            if started > 0:
+                self._cut(gw, [call for call in self.standing.get(gw, {}).values() if call.sent_at < started])
         self.controller.list_pushed(now, told, whole)
         self._tell_later()
 
--- a/gingergap/service/far.py
+++ b/gingergap/service/far.py
@@ -104,6 +104,7 @@
         self.main: Link | None = None
         self.waiting: list[bytes] = []  # for the next connection
         self.wanted = True
+        self.renew = False  # a connection was lost: what the switch wrote to it comes again on the next one
         self.heard_at = self.tried_at = 0.0
         self.failed_since = 0.0  # 0 while the last try to connect went well or none has ended
 
@@ -139,6 +140,7 @@
     def _open(self) -> Link:
         link = Link(self)
         self.links.append(link)
+        self.renew = False
         self.tried_at = self.now()
         gevent.spawn(link.open)
         return link
@@ -155,6 +157,7 @@
     def gone(self, link: Link, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
+        self.renew = self.renew or was_up
         if not was_up and not self.failed_since:
             self.failed_since = self.now()
         if self.main is link:
@@ -186,8 +189,10 @@
             return
         up = [link for link in self.links if link.up and not link.retired]
         opening = any(not link.up for link in self.links)
-        if not opening and now - self.tried_at >= AGAIN and (
-                not up or standing and now - self.heard_at > SILENT):
+        # A release that crossed the close of its connection went to nobody while others stayed open: it is sent again
+        # on the next connection that is opened, and has to reach its caller within a second.
+        if not opening and (not up or standing and (self.renew or now - self.heard_at > SILENT)) and (
+                self.renew or now - self.tried_at >= AGAIN):
             self._open()
         # A vanished machine resets nothing: what stood there is over when new connections have failed for so long.
         if self.failed_since and now - self.failed_since > LOST and now - self.heard_at > LOST:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -241,6 +241,17 @@
     assert calls.controller.gws[4].group.free == 5 and calls.by_number[1] == [4]
 
 
+def test_what_stood_at_a_machine_before_it_started_anew_is_over():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    calls.answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
+    calls.listed(START + 300, False, [("s-1", 1, GwState.READY, START - 5)])
+    assert len(wire.told("a" * 16)) == 1
+    calls.listed(START + 400, False, [("s-1", 1, GwState.READY, START + 300)])
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer", "release"]
+
+
 def test_settings_that_can_not_be_read_name_the_field():
     with pytest.raises(BadFactError, match=r"settings\.Lanes"):
         Calls(NotedWire(), START, 7, {**SETTINGS, "Lanes": 3})
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -1,5 +1,6 @@
 """The service as a process among scripted peers on loopback: start, calls through, bad callers and peers, signals."""
 
+import contextlib
 import json
 import os
 import queue
@@ -21,7 +22,7 @@
     sock = socket.socket()
     sock.bind(("127.0.0.1", 0))
     sock.listen(50)
-    return sock, "127.0.0.1:%d" % sock.getsockname()[1]
+    return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 class Peer:
@@ -42,10 +43,8 @@
             threading.Thread(target=self._served, args=(conn,), daemon=True).start()
 
     def _served(self, conn):
-        try:
+        with contextlib.suppress(OSError):
             self.serve(conn)
-        except OSError:
-            pass
 
     def close(self):
         self.sock.close()
@@ -216,7 +215,8 @@
     conn, invite = switch.next("INVITE")
     assert invite.body.decode() == SDP
     switch.next("ACK")
-    first.sock.close()
+    first.sock.shutdown(socket.SHUT_WR)
+    assert first.next() is None
     conn.sendall(sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
     assert second.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
 
@@ -334,12 +334,12 @@
 
 @pytest.mark.parametrize(("change", "words"), [
     ({"listen": "nowhere"}, "field config.listen"), ({"bus": 5}, "field config.bus"), ({"seed": "x"}, "field config.seed"),
-    ({"settings": {"Lanes": 3}}, "settings.Specifics"), ({"known": {"offset": "x"}}, "field known"),
+    ({"settings": {"Lanes": 3}}, "settings.Ceilings"), ({"known": {"offset": "x"}}, "field known"),
     ({"limits": {"sockets": 3}}, "config.limits.sockets"), ({"settings": None}, "field config.settings")])
 def test_a_wrong_configuration_is_told_in_one_line(tmp_path, change, words):
     path = tmp_path / "config.json"
     path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "seed": "1", "settings": SETTINGS,
-                                **change}))
+                                "limits": {"sockets": 64}, **change}))
     done = subprocess.run([sys.executable, "-m", "gingergap", "serve"], env={**os.environ, "LB_CONFIG": str(path)},
                           capture_output=True, text=True, timeout=60)
     assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
