--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -376,9 +376,14 @@
         d.leg_to = None
         if rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL) or how == LegEnd.UNREACHABLE:
             # Full processors (what they turn away costs them work too), the own one down, or nobody there:
-            # whatever the cause, nobody asks again at once.
+            # whatever the cause, nobody asks again at once. A full one counts a quarter: it may be a short stall
+            # of all, and in a row they add up.
             full = self.by_number[d.far] if rsn == Rsn.BEYOND_TANDEM_FULL else ex
-            full.took, full.took_at = max(full.took, self.types[d.kind].setup_objective), now
+            took = self.types[d.kind].setup_objective
+            if how == LegEnd.FULL:
+                took = (3 * full.took + took) // 4
+                d.not_before = now + self.ease // 4
+            full.took, full.took_at = max(full.took, took), now
             full.pressed_until = now + 2 * self.ease
             self.fulls, self.full_at = self.fulls + 1, now
         elif how == LegEnd.FULL and ex.number != d.far:
