--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -104,7 +104,8 @@
                     gevent.sleep(PAUSE)
         except OSError:
             pass
-        self.close(True)
+        finally:  # also where an event failed: nobody would read on, and what waits here would never end
+            self.close(True)
 
     def close(self, reset: bool = True) -> None:
         """Close; the user hears of it, once, so that what was under way on it ends."""
