--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -11,6 +11,7 @@
 from gingergap.sip.transactions import Hop
 from gingergap.standins.player import free_ports
 from gingergap.transport.sockets import Sockets
+from gingergap.transport.stream import Stream
 
 OPTIONS = (b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP h;branch=z9hG4bK%d\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
            b"Call-ID: c\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
@@ -153,3 +154,27 @@
     _, sockets = element
     with pytest.raises(OSError):
         Sockets(Owner(), sockets.address).open()
+
+
+def test_a_reader_that_fails_closes_its_connection():
+    """It stayed open with nobody reading, and what waited on it never ended."""
+    ends, over = [], Event()
+
+    class Failing(Stream):
+        def came(self, data):
+            raise ValueError(data)
+
+        def ended(self, reset):
+            ends.append(reset)
+            over.set()
+
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    ours, theirs = socket.create_connection(listener.getsockname()), listener.accept()[0]
+    reader = gevent.spawn(Failing(ours, most_queued=100, longest_write=1.0).read)
+    theirs.sendall(b"x")
+    assert over.wait(10) and ends == [True]
+    assert theirs.recv(10) == b""
+    reader.join()
+    assert isinstance(reader.exception, ValueError)
