--- a/gingergap/service/far.py
+++ b/gingergap/service/far.py
@@ -21,6 +21,7 @@
 STALLED = 0.25  # seconds: messages come in one piece, so one that has stood half for this long won't be whole
 SILENT = 1.5  # seconds without a word before a new connection asks whether anybody is there
 LOST = 2.5  # seconds for which nobody was there before the machine counts as lost
+FINISH = 1.0  # seconds in which a switch may close its end of a connection that is given back
 AGAIN = 0.2  # seconds between tries to connect
 
 
@@ -177,7 +178,10 @@
         now = self.now()
         for link in list(self.links):
             if link.retired and self.owner.link_busy(link) == 0:
-                link.close(True)
+                # Closed at once, it took a release with it that the switch had just written: one call in some
+                # thousands was over without its caller being told.
+                link.finish(FINISH)
+                self._choose_main()
             elif link.up and link.reader.partial and now - link.heard_at > STALLED:
                 self.owner.spoilt_by(link, "a message stands half")
                 link.close(True)
@@ -185,7 +189,8 @@
         if not self.wanted and not standing:
             for link in list(self.links):
                 if self.owner.link_busy(link) == 0:
-                    link.close(True)
+                    link.retired = True
+                    link.finish(FINISH)
             return
         up = [link for link in self.links if link.up and not link.retired]
         opening = any(not link.up for link in self.links)
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -23,7 +23,7 @@
         self.sock, self.most_queued, self.longest_write = sock, most_queued, longest_write
         self.queue: deque[bytes] = deque()
         self.queued = 0
-        self.closed = False
+        self.closed = self.finishing = False
         self.writer: gevent.Greenlet | None = None
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -52,7 +52,7 @@
         return True
 
     def put(self, data: bytes) -> None:
-        if self.closed:
+        if self.closed or self.finishing:
             return
         if self.sock is not None and not self.queue:
             try:
@@ -107,6 +107,19 @@
         finally:  # also where an event failed: nobody would read on, and what waits here would never end
             self.close(True)
 
+    def finish(self, within: float) -> None:
+        """Write no more, and read on until the far end has closed too, `within` seconds at most: what it wrote before
+        it noticed still comes."""
+        if self.closed or self.finishing or self.sock is None:
+            return
+        self.finishing = True
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close(True)
+            return
+        gevent.spawn_later(within, self.close, True)
+
     def close(self, reset: bool = True) -> None:
         """Close; the user hears of it, once, so that what was under way on it ends."""
         if self.closed:
--- a/tests/test_service_far.py
+++ b/tests/test_service_far.py
@@ -59,16 +59,18 @@
     assert far.link_to({links[-1]}) is links[-2]
 
 
-def test_a_retired_connection_gets_nothing_and_is_closed_when_nothing_is_out_on_it(far):
+def test_a_retired_connection_gets_nothing_and_is_finished_when_nothing_is_out_on_it(far, monkeypatch):
+    finished = []
+    monkeypatch.setattr("gingergap.service.far.Link.finish", lambda link, within: finished.append(link))
     link = far.link_to(set())
     up(far)
     link.retired, far.owner.busy[link] = True, 1
     assert far.link_to(set()) is not link
     far.look()
-    assert not link.closed
+    assert not finished
     far.owner.busy[link] = 0
     far.look()
-    assert link.closed
+    assert finished == [link] and not link.closed
 
 
 def test_a_lost_connection_is_followed_by_another_at_once_where_calls_stand(far):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -178,3 +178,30 @@
     assert theirs.recv(10) == b""
     reader.join()
     assert isinstance(reader.exception, ValueError)
+
+
+def test_a_finished_connection_still_brings_what_the_far_end_had_written():
+    """Closed at once, what was under way was lost with it."""
+    came, over = [], Event()
+
+    class Kept(Stream):
+        def came(self, data):
+            came.append(data)
+
+        def ended(self, reset):
+            over.set()
+
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    ours, theirs = socket.create_connection(listener.getsockname()), listener.accept()[0]
+    stream = Kept(ours, most_queued=100, longest_write=1.0)
+    gevent.spawn(stream.read)
+    stream.finish(30)
+    stream.finish(30)
+    stream.put(b"too late")
+    assert theirs.recv(10) == b""
+    assert not stream.closed
+    theirs.sendall(b"a last word")
+    theirs.close()
+    assert over.wait(10) and b"".join(came) == b"a last word"
