--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -55,6 +55,14 @@
     sys.exit(EdgeProcess(form, logger(form.log_level)).run())
 
 
+@main.command("serve")
+@click.option("--belief", is_flag=True, help="Log once a second what the module believes beside what passed.")
+def serve(belief: bool) -> None:
+    """Run one proxy as a platform starts it, by LB_CONFIG; `python -m gingergap serve` loads less."""
+    from ..service.process import main as run
+    sys.exit(run(belief))
+
+
 @main.group()
 def settings() -> None:
     """Settings files."""
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -96,7 +96,7 @@
         self.called_off: dict[tuple[str, Link], tuple[int, int, str]] = {}  # gw, leg, number of a leg given up
         self.due: list[tuple[int, int, int]] = []  # a leg's time: (when, dialog, leg)
         self.dialogs = 0
-        self.later: deque[tuple[Call, int, LegEnd, int, bool]] = deque()
+        self.later: deque[tuple[Call, int, LegEnd]] = deque()
         self.now = self.beat_at = now
         self.counts: dict[str, int] = {}
         self.controller = make(self, seed, here, proxies, self.types, **figures)
@@ -165,7 +165,7 @@
             return
         if len(self.by_dialog) >= self.most_open:
             self.count("refused: too many open")
-            self.wire.to_caller(conn, lines.release(id, DECLINED, 500))
+            self.wire.to_caller(conn, lines.release(id, DECLINED, self.controller.longest_hold_off // MS))
             return
         call = Call(id, self.dialogs, conn, kind, number, sdp, width)
         self.dialogs += 1
@@ -290,8 +290,7 @@
         free, size = circuits_in(report)
         call = self._leg_on(link, id)
         if call is None:
-            if size >= 0:
-                self._group_told(gw, free, size)
+            self._group_told(gw, free, size)
             return
         self.wire.to_link(link, words.ack(call.number, id, call.legs))
         how = (LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY
@@ -308,8 +307,7 @@
         self.now = now
         self.wire.to_link(link, words.bye_heard(id))
         free, size = circuits_in(report)
-        if size >= 0:
-            self._group_told(gw, free, size)
+        self._group_told(gw, free, size)
         call = self.by_id.get(id)
         if call is None:
             if id not in self.lately:  # from before this process began
@@ -327,12 +325,13 @@
         free, size = circuits_in(report)
         if self.belief is not None:
             self.belief.told(gw, free, size)
-        if size >= 0:
-            self._group_told(gw, free, size)
+        self._group_told(gw, free, size)
 
     def _group_told(self, gw: int, free: int, size: int) -> None:
         """A group leads to an exchange, not to the machine that holds its number: while one machine takes over from
         another both speak for it, and for seconds only the old one did, so the new one's was tried blindly."""
+        if size < 0:
+            return
         held = self.by_number.get(self.numbers.get(gw, -1), ())
         for other in held if gw in held else (gw,):  # one that has gone speaks for itself alone
             self.controller.group_told(self.now, other, free, size)
@@ -418,9 +417,9 @@
         self.wire.to_link(link, words.cancel(call.number, call.id, call.legs))
         return True
 
-    def _over(self, call: Call, how: LegEnd, rsn: int = 0) -> None:
+    def _over(self, call: Call, how: LegEnd) -> None:
         """Tell the controller of a leg's end once it has returned."""
-        self.later.append((call, call.gw, how, rsn, call.over))
+        self.later.append((call, call.gw, how))
 
     def _leg_over(self, call: Call, how: LegEnd, rsn: int = 0, free: int = -1, size: int = -1) -> None:
         if call.link is not None:
@@ -431,9 +430,9 @@
 
     def _tell_later(self) -> None:
         while self.later:
-            call, gw, how, rsn, over = self.later.popleft()
+            call, gw, how = self.later.popleft()
             if call.dialog in self.by_dialog:
-                self.controller.leg_ended(self.now, call.dialog, gw, how, rsn, over or call.over, -1, -1)
+                self.controller.leg_ended(self.now, call.dialog, gw, how, 0, call.over, -1, -1)
                 self._forget(call)
 
     def _answer(self, dialog: int, cause: int, wait: int) -> None:
@@ -463,11 +462,11 @@
                 del self.on_conn[call.conn]
 
     def _forget(self, call: Call) -> None:
-        """A call's ids go once it is over and no leg of it is out."""
-        if call.over and call.link is None and self.by_id.get(call.id) is call:
+        """A call's ids go once it is over, no leg of it is out, and no end of one is still to be told."""
+        if not call.over or call.link is not None:
+            return
+        if self.by_id.get(call.id) is call:
             del self.by_id[call.id]
             self.lately[call.id] = self.now + REMEMBERED
-            if all(entry[0] is not call for entry in self.later):
-                self.by_dialog.pop(call.dialog, None)
-        elif call.over and call.link is None:
+        if all(entry[0] is not call for entry in self.later):
             self.by_dialog.pop(call.dialog, None)
--- a/gingergap/service/far.py
+++ b/gingergap/service/far.py
@@ -9,7 +9,6 @@
 from typing import Any, Protocol
 
 import gevent
-from gevent import socket
 
 from ..sip.message import BadMessageError
 from ..switches.words import Reader
@@ -205,16 +204,3 @@
                 self.owner.machine_lost(self)
             for link in up:
                 link.close(True)
-
-
-def create_listener(address: tuple[str, int]) -> socket.socket:
-    """Raises OSError where the address is taken."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(512)
-    except OSError:
-        listener.close()
-        raise
-    return listener
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -21,10 +21,10 @@
 from ..facts import BadFactError, Facts
 from ..host import GwState
 from ..listfeed.poll import BadFeedError, Line, Poll, address_of, events_after, state_of
-from ..transport.stream import Stream
+from ..transport.stream import Stream, listening
 from .belief import Belief
 from .calls import Calls
-from .far import Far, Link, create_listener
+from .far import Far, Link
 from .told import Told, read, told
 
 TICK = 0.01  # seconds between looks at what is due
@@ -126,7 +126,7 @@
 
     def run(self) -> int:
         try:
-            self.listener = create_listener(self.config.listen)
+            self.listener = listening(self.config.listen)
         except OSError as error:
             print(f"LB_LISTEN: {self.config.listen[0]}:{self.config.listen[1]}: {error.strerror}", file=sys.stderr)
             return 2
@@ -153,7 +153,7 @@
         if conn is not None and not conn.closed:
             conn.put(data)
             return
-        other = next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+        other = self._known_caller()
         if other is not None:
             other.put(data)
         else:
@@ -163,6 +163,10 @@
     def served(self, conn: Caller) -> None:
         conn.known = True
 
+    def _known_caller(self) -> Caller | None:
+        """The latest connection on which calls stood; any other may be anybody's."""
+        return next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+
     def link_to(self, gw: int, used: set[Any]) -> Link | None:
         far = self.fars.get(gw)
         return far.link_to(used) if far is not None else None
@@ -327,7 +331,7 @@
                 del self.fars[far.gw]
         self._look_at_callers()
         if self.untold:
-            known = next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+            known = self._known_caller()
             if known is not None:
                 untold, self.untold = self.untold, []
                 for data in untold:
--- a/gingergap/switches/words.py
+++ b/gingergap/switches/words.py
@@ -15,7 +15,6 @@
 MOST_MESSAGE = 16_384
 ID = re.compile(r"[0-9a-f]{16}\Z")
 STATE = re.compile(rb"NOTIFY [^\r\n]* SIP/2\.0\r\n.*\r\nLink-State: ([^\r\n]*)\r\n", re.DOTALL)
-TEST = "0000000000000001"
 
 
 class Taker(Protocol):
--- a/gingergap/transport/sockets.py
+++ b/gingergap/transport/sockets.py
@@ -17,12 +17,11 @@
 from ..sip.framing import Framer
 from ..sip.message import BadMessageError, Message, parse
 from ..sip.transactions import Hop
-from .stream import Stream
+from .stream import Stream, listening
 
 TIMESTAMPNS = 35  # Linux: SO_TIMESTAMPNS, and the kind of its control message
 IP_RECVERR = 11  # Linux: ICMP errors of an unconnected datagram socket can be read with their address
 MOST_DATAGRAM = 65_536
-BACKLOG = 512
 IN_A_ROW = 16  # datagrams read before others have their turn
 
 
@@ -109,14 +108,9 @@
             if self.gate is not None:
                 self.datagrams.setsockopt(socket.SOL_SOCKET, TIMESTAMPNS, 1)
             self.datagrams.bind(self.address)
-            self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.listener.bind(self.address)
-            self.listener.listen(BACKLOG)
+            self.listener = listening(self.address)
         except OSError:
             self.datagrams.close()
-            if self.listener is not None:
-                self.listener.close()
             raise
         self.plain = system.fromfd(self.datagrams.fileno(), system.AF_INET, system.SOCK_DGRAM)
         self.plain.setblocking(False)
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -13,9 +13,23 @@
 
 READ = 16_384
 TURN = 16_384  # bytes that one connection may bring before others have their turn
+BACKLOG = 512
 PAUSE = 0.0005  # seconds; a timer, since sleep(0) lets up to fifty others run before the loop looks at timers
 
 
+def listening(address: tuple[str, int]) -> socket.socket:
+    """A listener for streams; raises OSError where the address is taken."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 class Stream:
     """`most_queued` bytes may wait; a write that stands still for `longest_write` seconds ends the connection."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,14 @@
 """Helpers of all tests: a host that writes down what it is asked for, a controller as at a small mesh, and a proxy with
 a wire that keeps what it is given, so that tests play its peers message by message."""
 
+import contextlib
 import itertools
 from types import SimpleNamespace
 
 import msgspec
 import pytest
 import structlog
+from hypothesis import strategies as st
 
 from gingergap.brain import CallController
 from gingergap.edge.serve import proxy_of
@@ -42,6 +44,23 @@
         return [entry[1:] for entry in self.done if entry[0] == name]
 
 
+def feed_in_cuts(reader, parts, data):
+    """Feed a reader the parts' bytes, cut anywhere; `data` is hypothesis's."""
+    whole = b"".join(parts)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=12)))
+    for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True):
+        reader.feed(whole[start:end])
+    return whole
+
+
+def feed_until(reader, parts, bad, held, most):
+    """Feed a reader any bytes until it raises `bad`; what it holds, by `held`, stays within `most`."""
+    with contextlib.suppress(bad):
+        for part in parts:
+            reader.feed(part)
+            assert len(held()) <= most
+
+
 VOICE = TrafficType(15_000, 90_000, 0.1, 1.0, True, None)
 VIDEO = TrafficType(25_000, 90_000, 0.1, 3.0, True, None)
 KEYED = VOICE._replace(repeatable=False)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from conftest import NotedHost, feed_in_cuts, feed_until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -14,22 +15,14 @@
 FIELDS = {"class": "voice", "left": "1500", "key": "7f3a", "extras": "dest:2;width:1;via:-1"}
 
 
-class Noted:
-    def __init__(self):
-        self.told = []
-
-    def __getattr__(self, name):
-        return lambda *args: self.told.append((name, *args))
-
-
 def line(**changes):
     return json.dumps({"type": "setup", "id": ID, "fields": FIELDS, "sdp": SDP, **changes}).encode() + b"\n"
 
 
 def told(data):
-    noted = Noted()
+    noted = NotedHost()
     Lines(noted).feed(data)
-    return noted.told
+    return noted.done
 
 
 def test_a_set_up_comes_with_its_figures_and_numbers_may_be_texts():
@@ -69,36 +62,28 @@
 
 
 def test_what_stood_before_the_fault_has_come():
-    noted = Noted()
+    noted = NotedHost()
     with pytest.raises(BadCallerError):
         Lines(noted).feed(line() + b"noise\n" + line())
-    assert len(noted.told) == 1
+    assert len(noted.done) == 1
 
 
 @given(st.lists(st.sampled_from([line(), line(type="release", cause=16), line(type="ping"), b"\r\n",
                                  line(fields={"class": "x"})]), max_size=6), st.data())
 @settings(max_examples=150, deadline=None)
 def test_any_cut_of_the_bytes_gives_the_same(parts, data):
-    whole = b"".join(parts)
-    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=12)))
-    noted = Noted()
+    noted = NotedHost()
     reader = Lines(noted)
-    for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True):
-        reader.feed(whole[start:end])
-    assert noted.told == told(whole)
+    whole = feed_in_cuts(reader, parts, data)
+    assert noted.done == told(whole)
     assert not reader.held
 
 
 @given(st.lists(st.binary(max_size=3000), max_size=20))
 @settings(max_examples=150, deadline=None)
 def test_any_bytes_give_calls_an_error_or_a_wait_in_bounded_memory(parts):
-    reader = Lines(Noted())
-    try:
-        for part in parts:
-            reader.feed(part)
-            assert len(reader.held) <= MOST_LINE
-    except BadCallerError:
-        pass
+    reader = Lines(NotedHost())
+    feed_until(reader, parts, BadCallerError, lambda: reader.held, MOST_LINE)
 
 
 def test_what_goes_back_is_a_line_each():
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -1,6 +1,7 @@
 """The switches' few words of SIP: read whatever the cuts, bounded, and damaged answers never passed on."""
 
 import pytest
+from conftest import NotedHost, feed_in_cuts, feed_until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -12,14 +13,6 @@
 SDP = "bb904f61c861c4ae\r\nc=IN IP4 10.196.97.200\r\nm=audio 46897 RTP/AVP 0 8 100\r\n"
 
 
-class Noted:
-    def __init__(self):
-        self.told = []
-
-    def __getattr__(self, name):
-        return lambda *args: self.told.append((name, *args))
-
-
 def response(status, method="INVITE", extra="", body=SDP, length=None, id=ID):
     body = body if status == 200 and method == "INVITE" else ""
     return (f"SIP/2.0 {status} Word\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {method}\r\n{extra}"
@@ -37,9 +30,9 @@
 
 
 def told(data):
-    noted = Noted()
+    noted = NotedHost()
     Reader(noted).feed(data)
-    return noted.told
+    return noted.done
 
 
 def test_what_a_switch_says_comes_as_calls():
@@ -72,36 +65,28 @@
 
 
 def test_what_came_whole_before_the_damage_counts():
-    noted = Noted()
+    noted = NotedHost()
     with pytest.raises(BadMessageError):
         Reader(noted).feed(BYE + response(200) + b"\xff\xff\r\n\r\n")
-    assert [entry[0] for entry in noted.told] == ["released", "answered"]
+    assert [entry[0] for entry in noted.done] == ["released", "answered"]
 
 
 @given(st.lists(st.sampled_from([response(200), response(503, extra=REPORT), BYE, notify(5), notify(6)]), max_size=6),
        st.data())
 @settings(max_examples=150, deadline=None)
 def test_any_cut_of_the_bytes_gives_the_same(parts, data):
-    whole = b"".join(parts)
-    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=12)))
-    noted = Noted()
+    noted = NotedHost()
     reader = Reader(noted)
-    for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True):
-        reader.feed(whole[start:end])
-    assert noted.told == told(whole)
+    whole = feed_in_cuts(reader, parts, data)
+    assert noted.done == told(whole)
     assert not reader.partial
 
 
 @given(st.lists(st.binary(max_size=3000), max_size=20))
 @settings(max_examples=150, deadline=None)
 def test_any_bytes_give_calls_an_error_or_a_wait_in_bounded_memory(parts):
-    reader = Reader(Noted())
-    try:
-        for part in parts:
-            reader.feed(part)
-            assert len(reader.framer.held) <= 2 * MOST_MESSAGE
-    except BadMessageError:
-        pass
+    reader = Reader(NotedHost())
+    feed_until(reader, parts, BadMessageError, lambda: reader.framer.held, 2 * MOST_MESSAGE)
 
 
 def test_what_goes_out_is_whole_sip_with_id_number_and_description_unchanged():
