--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(VENV)/bin/gingergap day play $(DAY) --report $(REPORT)
 
 test: setup
+	$(VENV)/bin/ruff format --check --no-cache -q gingergap tests benchmarks
 	$(VENV)/bin/ruff check --no-cache gingergap tests benchmarks
 	$(VENV)/bin/python -m pytest -q
 
--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -27,7 +27,7 @@
 from gingergap.standins.player import form, free_ports
 
 HOST = "127.0.0.1"
-BODY = (b"v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 40000 RTP/AVP 8\r\n")
+BODY = b"v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 40000 RTP/AVP 8\r\n"
 HEADS = re.compile(rb"\r\n(?:Via|From|To|Call-ID|CSeq|Record-Route):[^\r]*")
 
 
@@ -43,7 +43,9 @@
     """Answers everything at once to where it came from; tells a proxy that subscribes of endless circuits."""
     sock = datagrams(port)
     contact = b"\r\nContact: <sip:x@127.0.0.1:%d>\r\nContent-Type: application/sdp\r\nContent-Length: %d\r\n\r\n" % (
-        port, len(BODY))
+        port,
+        len(BODY),
+    )
     while True:
         data, peer = sock.recvfrom(65_536)
         if data.startswith(b"ACK") or data.startswith(b"SIP"):
@@ -53,12 +55,20 @@
             heads = dict(part.strip().split(b": ", 1) for part in HEADS.findall(data))
             kept = re.sub(rb"(\r\nTo:[^\r]*)", rb"\1;tag=s", kept, count=1)
             sock.sendto(b"SIP/2.0 200 OK" + kept + b"\r\nExpires: 3600\r\nContent-Length: 0\r\n\r\n", peer)
-            body = json.dumps({"version": 1, "state": "full", "epoch": "e", "groups": [
-                {"number": number, "free": 1 << 20, "size": 1 << 20} for number in range(1, far + 1)]}).encode()
-            sock.sendto(b"NOTIFY sip:p SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bKn\r\nFrom: %s;tag=s\r\nTo: %s\r\n"
-                        b"Call-ID: %s\r\nCSeq: 1 NOTIFY\r\nEvent: trunk-groups\r\nSubscription-State: active\r\n"
-                        b"Content-Length: %d\r\n\r\n%s"
-                        % (port, heads[b"To"], heads[b"From"], heads[b"Call-ID"], len(body), body), peer)
+            body = json.dumps(
+                {
+                    "version": 1,
+                    "state": "full",
+                    "epoch": "e",
+                    "groups": [{"number": number, "free": 1 << 20, "size": 1 << 20} for number in range(1, far + 1)],
+                }
+            ).encode()
+            sock.sendto(
+                b"NOTIFY sip:p SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bKn\r\nFrom: %s;tag=s\r\nTo: %s\r\n"
+                b"Call-ID: %s\r\nCSeq: 1 NOTIFY\r\nEvent: trunk-groups\r\nSubscription-State: active\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (port, heads[b"To"], heads[b"From"], heads[b"Call-ID"], len(body), body),
+                peer,
+            )
         elif data.startswith(b"INVITE"):
             kept = re.sub(rb"(\r\nTo:[^\r]*)", rb"\1;tag=x", kept, count=1)
             sock.sendto(b"SIP/2.0 200 OK" + kept + contact + BODY, peer)
@@ -69,6 +79,7 @@
 def relay(port, target):
     """The baseline: gevent, one socket, each datagram received, split into lines and sent on."""
     from gevent import socket as blocking
+
     sock = blocking.socket(blocking.AF_INET, blocking.SOCK_DGRAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 20)
     sock.bind((HOST, port))
@@ -101,10 +112,12 @@
         self.serial += 1
         call = b"%s%x" % (self.run_id, self.serial)
         number = b"0%02d555%06d" % (self.serial % self.far + 1, self.serial % 1_000_000)
-        data = (b"INVITE sip:%s@127.0.0.1 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bK%s\r\nMax-Forwards: 70\r\n"
-                b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: <sip:%s@127.0.0.1>\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\n"
-                b"Contact: <sip:c@127.0.0.1:%d>\r\nExpires: 30\r\nContent-Type: application/sdp\r\nContent-Length: %d\r\n\r\n%s"
-                % (number, self.port, call, number, call, self.port, len(BODY), BODY))
+        data = (
+            b"INVITE sip:%s@127.0.0.1 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bK%s\r\nMax-Forwards: 70\r\n"
+            b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: <sip:%s@127.0.0.1>\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\n"
+            b"Contact: <sip:c@127.0.0.1:%d>\r\nExpires: 30\r\nContent-Type: application/sdp\r\nContent-Length: %d\r\n\r\n%s"
+            % (number, self.port, call, number, call, self.port, len(BODY), BODY)
+        )
         self.began[call] = time.perf_counter()
         self.sock.sendto(data, self.target)
 
@@ -119,7 +132,7 @@
             status = data[8:11]
             if status == b"100":
                 continue
-            call = data[data.index(b"Call-ID: ") + 9:].split(b"\r\n", 1)[0]
+            call = data[data.index(b"Call-ID: ") + 9 :].split(b"\r\n", 1)[0]
             if b"CSeq: 1 INVITE" in data:
                 started = self.began.pop(call, None)
                 if started is None:
@@ -142,9 +155,12 @@
         to = re.search(rb"\r\nTo: ([^\r]*)", answer)[1]
         contact = re.search(rb"\r\nContact: <([^>]*)", answer)[1]
         routes = b"".join(b"Route: %s\r\n" % route for route in re.findall(rb"\r\nRecord-Route: ([^\r]*)", answer)[::-1])
-        self.sock.sendto(b"%s %s SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bK%s%s\r\n%sMax-Forwards: 70\r\n"
-                         b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: %s\r\nCall-ID: %s\r\nCSeq: %d %s\r\nContent-Length: 0\r\n\r\n"
-                         % (method, contact, self.port, method, call, routes, to, call, number, method), self.target)
+        self.sock.sendto(
+            b"%s %s SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bK%s%s\r\n%sMax-Forwards: 70\r\n"
+            b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: %s\r\nCall-ID: %s\r\nCSeq: %d %s\r\nContent-Length: 0\r\n\r\n"
+            % (method, contact, self.port, method, call, routes, to, call, number, method),
+            self.target,
+        )
 
     def closed(self, window, seconds, most=None, release=True):
         """Calls a second with `window` at once."""
@@ -198,8 +214,11 @@
     probe = datagrams()
     probe.settimeout(0.1)
     while True:
-        probe.sendto(b"OPTIONS sip:p SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bKo\r\nFrom: <sip:a>;tag=1\r\n"
-                     b"To: <sip:b>\r\nCall-ID: o\r\nCSeq: 1 OPTIONS\r\n\r\n" % probe.getsockname()[1], (HOST, port))
+        probe.sendto(
+            b"OPTIONS sip:p SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:%d;branch=z9hG4bKo\r\nFrom: <sip:a>;tag=1\r\n"
+            b"To: <sip:b>\r\nCall-ID: o\r\nCSeq: 1 OPTIONS\r\n\r\n" % probe.getsockname()[1],
+            (HOST, port),
+        )
         try:
             probe.recv(2000)
             return
@@ -209,13 +228,25 @@
 
 def edge(folder, port, exchange_port, far, profile=None, t1=500, name="bench", **more):
     path = folder / f"{name}-{far}.sexp"
-    path.write_text(form(
-        "edge", name=name, listen=f"{HOST}:{port}", here=0, tell_peers=False, log_level="warning", t1_ms=t1,
-        drain_limit_s=0.5,
-        exchange=[{"number": number, "id": f"x{number}", "address": f"{HOST}:{exchange_port}", "prefix": [f"0{number:02d}"]}
-                  for number in range(far + 1)],
-        traffic_type=[{"name": "voice", "setup_objective_ms": 1500, "no_answer_time_ms": 9000}],
-        bounds={"dialogs": 100_000, "transactions": 5_000_000}, **more))
+    path.write_text(
+        form(
+            "edge",
+            name=name,
+            listen=f"{HOST}:{port}",
+            here=0,
+            tell_peers=False,
+            log_level="warning",
+            t1_ms=t1,
+            drain_limit_s=0.5,
+            exchange=[
+                {"number": number, "id": f"x{number}", "address": f"{HOST}:{exchange_port}", "prefix": [f"0{number:02d}"]}
+                for number in range(far + 1)
+            ],
+            traffic_type=[{"name": "voice", "setup_objective_ms": 1500, "no_answer_time_ms": 9000}],
+            bounds={"dialogs": 100_000, "transactions": 5_000_000},
+            **more,
+        )
+    )
     words = [sys.executable]
     if profile:
         words += ["-m", "cProfile", "-o", profile]
@@ -232,7 +263,7 @@
 
 def memory(folder, exchange_port, result):
     """What a standing dialog takes once its transactions are over, and whether finished ones leave anything."""
-    port, = free_ports(1)
+    (port,) = free_ports(1)
     process = edge(folder, port, exchange_port, 4, t1=20)
     seen = psutil.Process(process.pid)
     warm = Caller((HOST, port), 4)
@@ -244,7 +275,7 @@
     time.sleep(4)
     result["standing_dialog_kb"] = round((seen.memory_info().rss - base) / many / 1024, 2)
     stop(process)
-    port, = free_ports(1)
+    (port,) = free_ports(1)
     process = edge(folder, port, exchange_port, 4, t1=20)
     seen = psutil.Process(process.pid)
     sizes = []
@@ -271,7 +302,7 @@
         start(exchange, exchange_port, 60)
         await_answer(exchange_port)
         if options.profile:
-            port, = free_ports(1)
+            (port,) = free_ports(1)
             process = edge(folder, port, exchange_port, 4, options.profile)
             print(Caller((HOST, port), 4).closed(64, options.seconds))
             stop(process)
@@ -282,17 +313,20 @@
         for _ in range(options.rounds):  # taken in turn, so that a noisy spell touches all alike
             rounds["relay"].append(Caller((HOST, relay_port), 4).closed(64, options.seconds))
             for far in (4, 60):
-                port, = free_ports(1)
+                (port,) = free_ports(1)
                 process = edge(folder, port, exchange_port, far)
                 rounds[f"edge {far}"].append(Caller((HOST, port), far).closed(64, options.seconds))
                 stop(process)
         for name, rates in rounds.items():
-            result[f"{name} calls/s"] = {"min": round(min(rates)), "median": round(statistics.median(rates)),
-                                         "max": round(max(rates))}
+            result[f"{name} calls/s"] = {
+                "min": round(min(rates)),
+                "median": round(statistics.median(rates)),
+                "max": round(max(rates)),
+            }
         carried = statistics.median(rounds["edge 4"])
         result["edge to relay"] = round(carried / statistics.median(rounds["relay"]), 3)
         result["60 far ends to 4"] = round(statistics.median(rounds["edge 60"]) / carried, 3)
-        port, = free_ports(1)
+        (port,) = free_ports(1)
         process = edge(folder, port, exchange_port, 4)
         half = carried / 2
         direct = Caller((HOST, relay_port), 4).paced(half, options.seconds)
--- a/benchmarks/causes.py
+++ b/benchmarks/causes.py
@@ -23,10 +23,31 @@
 from gingergap.trace.stream import opened
 from gingergap.trace.tally import Tally
 
-TYPES = [{"name": "part-lookup", "share": 0.89, "circuits": 1, "importance": 1, "hold_s": 2.5, "setup_objective_ms": 1500,
-          "no_answer_time_ms": 9000, "late_share": 0.1, "patience_s": 3},
-         {"name": "photo-match", "share": 0.11, "circuits": 2, "importance": 3, "hold_s": 2.5, "resource_priority": ["q735.2"],
-          "setup_objective_ms": 2500, "no_answer_time_ms": 9000, "late_share": 0.25, "patience_s": 4}]
+TYPES = [
+    {
+        "name": "part-lookup",
+        "share": 0.89,
+        "circuits": 1,
+        "importance": 1,
+        "hold_s": 2.5,
+        "setup_objective_ms": 1500,
+        "no_answer_time_ms": 9000,
+        "late_share": 0.1,
+        "patience_s": 3,
+    },
+    {
+        "name": "photo-match",
+        "share": 0.11,
+        "circuits": 2,
+        "importance": 3,
+        "hold_s": 2.5,
+        "resource_priority": ["q735.2"],
+        "setup_objective_ms": 2500,
+        "no_answer_time_ms": 9000,
+        "late_share": 0.25,
+        "patience_s": 4,
+    },
+]
 
 
 def faults(kind, draw, count):
@@ -42,19 +63,31 @@
             return [{"kind": what, "at": at, "lasts": lasts, "share": one, **more}]
         case "all far ends":
             what = draw.choice(["all-slow", "pauses", "silence"])
-            more = {"all-slow": {"factor": draw.choice([5, 6])}, "pauses": {"ms": 900, "every_ms": 1500, "share": 1},
-                    "silence": {"share": 1}}[what]
+            more = {
+                "all-slow": {"factor": draw.choice([5, 6])},
+                "pauses": {"ms": 900, "every_ms": 1500, "share": 1},
+                "silence": {"share": 1},
+            }[what]
             return [{"kind": what, "at": at, "lasts": lasts if what != "silence" else 2.5, **more}]
         case "circuits":
             if draw.random() < 0.5:
                 return [{"kind": "groups-shrink", "at": at, "lasts": lasts, "share": 1, "factor": draw.choice([4, 6])}]
             return [{"kind": "burst", "at": at, "lasts": lasts, "factor": draw.choice([4, 5])}]
         case "list":
-            return [{"kind": "rolling", "at": at, "lasts": 3, "share": draw.choice([0.4, 0.6]), "batch": 2},
-                    {"kind": "stale-list", "at": at - 1, "lasts": 7, "ms": draw.choice([6000, 8000])}]
+            return [
+                {"kind": "rolling", "at": at, "lasts": 3, "share": draw.choice([0.4, 0.6]), "batch": 2},
+                {"kind": "stale-list", "at": at - 1, "lasts": 7, "ms": draw.choice([6000, 8000])},
+            ]
         case "answers lost":
-            return [{"kind": "answers-lost", "at": at, "lasts": lasts, "share": draw.choice([0.6, 1]),
-                     "factor": draw.choice([0.6, 0.75])}]
+            return [
+                {
+                    "kind": "answers-lost",
+                    "at": at,
+                    "lasts": lasts,
+                    "share": draw.choice([0.6, 1]),
+                    "factor": draw.choice([0.6, 0.75]),
+                }
+            ]
     raise ValueError(kind)
 
 
@@ -66,10 +99,22 @@
     count = draw.choice([4, 5])
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / "day.sexp"
-    path.write_text(form("day", name=f"{kind} {seed}".replace(" ", "-"), seconds=19, seed=seed, exchanges=count,
-                         rate=draw.choice([8, 10]), exchange_tcp=0.0, traffic_type=TYPES,
-                         groups={"mean": draw.choice([30, 36]), "spread": 0.3}, processor={"setup_ms": 14, "transit_ms": 7},
-                         callers={"redials": 2, "tcp": 0.2}, fault=faults(kind, draw, count)))
+    path.write_text(
+        form(
+            "day",
+            name=f"{kind} {seed}".replace(" ", "-"),
+            seconds=19,
+            seed=seed,
+            exchanges=count,
+            rate=draw.choice([8, 10]),
+            exchange_tcp=0.0,
+            traffic_type=TYPES,
+            groups={"mean": draw.choice([30, 36]), "spread": 0.3},
+            processor={"setup_ms": 14, "transit_ms": 7},
+            callers={"redials": 2, "tcp": 0.2},
+            fault=faults(kind, draw, count),
+        )
+    )
     return path
 
 
@@ -79,8 +124,12 @@
     for _ in range(3):
         if list(folder.glob("traces/*.trace")) and (folder / "report.json").exists():
             break
-        subprocess.run([sys.executable, "-m", "gingergap", "day", "play", str(path), "--report", str(folder)],
-                       capture_output=True, timeout=120, check=False)
+        subprocess.run(
+            [sys.executable, "-m", "gingergap", "day", "play", str(path), "--report", str(folder)],
+            capture_output=True,
+            timeout=120,
+            check=False,
+        )
     return folder
 
 
--- a/benchmarks/coordination.py
+++ b/benchmarks/coordination.py
@@ -23,8 +23,16 @@
     ports, at = free_ports(MEMBERS), free_ports(MEMBERS)
     edges = []
     for number in range(MEMBERS):
-        more = {"coordination": {"key": "a key for the benchmark", "member": [
-            {"name": f"b{other}", "address": f"{calls.HOST}:{port}"} for other, port in enumerate(at)]}} if coordinated else {}
+        more = (
+            {
+                "coordination": {
+                    "key": "a key for the benchmark",
+                    "member": [{"name": f"b{other}", "address": f"{calls.HOST}:{port}"} for other, port in enumerate(at)],
+                }
+            }
+            if coordinated
+            else {}
+        )
         edges.append(calls.edge(folder, ports[number], exchange_port, 4, name=f"b{number}", **more))
     time.sleep(4)  # members have found each other and taken their duties
     rate = calls.Caller((calls.HOST, ports[0]), 4).closed(64, seconds)
@@ -36,7 +44,7 @@
 
 
 def traced(folder, exchange_port, seconds, on):
-    port, = free_ports(1)
+    (port,) = free_ports(1)
     process = calls.edge(folder, port, exchange_port, 4, **({"trace": {"folder": str(folder / "traces")}} if on else {}))
     rate = calls.Caller((calls.HOST, port), 4).closed(64, seconds)
     process.terminate()
@@ -46,7 +54,7 @@
 
 def cost(folder, exchange_port, seconds, rate, more):
     """Processor time a call (all threads, ms) and set-up times (ms) at a fixed rate."""
-    port, = free_ports(1)
+    (port,) = free_ports(1)
     process = calls.edge(folder, port, exchange_port, 4, **more)
     caller = calls.Caller((calls.HOST, port), 4)
     caller.paced(rate, 1)  # caches are warm
@@ -60,8 +68,11 @@
 
 def recording(exchange_port, options):
     """Processor time a call and set-up times without a trace, with one, and with spans and metrics too, in turn."""
-    runs = {"off": {}, "trace": {"trace": {"folder": "t1"}},
-            "trace, spans, metrics": {"trace": {"folder": "t2", "spans_slower_ms": 200, "metrics": True}}}
+    runs = {
+        "off": {},
+        "trace": {"trace": {"folder": "t1"}},
+        "trace, spans, metrics": {"trace": {"folder": "t2", "spans_slower_ms": 200, "metrics": True}},
+    }
     found = {name: [] for name in runs}
     with tempfile.TemporaryDirectory() as folder:
         for number in range(options.rounds):
@@ -71,9 +82,13 @@
     for name, rows in found.items():
         medians = [statistics.median(column) for column in zip(*rows, strict=True)]
         ratios = [sorted(one[place] / off[place] for one, off in zip(rows, found["off"], strict=True)) for place in range(3)]
-        print(f"{name}: {medians[0]:.3f} ms of processor a call, p50 {medians[1]:.2f}, p99 {medians[2]:.2f} ms; to off: "
-              + ", ".join(f"{what} {statistics.median(row):.3f} ({row[0]:.3f} to {row[-1]:.3f})"
-                          for what, row in zip(("processor", "p50", "p99"), ratios, strict=True)))
+        print(
+            f"{name}: {medians[0]:.3f} ms of processor a call, p50 {medians[1]:.2f}, p99 {medians[2]:.2f} ms; to off: "
+            + ", ".join(
+                f"{what} {statistics.median(row):.3f} ({row[0]:.3f} to {row[-1]:.3f})"
+                for what, row in zip(("processor", "p50", "p99"), ratios, strict=True)
+            )
+        )
 
 
 def main():
@@ -83,7 +98,7 @@
     parser.add_argument("--seconds", type=float, default=3)
     parser.add_argument("--rate", type=float, default=600, help="Calls a second for recording.")
     options = parser.parse_args()
-    exchange_port, = free_ports(1)
+    (exchange_port,) = free_ports(1)
     calls.start(calls.exchange, exchange_port, 4 if options.what == "recording" else 60)
     calls.await_answer(exchange_port)
     if options.what == "recording":
@@ -91,8 +106,10 @@
         return
     with tempfile.TemporaryDirectory() as folder:
         run = carried if options.what == "duties" else traced
-        pairs = [(run(Path(folder), exchange_port, options.seconds, False), run(Path(folder), exchange_port, options.seconds, True))
-                 for _ in range(options.rounds)]
+        pairs = [
+            (run(Path(folder), exchange_port, options.seconds, False), run(Path(folder), exchange_port, options.seconds, True))
+            for _ in range(options.rounds)
+        ]
     ratios = sorted(on / off for off, on in pairs)
     print("calls/s off, on:", [(round(off), round(on)) for off, on in pairs])
     print(f"on to off: median {statistics.median(ratios):.3f}, {ratios[0]:.3f} to {ratios[-1]:.3f}")
--- a/benchmarks/hour.py
+++ b/benchmarks/hour.py
@@ -26,12 +26,20 @@
 
 def run(*words, root=None):
     """A `gingergap trace` command: exit code, output, seconds, peak memory in MB."""
-    code = ("import resource, sys; from gingergap.cli.main import main\n"
-            "try: main(sys.argv[1:], prog_name='gingergap')\n"
-            "finally: print('peak', resource.getrusage(resource.RUSAGE_SELF).ru_maxrss, file=sys.stderr)")
+    code = (
+        "import resource, sys; from gingergap.cli.main import main\n"
+        "try: main(sys.argv[1:], prog_name='gingergap')\n"
+        "finally: print('peak', resource.getrusage(resource.RUSAGE_SELF).ru_maxrss, file=sys.stderr)"
+    )
     begun = time.perf_counter()
-    done = subprocess.run([sys.executable, "-c", code, "trace", *map(str, words)], capture_output=True, text=True, check=False,
-                          cwd=root or PACKAGE.parent, env={"PYTHONPATH": str(root or PACKAGE.parent), "PATH": "/usr/bin:/bin"})
+    done = subprocess.run(
+        [sys.executable, "-c", code, "trace", *map(str, words)],
+        capture_output=True,
+        text=True,
+        check=False,
+        cwd=root or PACKAGE.parent,
+        env={"PYTHONPATH": str(root or PACKAGE.parent), "PATH": "/usr/bin:/bin"},
+    )
     took = time.perf_counter() - begun
     peak = re.search(r"peak (\d+)", done.stderr)
     if done.returncode == 2:
@@ -71,8 +79,10 @@
             records += 1
             events += entry.record[0] != "gap" and is_event(entry.record[0])
     size = sum(path.stat().st_size for path in asked.traces.glob("*.trace"))
-    print(f"{len(traces)} processes, {sum(len(trace.readers) for trace in traces)} parts, {records} records, {events} events, "
-          f"{size / 2**20:.1f} MB, {size / events:.1f} bytes an event")
+    print(
+        f"{len(traces)} processes, {sum(len(trace.readers) for trace in traces)} parts, {records} records, {events} events, "
+        f"{size / 2**20:.1f} MB, {size / events:.1f} bytes an event"
+    )
     began = min(trace.header.wall for trace in traces)
     span = max(trace.wall(trace.places()[-1].stretch.last) for trace in traces) - began
     with tempfile.TemporaryDirectory(prefix="gingergap-hour-") as scratch:
@@ -86,20 +96,38 @@
         step("replay of the cut", 0, "replay", folder / "cut.trace")
         whole = step("merge of all", 0, "merge", asked.traces, "--out", folder / "all.trace", last=12)
         step("replay of the merged", 0, "replay", folder / "all.trace")
-        step("cut of a minute of the merged", 0, "cut", folder / "all.trace", "--from", middle, "--to", middle + 60, "--out",
-             folder / "part.trace")
+        step(
+            "cut of a minute of the merged",
+            0,
+            "cut",
+            folder / "all.trace",
+            "--from",
+            middle,
+            "--to",
+            middle + 60,
+            "--out",
+            folder / "part.trace",
+        )
         step("replay of that", 0, "replay", folder / "part.trace")
         for number, trace in enumerate(traces):
             early = trace.header.started + 10_000 * 60
             places = [place for place in trace.places() if place.stretch.first <= early]
             if places and trace.whole:
-                step(f"first minute of {trace.name}", 0, "cut", *[reader.path for reader in trace.readers], "--to", 60, "--out",
-                     folder / "early" / f"{number}.trace")
+                step(
+                    f"first minute of {trace.name}",
+                    0,
+                    "cut",
+                    *[reader.path for reader in trace.readers],
+                    "--to",
+                    60,
+                    "--out",
+                    folder / "early" / f"{number}.trace",
+                )
         few = step("merge of the first minute alone", 0, "merge", folder / "early", "--out", folder / "few.trace")
         print(f"merging all took {whole[1] / few[1]:.2f} times the memory of merging the first minute")
         step("summary", 0, "summarise", asked.traces, "--chart", folder / "chart.svg", last=30)
         step("a module with one figure changed", 1, "replay", asked.traces, root=changed(folder), last=4)
-        largest, = opened([folder / "all.trace"])
+        (largest,) = opened([folder / "all.trace"])
         low = largest.places()[len(largest.places()) // 2].stretch.first
         begun = time.perf_counter()
         window = len(list(select(largest, low, low + 10_000)))
@@ -107,8 +135,10 @@
         begun = time.perf_counter()
         scanned = sum(low <= entry.now <= low + 10_000 for entry in largest.entries())
         full = time.perf_counter() - begun
-        print(f"a second's window of {window} records: {sought * 1000:.1f} ms, by a full scan {full * 1000:.0f} ms "
-              f"({full / sought:.0f} times); the same records: {window == scanned}")
+        print(
+            f"a second's window of {window} records: {sought * 1000:.1f} ms, by a full scan {full * 1000:.0f} ms "
+            f"({full / sought:.0f} times); the same records: {window == scanned}"
+        )
     print(f"this program's own peak: {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB")
 
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,6 +1,6 @@
 """Membership and duties in simulated time: detection, false alarms, traffic a member, duties moved. Deterministic.
 
-    python benchmarks/membership.py [--most 300]
+python benchmarks/membership.py [--most 300]
 """
 
 import argparse
@@ -37,8 +37,10 @@
     seen = [when - began for node in nodes[:-1] for when, name, _ in node.downs if name == dead.name]
     first = min(seen) / SECOND if seen else float("nan")
     last = max(seen) / SECOND if seen else float("nan")
-    return (f"{count:5d} {loss:5.0%} {joined / SECOND:8.1f} {first:8.1f} {last:8.1f} {alarms:8d} {false:8d} {traffic[0]:8.1f} "
-            f"{traffic[1]:9.0f}")
+    return (
+        f"{count:5d} {loss:5.0%} {joined / SECOND:8.1f} {first:8.1f} {last:8.1f} {alarms:8d} {false:8d} {traffic[0]:8.1f} "
+        f"{traffic[1]:9.0f}"
+    )
 
 
 def moved(count, duties=600):
@@ -56,7 +58,7 @@
     print(" size  loss  joined s  first s   last s   alarms    false  msgs/s   bytes/s   (a member; period 0.5 s)")
     for count in (2, 5, 20, 60, 150, 300):
         if count <= options.most:
-            for loss in ((0.0, 0.05, 0.2) if count <= 60 else (0.0,)):
+            for loss in (0.0, 0.05, 0.2) if count <= 60 else (0.0,):
                 print(row(count, loss), flush=True)
     print("duties moved on a join, as a multiple of the ideal:", {count: round(moved(count), 2) for count in (2, 5, 20, 60)})
 
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -35,8 +35,12 @@
         if (folder / "report.json").exists():
             return folder
         words = ["--stores", str(stores)] if stores else []
-        subprocess.run([sys.executable, "-m", "gingergap", "day", "play", str(day), "--seed", str(seed), "--report", str(folder),
-                        *words], capture_output=True, timeout=150, check=False)
+        subprocess.run(
+            [sys.executable, "-m", "gingergap", "day", "play", str(day), "--seed", str(seed), "--report", str(folder), *words],
+            capture_output=True,
+            timeout=150,
+            check=False,
+        )
     return folder
 
 
@@ -65,8 +69,10 @@
         learned = [(body.quickest, body.took, body.pressed_for, body.cap, body.accept_below, body.lower_below) for body in bodies]
         if shuffled:
             draw.shuffle(learned)
-            learned = [(quickest, 40_000 - min(took, 40_000), 20_000, cap, accept, lower)
-                       for quickest, took, _, cap, accept, lower in learned]
+            learned = [
+                (quickest, 40_000 - min(took, 40_000), 20_000, cap, accept, lower)
+                for quickest, took, _, cap, accept, lower in learned
+            ]
         for item, own_learned in zip(exchanges, learned, strict=True):
             body = item.body
             (body.quickest, body.took, body.pressed_for, body.cap, body.accept_below, body.lower_below) = own_learned
@@ -98,8 +104,13 @@
         first_start.setdefault(trace.header.instance, trace.header.wall)
         if restarted == (trace.header.wall == first_start[trace.header.instance]):
             continue
-        epoch = float(next(line.split()[1] for line in (folder / "exchange-0.sexp").read_text().replace("(epoch ", "\n(epoch ")
-                           .splitlines() if line.startswith("(epoch")).rstrip(")"))
+        epoch = float(
+            next(
+                line.split()[1]
+                for line in (folder / "exchange-0.sexp").read_text().replace("(epoch ", "\n(epoch ").splitlines()
+                if line.startswith("(epoch")
+            ).rstrip(")")
+        )
         begin = trace.header.started
         types = trace.header.figures["types"]
         for story in stories_of(trace):
@@ -108,8 +119,13 @@
                 continue
             for leg in story.legs:
                 at = leg.sent / 10_000 - epoch
-                struck = {number for kind in ("slow", "vanish") for strike in plan.strikes
-                          if strike.fault.kind == kind and strike.on(at) for number in strike.members}
+                struck = {
+                    number
+                    for kind in ("slow", "vanish")
+                    for strike in plan.strikes
+                    if strike.fault.kind == kind and strike.on(at)
+                    for number in strike.members
+                }
                 legs += 1
                 bad += leg.number in struck
             if story.transit:
@@ -121,8 +137,14 @@
         trace.close()
     report = json.loads((folder / "report.json").read_text())
     broken = sum(rule["broken"] for rule in report["rules"].values())
-    return {"service": earned / worth if worth else 0.0, "bad": bad, "legs": legs, "came": came, "broken": broken,
-            "whole": report["service"]}
+    return {
+        "service": earned / worth if worth else 0.0,
+        "bad": bad,
+        "legs": legs,
+        "came": came,
+        "broken": broken,
+        "whole": report["service"],
+    }
 
 
 def main():
@@ -151,8 +173,10 @@
 
     with ThreadPoolExecutor(asked.at_once) as pool:
         list(pool.map(whole, seeds))
-    for title, names, restarted in (("after a kill", ("without", "with"), True),
-                                    ("begun with a memory", ("plain", "hours", "days", "wrong"), False)):
+    for title, names, restarted in (
+        ("after a kill", ("without", "with"), True),
+        ("begun with a memory", ("plain", "hours", "days", "wrong"), False),
+    ):
         print(title)
         base = None
         for name in names:
@@ -160,10 +184,12 @@
             service = [row["service"] for row in rows]
             base = base or service
             apart = [one - other for one, other in zip(service, base, strict=True)]
-            print(f"  {name:8}: service {statistics.mean(service):.3f} (against the first {statistics.mean(apart):+.3f}, "
-                  f"{min(apart):+.3f} to {max(apart):+.3f}), legs to bad exchanges {sum(row['bad'] for row in rows)} of "
-                  f"{sum(row['legs'] for row in rows)}, dialogs {sum(row['came'] for row in rows)}, whole day "
-                  f"{statistics.mean(row['whole'] for row in rows):.3f}, rules broken {sum(row['broken'] for row in rows)}")
+            print(
+                f"  {name:8}: service {statistics.mean(service):.3f} (against the first {statistics.mean(apart):+.3f}, "
+                f"{min(apart):+.3f} to {max(apart):+.3f}), legs to bad exchanges {sum(row['bad'] for row in rows)} of "
+                f"{sum(row['legs'] for row in rows)}, dialogs {sum(row['came'] for row in rows)}, whole day "
+                f"{statistics.mean(row['whole'] for row in rows):.3f}, rules broken {sum(row['broken'] for row in rows)}"
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/parsers.py
+++ b/benchmarks/parsers.py
@@ -1,6 +1,6 @@
 """Our parser against sipmessage on the same messages in the same run, as a ratio.
 
-    python benchmarks/parsers.py
+python benchmarks/parsers.py
 """
 
 import statistics
@@ -10,12 +10,14 @@
 
 from gingergap.sip.message import parse
 
-INVITE = (b"INVITE sip:011555000123;tgrp=g0-1;trunk-context=v.example@127.0.0.1:5070 SIP/2.0\r\n"
-          b"Via: SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bK776asdhds;rport\r\nRecord-Route: <sip:127.0.0.1:5060;lr>\r\n"
-          b"Via: SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKabc;rport=9000;received=127.0.0.1\r\nMax-Forwards: 69\r\n"
-          b"From: \"0215550100\" <sip:0215550100@127.0.0.1>;tag=1928301774\r\nTo: <sip:011555000123@127.0.0.1>\r\n"
-          b"Call-ID: a84b4c76e66710\r\nCSeq: 1 INVITE\r\nContact: <sip:c@127.0.0.1:9000>\r\nExpires: 3\r\n"
-          b"Resource-Priority: q735.2\r\nContent-Length: 0\r\n\r\n")
+INVITE = (
+    b"INVITE sip:011555000123;tgrp=g0-1;trunk-context=v.example@127.0.0.1:5070 SIP/2.0\r\n"
+    b"Via: SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bK776asdhds;rport\r\nRecord-Route: <sip:127.0.0.1:5060;lr>\r\n"
+    b"Via: SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKabc;rport=9000;received=127.0.0.1\r\nMax-Forwards: 69\r\n"
+    b'From: "0215550100" <sip:0215550100@127.0.0.1>;tag=1928301774\r\nTo: <sip:011555000123@127.0.0.1>\r\n'
+    b"Call-ID: a84b4c76e66710\r\nCSeq: 1 INVITE\r\nContact: <sip:c@127.0.0.1:9000>\r\nExpires: 3\r\n"
+    b"Resource-Priority: q735.2\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 def cost(parser, rounds=2_000):
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -1,8 +1,8 @@
 """The store: kills under load, reading on start, what it costs the calls.
 
-    python benchmarks/store.py kills [--many 500]     # a writer killed outright, each time opened and compared
-    python benchmarks/store.py start [--callers 1000000]
-    python benchmarks/store.py cost [--rounds 4] [--seconds 3] [--rate 600]
+python benchmarks/store.py kills [--many 500]     # a writer killed outright, each time opened and compared
+python benchmarks/store.py start [--callers 1000000]
+python benchmarks/store.py cost [--rounds 4] [--seconds 3] [--rate 600]
 """
 
 import argparse
@@ -109,20 +109,35 @@
             book.close()
             begin += acknowledged
             acknowledged_all += acknowledged
-        print(f"{many} kills, {acknowledged_all} batches acknowledged, each found whole, none twice; {in_doubt} were on the disk "
-              "before they could be told")
+        print(
+            f"{many} kills, {acknowledged_all} batches acknowledged, each found whole, none twice; {in_doubt} were on the disk "
+            "before they could be told"
+        )
 
 
 def settings_of(exchanges):
-    return parse(form("edge", name="p", listen="127.0.0.1:9", here=0, exchange=[
-        {"number": number, "id": f"x{number}", "address": f"127.0.0.1:{10_000 + number}", "prefix": [f"{number:03d}"]}
-        for number in range(exchanges)], traffic_type=[{"name": "v", "setup_objective_ms": 1500, "no_answer_time_ms": 9000}]),
-        "f", edge=EdgeForm)
+    return parse(
+        form(
+            "edge",
+            name="p",
+            listen="127.0.0.1:9",
+            here=0,
+            exchange=[
+                {"number": number, "id": f"x{number}", "address": f"127.0.0.1:{10_000 + number}", "prefix": [f"{number:03d}"]}
+                for number in range(exchanges)
+            ],
+            traffic_type=[{"name": "v", "setup_objective_ms": 1500, "no_answer_time_ms": 9000}],
+        ),
+        "f",
+        edge=EdgeForm,
+    )
 
 
-INVITE = (b"INVITE sip:001555@127.0.0.1:9 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKi\r\nMax-Forwards: 70\r\n"
-          b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: <sip:001555@127.0.0.1>\r\nCall-ID: i\r\nCSeq: 1 INVITE\r\n"
-          b"Contact: <sip:c@127.0.0.1:9000>\r\nContent-Length: 0\r\n\r\n")
+INVITE = (
+    b"INVITE sip:001555@127.0.0.1:9 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKi\r\nMax-Forwards: 70\r\n"
+    b"From: <sip:c@127.0.0.1>;tag=c\r\nTo: <sip:001555@127.0.0.1>\r\nCall-ID: i\r\nCSeq: 1 INVITE\r\n"
+    b"Contact: <sip:c@127.0.0.1:9000>\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class Nowhere:
@@ -139,28 +154,64 @@
         for number in range(60):
             memory.listed(f"x{number}", Word(number, 2, wall - 900, wall - 30, f"127.0.0.1:{10_000 + number}", "UDP"))
         book.commit(memory.batch(KeptAlive(wall - 2, time.monotonic() - 2, "b", "p", wall)))
-        book.commit([Change(STANDING, parts(f"call{number}", "ct"), KeptStanding(
-            0, 1, number % 60, f"x{number % 60}", number % 60, wall - 30, False, "t")) for number in range(10_000)])
+        book.commit(
+            [
+                Change(
+                    STANDING,
+                    parts(f"call{number}", "ct"),
+                    KeptStanding(0, 1, number % 60, f"x{number % 60}", number % 60, wall - 30, False, "t"),
+                )
+                for number in range(10_000)
+            ]
+        )
         for begun in range(0, callers, 100_000):
-            book.commit([Change(CALLER, parts(f"27{number:09d}", 0, number % 60), KeptCaller(
-                wall - 2 - number * 0.05, 1.0), wall - 2 - number * 0.05) for number in range(begun, begun + 100_000)])
+            book.commit(
+                [
+                    Change(
+                        CALLER,
+                        parts(f"27{number:09d}", 0, number % 60),
+                        KeptCaller(wall - 2 - number * 0.05, 1.0),
+                        wall - 2 - number * 0.05,
+                    )
+                    for number in range(begun, begun + 100_000)
+                ]
+            )
         size = book.size()
         book.close()
         took = []
         for _ in range(3):
             begun = time.perf_counter()
             book = Book(Path(folder))
-            found = recalled(book.items, time.time(), time.monotonic(), "b", word_lasts=3_600, longest_dialog=14_400,
-                             caller_lasts=9, damage=book.damage)
-            proxy = proxy_of(settings_of(60), Nowhere(), structlog.get_logger(), clock(), time.time(), lambda size: "f" * size,
-                             None, Memory(3_600, callers, [1.0]), found)
+            found = recalled(
+                book.items,
+                time.time(),
+                time.monotonic(),
+                "b",
+                word_lasts=3_600,
+                longest_dialog=14_400,
+                caller_lasts=9,
+                damage=book.damage,
+            )
+            proxy = proxy_of(
+                settings_of(60),
+                Nowhere(),
+                structlog.get_logger(),
+                clock(),
+                time.time(),
+                lambda size: "f" * size,
+                None,
+                Memory(3_600, callers, [1.0]),
+                found,
+            )
             proxy.got(clock(), parse_sip(INVITE), Hop("UDP", "127.0.0.1", 9000))
             assert proxy.counts["legs"] == 1
             took.append(time.perf_counter() - begun)
             assert proxy.counts["remembered"] == 10_000 and type(proxy.controller) is CallController
             book.close()
-        print(f"60 exchanges, 10,000 standing dialogs, {callers} callers, {size / 2**20:.0f} MB: first decision after "
-              f"{min(took) * 1000:.0f} ms (of three, {max(took) * 1000:.0f} the slowest)")
+        print(
+            f"60 exchanges, 10,000 standing dialogs, {callers} callers, {size / 2**20:.0f} MB: first decision after "
+            f"{min(took) * 1000:.0f} ms (of three, {max(took) * 1000:.0f} the slowest)"
+        )
         begun = time.perf_counter()
         book = Book(Path(folder))
         gone = book.evict(CALLER, 100_000)
@@ -171,7 +222,7 @@
 
 def carried(folder, exchange_port, seconds, rate, more):
     """Processor time a call, set-up times, and what the process wrote a call."""
-    port, = free_ports(1)
+    (port,) = free_ports(1)
     process = calls.edge(folder, port, exchange_port, 4, **more)
     caller = calls.Caller((calls.HOST, port), 4)
     caller.paced(rate, 1)
@@ -185,7 +236,7 @@
 
 
 def cost(rounds, seconds, rate):
-    exchange_port, = free_ports(1)
+    (exchange_port,) = free_ports(1)
     calls.start(calls.exchange, exchange_port, 4)
     calls.await_answer(exchange_port)
     found = {"off": [], "on": []}
@@ -195,8 +246,15 @@
                 more = {"store": {"folder": f"{folder}/store-{number}"}} if name == "on" else {}
                 found[name].append(carried(Path(folder), exchange_port, seconds, rate, more))
     for name, rows in found.items():
-        print(f"{name}: " + ", ".join(f"{what} {statistics.median(column):.3f}" for what, column in zip(
-            ("processor ms a call", "p50", "p99 ms", "bytes written a call"), zip(*rows, strict=True), strict=True)))
+        print(
+            f"{name}: "
+            + ", ".join(
+                f"{what} {statistics.median(column):.3f}"
+                for what, column in zip(
+                    ("processor ms a call", "p50", "p99 ms", "bytes written a call"), zip(*rows, strict=True), strict=True
+                )
+            )
+        )
     for place, what in enumerate(("processor", "p50", "p99")):
         ratios = sorted(on[place] / off[place] for off, on in zip(found["off"], found["on"], strict=True))
         print(f"{what}, on to off: median {statistics.median(ratios):.3f}, {ratios[0]:.3f} to {ratios[-1]:.3f}")
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -1,7 +1,7 @@
 """Traces: bytes an event, packing, replay against real time, seeking; on traces of a played day.
 
-    gingergap day play days/bad-monday.sexp --report found/day
-    python benchmarks/trace.py found/day/traces/*.trace
+gingergap day play days/bad-monday.sexp --report found/day
+python benchmarks/trace.py found/day/traces/*.trace
 """
 
 import sys
@@ -46,8 +46,13 @@
     stretches = reader.stretches()
     low = stretches[len(stretches) // 2][1].first
     _, window = timed(lambda: list(select(reader, low, low + 10_000)))
-    _, scan = timed(lambda: [record for record in reader.records() if record[0] != "gap"
-                             and record[0] < FIRST_ACTION and low <= record[1] <= low + 10_000])
+    _, scan = timed(
+        lambda: [
+            record
+            for record in reader.records()
+            if record[0] != "gap" and record[0] < FIRST_ACTION and low <= record[1] <= low + 10_000
+        ]
+    )
     print(f"a second's window: {window * 1000:.1f} ms against {scan * 1000:.1f} ms by a full scan")
 
 
--- a/benchmarks/validation.py
+++ b/benchmarks/validation.py
@@ -30,20 +30,44 @@
     for _ in range(3):
         if (folder / "report.json").exists():
             break
-        subprocess.run([sys.executable, "-m", "gingergap", "day", "play", str(ROOT / "days" / f"{day}.sexp"), "--seed", str(seed),
-                        "--report", str(folder)], capture_output=True, timeout=150, check=False)
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "gingergap",
+                "day",
+                "play",
+                str(ROOT / "days" / f"{day}.sexp"),
+                "--seed",
+                str(seed),
+                "--report",
+                str(folder),
+            ],
+            capture_output=True,
+            timeout=150,
+            check=False,
+        )
     report = json.loads((folder / "report.json").read_text())
-    return {"service": report["service"], "stood": sum(row["stood"] for row in report["by_type"].values()) / report["offered"],
-            "p50": report["setup_ms"].get("p50", 0), "p90": report["setup_ms"].get("p90", 0),
-            "tries": sum(row["tries"] for row in report["by_type"].values()) / report["offered"],
-            "legs": report["rules"]["2"]["judged"] / report["offered"]}
+    return {
+        "service": report["service"],
+        "stood": sum(row["stood"] for row in report["by_type"].values()) / report["offered"],
+        "p50": report["setup_ms"].get("p50", 0),
+        "p90": report["setup_ms"].get("p90", 0),
+        "tries": sum(row["tries"] for row in report["by_type"].values()) / report["offered"],
+        "legs": report["rules"]["2"]["judged"] / report["offered"],
+    }
 
 
 def emulated(day, seed):
     figures = Day(read(ROOT / "days" / f"{day}.sexp", day=DayForm), seed).run().figures()
-    return {"service": figures["service"], "stood": figures["stood"] / figures["offered"], "p50": figures["setup_ms"]["p50"],
-            "p90": figures["setup_ms"]["p90"], "tries": figures["tries"] / figures["offered"],
-            "legs": figures["rules"][2]["judged"] / figures["offered"]}
+    return {
+        "service": figures["service"],
+        "stood": figures["stood"] / figures["offered"],
+        "p50": figures["setup_ms"]["p50"],
+        "p90": figures["setup_ms"]["p90"],
+        "tries": figures["tries"] / figures["offered"],
+        "legs": figures["rules"][2]["judged"] / figures["offered"],
+    }
 
 
 class Timed:
@@ -65,6 +89,7 @@
                 return found(*args)
             finally:
                 Timed.spent += time.perf_counter() - begun
+
         return timed
 
 
@@ -74,13 +99,20 @@
         sized = form.model_copy(update={"exchanges": exchanges})
         day = Day(sized, 1).run()
         Timed.spent = 0.0
-        inner = Day(sized, 1, lambda host, here, proxies, types, sized=sized: Timed(CallController(
-            host, 1000 + here, here, proxies, types, **figures_of(sized))))
+        inner = Day(
+            sized,
+            1,
+            lambda host, here, proxies, types, sized=sized: Timed(
+                CallController(host, 1000 + here, here, proxies, types, **figures_of(sized))
+            ),
+        )
         inner.run()
         share = min(1.0, Timed.spent / inner.took)
-        print(f"{exchanges} exchanges: {day.came} calls, {day.tries} tries, {day.engine.done} events in {day.took:.2f} s: "
-              f"{day.tries / day.took:.0f} tries a second, {day.engine.done / day.took:.0f} events a second; in the module and "
-              f"what it calls {share:.2f}")
+        print(
+            f"{exchanges} exchanges: {day.came} calls, {day.tries} tries, {day.engine.done} events in {day.took:.2f} s: "
+            f"{day.tries / day.took:.0f} tries a second, {day.engine.done / day.took:.0f} events a second; in the module and "
+            f"what it calls {share:.2f}"
+        )
 
 
 def main():
@@ -100,8 +132,10 @@
         for name in ("service", "stood", "p50", "p90", "tries", "legs"):
             sockets = [played[day, seed][name] for seed in seeds]
             simulated = [run[name] for run in runs]
-            print(f"  {name:8} sockets {statistics.mean(sockets):8.3f} ({min(sockets):.3f} to {max(sockets):.3f}), emulated "
-                  f"{statistics.mean(simulated):8.3f} ({min(simulated):.3f} to {max(simulated):.3f})")
+            print(
+                f"  {name:8} sockets {statistics.mean(sockets):8.3f} ({min(sockets):.3f} to {max(sockets):.3f}), emulated "
+                f"{statistics.mean(simulated):8.3f} ({min(simulated):.3f} to {max(simulated):.3f})"
+            )
     speed()
 
 
--- a/gingergap/benchlink/__main__.py
+++ b/gingergap/benchlink/__main__.py
@@ -44,8 +44,7 @@
                 out.append(encode("Panic", Proxy=msg["Proxy"], Message=f"{event}: {error!r}"))
 
 
-def _take(proxies: dict[str, Proxy], msg: dict[str, Any], now: int, lists: dict[int, list[dict[str, Any]]],
-          out: list[str]) -> None:
+def _take(proxies: dict[str, Proxy], msg: dict[str, Any], now: int, lists: dict[int, list[dict[str, Any]]], out: list[str]) -> None:
     name = msg["Proxy"]
     if msg["t"] == "Spawn":
         proxies[name] = Proxy(name, msg["Prng"], msg["Facts"], now, out)
--- a/gingergap/benchlink/codec.py
+++ b/gingergap/benchlink/codec.py
@@ -21,8 +21,18 @@
     "Message": {"Proxy": str, "From": int, "Bytes": str},
 }
 OPTIONAL: dict[str, Any] = {
-    "SetId": int, "Version": int, "Owner": int, "Subject": str, "AdvisedRoute": NUMBER, "Class": int,
-    "Bitmap": int, "WeightHint": int, "Attempt": int, "TimeTaken": int, "Ended": bool, "Reason": int,
+    "SetId": int,
+    "Version": int,
+    "Owner": int,
+    "Subject": str,
+    "AdvisedRoute": NUMBER,
+    "Class": int,
+    "Bitmap": int,
+    "WeightHint": int,
+    "Attempt": int,
+    "TimeTaken": int,
+    "Ended": bool,
+    "Reason": int,
     "ServerStats": dict,
 }
 ENTRY: dict[str, Any] = {"Switch": str, "NodeNo": int, "Availability": int}
--- a/gingergap/benchlink/proxy.py
+++ b/gingergap/benchlink/proxy.py
@@ -9,8 +9,13 @@
 from .codec import BadLineError, encode
 
 LEG_ENDS = {
-    "success": LegEnd.ENDED, "failure": LegEnd.BUSY, "overloaded": LegEnd.FULL, "timed_out": LegEnd.NO_ANSWER,
-    "unreachable": LegEnd.UNREACHABLE, "broken": LegEnd.CUT, "withdrawn": LegEnd.CANCELLED,
+    "success": LegEnd.ENDED,
+    "failure": LegEnd.BUSY,
+    "overloaded": LegEnd.FULL,
+    "timed_out": LegEnd.NO_ANSWER,
+    "unreachable": LegEnd.UNREACHABLE,
+    "broken": LegEnd.CUT,
+    "withdrawn": LegEnd.CANCELLED,
     "void": LegEnd.NOT_SENT,
 }
 REDIALLED, IN_TRANSIT, WAS_CUT = 2, 8, 16
@@ -26,8 +31,15 @@
 class Proxy:
     """The host of one controller. Ids turn into small indices here, and back."""
 
-    def __init__(self, name: str, seed: int, facts: dict[str, Any], now_us: int, out: list[str],
-                 make: Callable[..., CallController] = CallController) -> None:
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        facts: dict[str, Any],
+        now_us: int,
+        out: list[str],
+        make: Callable[..., CallController] = CallController,
+    ) -> None:
         self.name, self.out = name, out
         self.switch_of: list[str] = []
         self.gw_of: dict[str, int] = {}
@@ -114,9 +126,18 @@
         if not 0 <= kind < len(self.controller.types):
             raise BadLineError("field Class names no class")
         self.controller.dialog_came(
-            now, dialog, kind, int(msg["FarEnd"]), int(msg["SlotsNeeded"]), msg.get("Subject") or "",
-            at_most(msg["ExpiresIn"]), bool(marks & IN_TRANSIT), bool(marks & REDIALLED),
-            bool(marks & WAS_CUT), -1 if marks & IN_TRANSIT else int(msg.get("AdvisedRoute", -1)))
+            now,
+            dialog,
+            kind,
+            int(msg["FarEnd"]),
+            int(msg["SlotsNeeded"]),
+            msg.get("Subject") or "",
+            at_most(msg["ExpiresIn"]),
+            bool(marks & IN_TRANSIT),
+            bool(marks & REDIALLED),
+            bool(marks & WAS_CUT),
+            -1 if marks & IN_TRANSIT else int(msg.get("AdvisedRoute", -1)),
+        )
 
     def _result(self, msg: dict[str, Any], now: int) -> None:
         dialog = self.dialog_of.get(msg["Rid"])
@@ -128,16 +149,16 @@
         self.legs_out[dialog] -= 1
         free, size = self._stats(msg)
         rsn = rsn_of(msg.get("Reason") or 0, self.tells_wait)
-        self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, bool(msg.get("Ended")),
-                                  free, size)
+        self.controller.leg_ended(now, dialog, self._gw(msg["Switch"]), how, rsn, bool(msg.get("Ended")), free, size)
         if msg.get("Ended"):
             self._ended(dialog)
         else:
             self._forget(dialog)
 
     def _entry(self, entry: dict[str, Any]) -> ListEntry:
-        return ListEntry(self._gw(entry["Switch"]), entry["NodeNo"], gw_state(entry["Availability"]),
-                         (entry.get("Born") or 0) // UNIT)
+        return ListEntry(
+            self._gw(entry["Switch"]), entry["NodeNo"], gw_state(entry["Availability"]), (entry.get("Born") or 0) // UNIT
+        )
 
     def _stats(self, msg: dict[str, Any]) -> tuple[int, int]:
         """Free circuits and size of the group; -1 where not told."""
--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -115,8 +115,17 @@
 class Exchange:
     """A far end as this proxy knows it: the list's word, the cold budget, the processor's pressure."""
 
-    def __init__(self, gw: int, group: TrunkGroup, cold_from: float, warm_after: int, multiple: float,
-                 span: int, proxies: int, ease: int = SECOND) -> None:
+    def __init__(
+        self,
+        gw: int,
+        group: TrunkGroup,
+        cold_from: float,
+        warm_after: int,
+        multiple: float,
+        span: int,
+        proxies: int,
+        ease: int = SECOND,
+    ) -> None:
         self.gw, self.group, self.number, self.ease = gw, group, -1, ease
         self.cold_share = cold_from * multiple / proxies
         self.least = 1 / proxies / SECOND  # all together a leg a second until service has been seen
@@ -205,12 +214,42 @@
 class Dialog:
     """A dialog from its arrival to its last word."""
 
-    __slots__ = ("first", "kind", "far", "width", "number", "transit", "redialled", "expires", "objective_at",
-                 "legs", "leg_to", "not_before", "answered", "doubt", "tried", "waits", "stands", "luck",
-                 "advised")
-
-    def __init__(self, first: int, kind: int, far: int, width: int, number: str, transit: bool,
-                 redialled: bool, expires: int, objective_at: int, luck: float, advised: int) -> None:
+    __slots__ = (
+        "first",
+        "kind",
+        "far",
+        "width",
+        "number",
+        "transit",
+        "redialled",
+        "expires",
+        "objective_at",
+        "legs",
+        "leg_to",
+        "not_before",
+        "answered",
+        "doubt",
+        "tried",
+        "waits",
+        "stands",
+        "luck",
+        "advised",
+    )
+
+    def __init__(
+        self,
+        first: int,
+        kind: int,
+        far: int,
+        width: int,
+        number: str,
+        transit: bool,
+        redialled: bool,
+        expires: int,
+        objective_at: int,
+        luck: float,
+        advised: int,
+    ) -> None:
         self.first, self.kind, self.far, self.width, self.number = first, kind, far, width, number
         self.transit, self.redialled = transit, redialled
         self.expires, self.objective_at = expires, objective_at
@@ -226,10 +265,26 @@
 class CallController:
     """Decides for one proxy. `here` is the own exchange's number, -1 where far ends are pools of agents."""
 
-    def __init__(self, host: Host, seed: int, here: int, proxies: int, types: list[TrafficType], *,
-                 release_guard: int, most_legs: int, longest_hold_off: int, may_cancel: bool, must_ask: bool,
-                 may_tell: bool, centre_advises: bool,
-                 cold_from: float, warm_after: int, multiple: float, fall_span: int) -> None:
+    def __init__(
+        self,
+        host: Host,
+        seed: int,
+        here: int,
+        proxies: int,
+        types: list[TrafficType],
+        *,
+        release_guard: int,
+        most_legs: int,
+        longest_hold_off: int,
+        may_cancel: bool,
+        must_ask: bool,
+        may_tell: bool,
+        centre_advises: bool,
+        cold_from: float,
+        warm_after: int,
+        multiple: float,
+        fall_span: int,
+    ) -> None:
         self.host, self.here, self.proxies, self.types = host, here, proxies, types
         self.release_guard, self.most_legs = release_guard, most_legs
         self.longest_hold_off, self.may_cancel, self.must_ask = longest_hold_off, may_cancel, must_ask
@@ -329,16 +384,27 @@
         self.now = now
         self._exchange(gw).group.told(free, size)
 
-    def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str,
-                    expires_in: int, transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
+    def dialog_came(
+        self,
+        now: int,
+        dialog: int,
+        kind: int,
+        far: int,
+        width: int,
+        number: str,
+        expires_in: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        advised: int = -1,
+    ) -> None:
         self.now = now
         expires = now + expires_in - 2 * BEAT
         first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
         redialled = redialled or first < now
         objective_at = min(first + self.types[kind].setup_objective, expires)
         self.widest = max(self.widest, width)
-        d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at,
-                   self.chance.draw(), advised)
+        d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at, self.chance.draw(), advised)
         self.dialogs[dialog] = d
         heappush(self.due, (expires, dialog, "answer"))
         self._route(dialog, d)
@@ -362,8 +428,7 @@
                 self.carried[d.far].append(d.leg_to)
                 self.turned_back.pop((d.leg_to.gw, d.far), None)
 
-    def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, over: bool,
-                  free: int, size: int) -> None:
+    def leg_ended(self, now: int, dialog: int, gw: int, how: LegEnd, rsn: int, over: bool, free: int, size: int) -> None:
         self.now = now
         ex = self._exchange(gw)
         if size >= 0:
@@ -427,11 +492,21 @@
     def learned(self, now: int, most_callers: int) -> Learned:
         """What a module that takes this one's place should know; of callers the latest, up to so many."""
         exchanges = [
-            KnownExchange(ex.gw, ex.started, ex.quickest, ex.took, now - ex.took_at if ex.took else 0,
-                          max(0, ex.pressed_until - now), ex.group.size, ex.group.cap,
-                          ex.group.accept_below, ex.group.lower_below) for ex in self.gws.values()]
-        pairs = [KnownPair(gw, to, until - now, span) for (gw, to), (until, span) in self.turned_back.items()
-                 if until > now]
+            KnownExchange(
+                ex.gw,
+                ex.started,
+                ex.quickest,
+                ex.took,
+                now - ex.took_at if ex.took else 0,
+                max(0, ex.pressed_until - now),
+                ex.group.size,
+                ex.group.cap,
+                ex.group.accept_below,
+                ex.group.lower_below,
+            )
+            for ex in self.gws.values()
+        ]
+        pairs = [KnownPair(gw, to, until - now, span) for (gw, to), (until, span) in self.turned_back.items() if until > now]
         pairs += [KnownPair(ex.gw, to, 0, 0) for to, held in self.carried.items() for ex in held]
         latest = list(self.first_tried.items())[-most_callers:]
         callers = [KnownCaller(*key, now - first) for key, first in latest]
@@ -468,8 +543,7 @@
         tandems, then the other; then it waits for a circuit of its own group, or is declined."""
         direct = self.by_number.get(d.far)
         if d.transit:
-            if not (direct is not None and direct.group.judge(d.width, not d.redialled)
-                    and self._send(dialog, d, direct)):
+            if not (direct is not None and direct.group.judge(d.width, not d.redialled) and self._send(dialog, d, direct)):
                 self._decline(dialog, d)
             return
         if direct is None or not direct.ready or d.doubt and not self.types[d.kind].repeatable:
@@ -511,10 +585,17 @@
             other = place + int(self.chance.draw() * (len(pool) - place))
             ex = pool[other]
             pool[place], pool[other] = ex, pool[place]
-            if (ex.ready and d.width <= ex.group.free <= ex.group.size and ex.number not in (d.far, self.here)
-                    and ex.gw not in d.tried and ex not in able and ex.reach[d.width > 1] >> d.far & 1
-                    and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
-                    and (allowed is None or ex.number in allowed) and not self._pressed(ex, d)):
+            if (
+                ex.ready
+                and d.width <= ex.group.free <= ex.group.size
+                and ex.number not in (d.far, self.here)
+                and ex.gw not in d.tried
+                and ex not in able
+                and ex.reach[d.width > 1] >> d.far & 1
+                and self.turned_back.get((ex.gw, d.far), (0, 0))[0] <= self.now
+                and (allowed is None or ex.number in allowed)
+                and not self._pressed(ex, d)
+            ):
                 able.append(ex)
                 if len(able) == 2:
                     break
@@ -522,8 +603,7 @@
 
     def _pressed(self, ex: Exchange, d: Dialog) -> bool:
         """Whether a tandem is skipped: it was full or silent of late, or too slow for a way through it."""
-        return (ex.pressed_until > self.now
-                or max(self.pace, ex.expected(self.now)) > (d.objective_at - self.now) // 4)
+        return ex.pressed_until > self.now or max(self.pace, ex.expected(self.now)) > (d.objective_at - self.now) // 4
 
     def _kept_back(self, d: Dialog, ex: Exchange) -> bool:
         """Whether the way there is too slow for this dialog, be the far processor pressed, paused or silent
@@ -555,9 +635,12 @@
     def _claimed(self, d: Dialog, ex: Exchange) -> bool:
         """Whether a more important dialog waits for circuits to there, and more than are free: narrow ones,
         which come more often, took every circuit that was freed before three were free at once."""
-        return any(-rank > self.types[d.kind].importance and self.dialogs[other].far == ex.number
-                   and ex.group.free < self.dialogs[other].width <= ex.group.size
-                   for rank, other in self.waiting)
+        return any(
+            -rank > self.types[d.kind].importance
+            and self.dialogs[other].far == ex.number
+            and ex.group.free < self.dialogs[other].width <= ex.group.size
+            for rank, other in self.waiting
+        )
 
     def _serve(self) -> None:
         """Freed circuits go to those who wait, the more important first."""
@@ -572,12 +655,21 @@
 
     def _send(self, dialog: int, d: Dialog, ex: Exchange) -> bool:
         """The one place from which a leg can leave: every rule is checked here."""
-        if (d.answered or d.stands or d.leg_to is not None or self.now < d.not_before
-                or d.legs >= self.most_legs or self.now >= d.expires
-                or (d.doubt and not self.types[d.kind].repeatable)
-                or not ex.ready or ex.number == self.here or (d.transit and ex.number != d.far)
-                or not ex.group.fits(d.width) or self._claimed(d, ex)
-                or not ex.cold_room(self.now, self._usual())):
+        if (
+            d.answered
+            or d.stands
+            or d.leg_to is not None
+            or self.now < d.not_before
+            or d.legs >= self.most_legs
+            or self.now >= d.expires
+            or (d.doubt and not self.types[d.kind].repeatable)
+            or not ex.ready
+            or ex.number == self.here
+            or (d.transit and ex.number != d.far)
+            or not ex.group.fits(d.width)
+            or self._claimed(d, ex)
+            or not ex.cold_room(self.now, self._usual())
+        ):
             return False
         if self.now < ex.cold_until:
             ex.sent.append(self.now)
@@ -597,8 +689,7 @@
         slow far end, which looks the same from here."""
         later = self.legs_sent - self.legs_out[dialog]
         silent = list(reversed(self.legs_out)).index(dialog)
-        if (self.may_cancel and later > 1 and 2 * silent <= later
-                and self.now - ex.out.get(dialog, 0) > 3 * self.pace):
+        if self.may_cancel and later > 1 and 2 * silent <= later and self.now - ex.out.get(dialog, 0) > 3 * self.pace:
             self.host.cancel_leg(dialog, d.legs - 1)
 
     def _decline(self, dialog: int, d: Dialog) -> None:
--- a/gingergap/callers/lines.py
+++ b/gingergap/callers/lines.py
@@ -37,8 +37,20 @@
 class Taker(Protocol):
     """Who hears what came, a call a line."""
 
-    def set_up(self, id: str, kind: str, left: int, number: str, far: int, width: int, advised: int, transit: bool,
-               redialled: bool, cut: bool, sdp: str) -> None:
+    def set_up(
+        self,
+        id: str,
+        kind: str,
+        left: int,
+        number: str,
+        far: int,
+        width: int,
+        advised: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        sdp: str,
+    ) -> None:
         """`left` in milliseconds; `advised` -1 for none."""
 
     def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
@@ -70,7 +82,7 @@
             if end < 0 or end > self.most_line:
                 raise BadCallerError("a line over the size limit")
             line = bytes(self.held[:end])
-            del self.held[:end + 1]
+            del self.held[: end + 1]
             self.searched = 0
             if line.strip():
                 self._take(line)
--- a/gingergap/cli/lines.py
+++ b/gingergap/cli/lines.py
@@ -31,6 +31,7 @@
     from ..store.records import BadRecordError
     from ..trace.format import BadTraceError
     from ..trace.snapshot import BadSnapshotError
+
     return BadStoreError, BadRecordError, BadTraceError, BadSnapshotError
 
 
--- a/gingergap/cli/logs.py
+++ b/gingergap/cli/logs.py
@@ -10,10 +10,14 @@
 def logger(level: str) -> Any:
     """A logger that drops what is under `level`."""
     structlog.configure(
-        processors=[structlog.processors.add_log_level,
-                    structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.format_exc_info,
-                    structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
     return structlog.get_logger()
--- a/gingergap/cli/main.py
+++ b/gingergap/cli/main.py
@@ -22,6 +22,7 @@
 
 def _read(path: Path, **kinds: type[Form]) -> Any:
     from ..settings.forms import read
+
     try:
         return read(path, **kinds)
     except BadSettingsError as bad:
@@ -44,11 +45,13 @@
 def edge_run(settings: Path) -> None:
     """Run one signalling proxy until it is told to end; SIGTERM drains it."""
     from ..settings.edge import EdgeForm
+
     form = _read(settings, edge=EdgeForm)
     import gc
 
     from ..edge.serve import EdgeProcess
     from .logs import logger
+
     gc.collect()
     gc.freeze()  # what is loaded stays: the collector needn't look at it again
     gc.set_threshold(5_000, 10, 1_000)  # short looks: calls leave no rings behind, and one at all costs tens of ms
@@ -60,6 +63,7 @@
 def serve(belief: bool) -> None:
     """Run one proxy as a platform starts it, by LB_CONFIG; `python -m gingergap serve` loads less."""
     from ..service.process import main as run
+
     sys.exit(run(belief))
 
 
@@ -74,6 +78,7 @@
     """Check a settings file: exit 0, or 2 with a line for each fault."""
     from ..settings.day import DayForm, StandinForm
     from ..settings.edge import EdgeForm
+
     form = _read(file, edge=EdgeForm, day=DayForm, standin=StandinForm)
     click.echo(f"{file}: a whole ({type(form).__name__.removesuffix('Form').lower()} ...) form")
 
@@ -86,6 +91,7 @@
 def _standin(path: Path) -> tuple[Any, Any]:
     from ..settings.day import DayForm, StandinForm
     from ..standins.script import Plan
+
     form = _read(path, standin=StandinForm)
     day = _read(Path(form.day), day=DayForm)
     return form, Plan(day, form.seed)
@@ -94,6 +100,7 @@
 def _places(form: Any) -> tuple[list[tuple[str, int]], list[tuple[str, int]], dict[tuple[str, int], int]]:
     """Proxies, exchanges' addresses, and which exchange number an address belongs to."""
     from ..sip.fields import host_port
+
     proxies = [host_port(text) for text in form.places.proxy]
     exchanges = [host_port(text) for text in form.places.exchange]
     homes = {address: number for number, address in enumerate(proxies)}
@@ -110,10 +117,20 @@
     """Play one exchange's machines through a day."""
     form, plan = _standin(settings)
     from ..standins import exchange
+
     proxies, exchanges, homes = _places(form)
     number = form.number
-    exchange.play(plan, number, form.epoch, exchanges[2 * number:2 * number + 2], proxies[number],
-                  {address: place for place, address in enumerate(proxies)}, homes, Path(form.report), False)
+    exchange.play(
+        plan,
+        number,
+        form.epoch,
+        exchanges[2 * number : 2 * number + 2],
+        proxies[number],
+        {address: place for place, address in enumerate(proxies)},
+        homes,
+        Path(form.report),
+        False,
+    )
 
 
 @standin.command("caller")
@@ -123,9 +140,9 @@
     form, plan = _standin(settings)
     from ..sip.fields import host_port
     from ..standins import caller
+
     proxies, _, _ = _places(form)
-    caller.play(plan, form.number, host_port(form.places.callers[form.number]), proxies[form.number], form.epoch,
-                Path(form.report))
+    caller.play(plan, form.number, host_port(form.places.callers[form.number]), proxies[form.number], form.epoch, Path(form.report))
 
 
 @standin.command("list")
@@ -135,11 +152,10 @@
     form, plan = _standin(settings)
     from ..sip.fields import host_port
     from ..standins import exchange_list
+
     proxies, _, _ = _places(form)
-    addresses = {number: form.places.exchange[2 * number:2 * number + 2]
-                 for number in range(plan.day.exchanges)}
-    exchange_list.play(plan, host_port(form.places.exchange_list), addresses, form.epoch, frozenset(proxies),
-                       Path(form.report))
+    addresses = {number: form.places.exchange[2 * number : 2 * number + 2] for number in range(plan.day.exchanges)}
+    exchange_list.play(plan, host_port(form.places.exchange_list), addresses, form.epoch, frozenset(proxies), Path(form.report))
 
 
 @main.group()
@@ -158,6 +174,7 @@
 
     from ..settings.day import DayForm
     from ..standins.player import DayFailedError, Player
+
     form = _read(file, day=DayForm)
     with tempfile.TemporaryDirectory(prefix="gingergap-day-") as scratch:
         folder = report if report is not None else Path(scratch)
@@ -191,6 +208,7 @@
     from ..settings.forms import parse
     from ..standins.from_bench import BadDayFileError, scripted
     from ..standins.player import form
+
     try:
         parts, left = scripted(msgspec.json.decode(file.read_bytes()), seconds)
         text = form("day", **parts)
@@ -213,6 +231,7 @@
 
 def _ask(path: str, what: str) -> Any:
     from ..control.client import NoAnswerError, ask
+
     try:
         return ask(path, what)
     except NoAnswerError as error:
@@ -229,6 +248,7 @@
 def members_show(control: str) -> None:
     """Who is there, as one proxy sees it."""
     from .tables import rows
+
     rows("members", _ask(control, "members"))
 
 
@@ -250,6 +270,7 @@
 def duties_show(control: str) -> None:
     """Who does what under which counter, when it was last done, what is overdue, and what was learned."""
     from .tables import rows
+
     rows("duties", _ask(control, "duties"))
     rows("learned", _ask(control, "learned"))
 
@@ -260,6 +281,7 @@
 def watch(control: str, every: float) -> None:
     """Members, duties, far ends and calls a second of one proxy, in the terminal."""
     from .watch import Watch
+
     Watch(control, every).run()
 
 
@@ -275,6 +297,7 @@
     from ..emulator.versions import UnknownPolicyError, maker
     from ..settings.day import DayForm
     from .tables import rows
+
     form = _read(file, day=DayForm)
     if exchanges is not None:
         form = form.model_copy(update={"exchanges": exchanges})
@@ -290,9 +313,14 @@
         if as_json:
             click.echo(json.dumps(figures))
             continue
-        lines.append({"seed": seed, **{name: figures[name] for name in ("offered", "stood", "service", "legs_a_dialog", "seconds")},
-                      "p50 p90 p99 ms": " ".join(f"{value:g}" for value in figures["setup_ms"].values()),
-                      "rules broken": sum(rule["broken"] for rule in figures["rules"].values())})
+        lines.append(
+            {
+                "seed": seed,
+                **{name: figures[name] for name in ("offered", "stood", "service", "legs_a_dialog", "seconds")},
+                "p50 p90 p99 ms": " ".join(f"{value:g}" for value in figures["setup_ms"].values()),
+                "rules broken": sum(rule["broken"] for rule in figures["rules"].values()),
+            }
+        )
         for rule, when, why in day.rules.breaches[:5]:
             click.echo(f"seed {seed}: rule {rule} at {when / 10_000:.3f} s: {why}")
     if lines:
@@ -310,6 +338,7 @@
     from ..experiments.runner import Runner
     from ..settings.day import DayForm
     from ..settings.experiment import ExperimentForm
+
     form = _read(file, experiment=ExperimentForm)
     day = _read(file.parent / form.day, day=DayForm)
     try:
@@ -337,12 +366,14 @@
     from rich.progress import Progress
 
     from .tables import rows
+
     runner = _experiment(file, results)
     with Progress(transient=True) as progress:
         task = progress.add_task(runner.form.name, total=None)
         runner.told = lambda done, wanted: progress.update(task, completed=done, total=wanted)
         runner.run(workers or os.cpu_count() or 1)
     from ..experiments.report import table
+
     rows(runner.form.name, table(runner))
     sys.exit(_broken(runner))
 
@@ -354,6 +385,7 @@
 def experiment_report(file: Path, results: Path, out: Path) -> None:
     """Write what an experiment came to as a page and a chart."""
     from ..experiments.report import chart, page
+
     runner = _experiment(file, results)
     try:
         out.write_text(page(runner))
@@ -370,6 +402,7 @@
     """Print the comparisons as far as they are known: exit 0, 1 where the program's own module broke a rule."""
     from ..experiments.report import effects, table
     from .tables import rows
+
     runner = _experiment(file, results)
     rows(runner.form.name, table(runner))
     rows("what the factors do", effects(runner))
@@ -389,18 +422,31 @@
     from ..settings.day import DayForm
     from ..standins.player import form as written
     from .tables import rows
+
     day = _read(file, day=DayForm)
     found = sorted(searched(day, seed, days, most), key=lambda one: -one.badness)
-    rows("worst days", [{"badness": round(one.badness, 4), "than": one.than or "a rule broken", "seed": one.seed,
-                         "faults": " ".join(fault.kind for fault in one.day.fault)} for one in found[:8]])
+    rows(
+        "worst days",
+        [
+            {
+                "badness": round(one.badness, 4),
+                "than": one.than or "a rule broken",
+                "seed": one.seed,
+                "faults": " ".join(fault.kind for fault in one.day.fault),
+            }
+            for one in found[:8]
+        ],
+    )
     least = shrunk(found[0], 0.8)
     values = least.day.model_copy(update={"seed": least.seed}).model_dump(by_alias=False)  # its name is part of its draws
     try:
         out.write_text(written("day", **values) + "\n")
     except OSError as error:
         _fail([f"{out}: {error.strerror}"])
-    click.echo(f"{out}: seed {least.seed}, badness {least.badness:.4f}, {len(least.day.fault)} faults, "
-               f"{least.day.exchanges} exchanges, {least.day.seconds:g} s")
+    click.echo(
+        f"{out}: seed {least.seed}, badness {least.badness:.4f}, {len(least.day.fault)} faults, "
+        f"{least.day.exchanges} exchanges, {least.day.seconds:g} s"
+    )
     sys.exit(1 if least.badness >= BROKEN else 0)
 
 
@@ -417,6 +463,7 @@
     from ..standins.checker import BadCaptureError, check
     from ..standins.report import offers_in, whole
     from .tables import day_tables
+
     try:
         verdict = check(folder / "capture.jsonl")
         report = whole(folder, verdict, offers_in(folder))
--- a/gingergap/cli/store.py
+++ b/gingergap/cli/store.py
@@ -18,6 +18,7 @@
 
 def _book(folder: Path) -> Any:
     from ..store.book import FILE, Book
+
     if not (folder / FILE).exists():
         fail(f"{folder}: no store there")
     book = Book(folder)
@@ -34,6 +35,7 @@
 
     from ..store.records import ALIVE, SCHEMA
     from .tables import rows
+
     book = _book(folder)
     alive = next((item.body for item in book.items(ALIVE)), None)
     rows(f"schema {SCHEMA}, {book.size()} bytes", [{"kind": kind, "records": many} for kind, many in book.counts().items()])
@@ -48,7 +50,7 @@
     """Check the pages and every record: exit 0, or 1 with a line for each fault."""
     book = _book(folder)
     faults = [*book.damage, *book.verify()]
-    for line in faults[len(book.damage):]:
+    for line in faults[len(book.damage) :]:
         click.echo(line)
     click.echo(f"{sum(book.counts().values())} records, {len(faults)} faults")
     book.close()
@@ -63,6 +65,7 @@
     import msgspec
 
     from ..store.records import FORMS, SCHEMA
+
     book = _book(folder)
     many = 0
     with out.open("xb") as file:
@@ -82,6 +85,7 @@
     """Put exported records into a store, all or none; records of the same key are replaced."""
     from ..store.book import Book
     from ..store.exchange import imported
+
     changes = imported(source)
     book = Book(folder)
     book.commit(changes)
@@ -105,6 +109,7 @@
     """What a running proxy has written and remembered."""
     from ..control.client import NoAnswerError, ask
     from .tables import rows
+
     try:
         rows("store", [{"what": name, "value": str(value)} for name, value in ask(control, "store").items()])
     except NoAnswerError as error:
--- a/gingergap/cli/trace.py
+++ b/gingergap/cli/trace.py
@@ -21,6 +21,7 @@
 
 def _opened(files: tuple[Path, ...]) -> list[Any]:
     from ..trace.stream import opened
+
     return opened(files)
 
 
@@ -28,8 +29,10 @@
     """One process's parts, or one merged or cut file."""
     traces = _opened(files)
     if len(traces) > 1:
-        fail(f"the files are of more than one process ({', '.join(one.name for one in traces)}): give the parts of one, "
-              "or merge them")
+        fail(
+            f"the files are of more than one process ({', '.join(one.name for one in traces)}): give the parts of one, "
+            "or merge them"
+        )
     return traces[0]
 
 
@@ -52,19 +55,26 @@
 def info(files: tuple[Path, ...]) -> None:
     """Whose traces, which module, how long, and whether they are whole."""
     from .tables import rows
+
     lines = []
     for one in _opened(files):
         for reader in one.readers:
             stretches = reader.stretches()
             for source in one.sources:
-                lines.append({
-                    "file": reader.path.name, "instance": source.instance, "epoch": source.epoch, "module": source.module[:8],
-                    "from_s": round((stretches[0][1].first - one.header.started) / UNIT, 1) if stretches else 0,
-                    "to_s": round((stretches[-1][1].last - one.header.started) / UNIT, 1) if stretches else 0,
-                    "records": sum(frame.records for _, frame in stretches),
-                    "states": sum(frame.snapshots for _, frame in stretches),
-                    "clock": f"{source.offset} +-{source.uncertain:g}" if one.merged else "",
-                    "ends": f"byte {reader.broken.at}: {reader.broken.why}" if reader.broken else "in order"})
+                lines.append(
+                    {
+                        "file": reader.path.name,
+                        "instance": source.instance,
+                        "epoch": source.epoch,
+                        "module": source.module[:8],
+                        "from_s": round((stretches[0][1].first - one.header.started) / UNIT, 1) if stretches else 0,
+                        "to_s": round((stretches[-1][1].last - one.header.started) / UNIT, 1) if stretches else 0,
+                        "records": sum(frame.records for _, frame in stretches),
+                        "states": sum(frame.snapshots for _, frame in stretches),
+                        "clock": f"{source.offset} +-{source.uncertain:g}" if one.merged else "",
+                        "ends": f"byte {reader.broken.at}: {reader.broken.why}" if reader.broken else "in order",
+                    }
+                )
         one.close()
     rows("trace", lines)
 
@@ -76,11 +86,13 @@
 @click.option("--dialog", type=int, default=None, help="One dialog's records alone.")
 @click.option("--at", "place", type=int, default=None, help="The records about this place of one file, as spans name it.")
 @click.option("--around", type=click.IntRange(0, 10_000), default=15, show_default=True, help="How many, with --at.")
-def show(files: tuple[Path, ...], since: float | None, until: float | None, dialog: int | None, place: int | None,
-         around: int) -> None:
+def show(
+    files: tuple[Path, ...], since: float | None, until: float | None, dialog: int | None, place: int | None, around: int
+) -> None:
     """Events and what was decided, one line each. Blocks outside the window or without the dialog are not unpacked."""
     from ..trace.replay import words
     from ..trace.window import at_place, select
+
     for one in _opened(files):
         began, names = one.header.started, [f"{source.instance} " if one.merged else "" for source in one.sources]
         if place is not None:
@@ -101,16 +113,23 @@
 @click.option("--dialog", "dialogs", type=int, multiple=True, help="The lives of these dialogs.")
 @click.option("--far", type=int, default=None, help="The lives of dialogs that went or tried to go to this exchange.")
 @click.option("--bare", is_flag=True, help="Without what a replay needs: smaller, to be read only.")
-def cut_(files: tuple[Path, ...], out: Path, since: float | None, until: float | None, dialogs: tuple[int, ...],
-         far: int | None, bare: bool) -> None:
+def cut_(
+    files: tuple[Path, ...],
+    out: Path,
+    since: float | None,
+    until: float | None,
+    dialogs: tuple[int, ...],
+    far: int | None,
+    bare: bool,
+) -> None:
     """A part of a trace, by time, dialog or far end, that can be replayed by itself."""
     from ..trace.cut import cut, span_of
+
     one = _one(files)
     span = span_of(one, _since(one, since), _since(one, until), frozenset(dialogs), far)
     copy = cut(one, span, out, bare)
     _breaks([one])
-    click.echo(f"{out}: {copy.records} records, {copy.writer.size} bytes"
-               + (f", {len(span.focus)} dialogs" if span.focus else ""))
+    click.echo(f"{out}: {copy.records} records, {copy.writer.size} bytes" + (f", {len(span.focus)} dialogs" if span.focus else ""))
 
 
 @trace.command("merge")
@@ -121,15 +140,24 @@
     from ..trace.merge import merge, order
     from ..trace.stream import opened
     from .tables import rows
+
     traces = _opened(files)
     done = merge(traces, out)
     _breaks(traces)
     base = min(source.wall for source in done.sources)
-    rows("clocks against the first one", [
-        {"instance": source.instance, "epoch": source.epoch,
-         "offset_ms": round((source.offset + source.started - (source.wall - base) * UNIT) / 10, 2),
-         "drift_ppm": round(source.drift * 100, 2),
-         "within_ms": round(source.uncertain / 10, 2) if source.uncertain >= 0 else "unknown"} for source in done.sources])
+    rows(
+        "clocks against the first one",
+        [
+            {
+                "instance": source.instance,
+                "epoch": source.epoch,
+                "offset_ms": round((source.offset + source.started - (source.wall - base) * UNIT) / 10, 2),
+                "drift_ppm": round(source.drift * 100, 2),
+                "within_ms": round(source.uncertain / 10, 2) if source.uncertain >= 0 else "unknown",
+            }
+            for source in done.sources
+        ],
+    )
     many, turned = order(opened([out])[0])
     click.echo(f"{out}: {done.records} records, {many} crossings, {turned} turned round, {done.held_back} held back")
     if done.given_up:
@@ -146,6 +174,7 @@
 def anonymise_(files: tuple[Path, ...], key: Path, out: Path) -> None:
     """Callers' and called numbers replaced by others of the same form, the same ones always by the same."""
     from ..trace.anonymise import Numbers, anonymise
+
     try:
         numbers = Numbers(key.read_bytes().strip())
     except ValueError as error:
@@ -168,6 +197,7 @@
     import time
 
     from ..trace.replay import replay
+
     traces = _opened(files)
     for one in traces:
         if one.header.bare:
@@ -180,16 +210,23 @@
     for one in traces:
         for done in replay(one.sources, one.entries(), one.whole):
             events, decisions = events + done.events, decisions + done.actions
-            click.echo(f"{done.source.instance}-{done.source.epoch}: {done.events} events, {done.actions} decisions compared, "
-                       f"{done.span / UNIT:.1f} s"
-                       + (f", {done.gaps} gaps, {done.passed_over} events passed over, {done.resumed} states taken up"
-                          if done.gaps or done.resumed else ""))
+            click.echo(
+                f"{done.source.instance}-{done.source.epoch}: {done.events} events, {done.actions} decisions compared, "
+                f"{done.span / UNIT:.1f} s"
+                + (
+                    f", {done.gaps} gaps, {done.passed_over} events passed over, {done.resumed} states taken up"
+                    if done.gaps or done.resumed
+                    else ""
+                )
+            )
             if done.difference is not None:
                 different = True
                 _show(done.difference, one.header.started)
         _breaks([one])
-    click.echo(f"{events} events, {decisions} decisions compared in {time.perf_counter() - began:.2f} s: "
-               + ("a difference" if different else "all alike"))
+    click.echo(
+        f"{events} events, {decisions} decisions compared in {time.perf_counter() - began:.2f} s: "
+        + ("a difference" if different else "all alike")
+    )
     sys.exit(1 if different else 0)
 
 
@@ -198,6 +235,7 @@
 
     def bare(record: list[Any] | None) -> str:
         return words(record).strip().removeprefix("-> ") if record else "nothing"
+
     click.echo(f"record {difference.place} differs")
     for record in difference.before:
         click.echo(f"  {words(record)}")
@@ -209,6 +247,7 @@
     from ..trace.compare import compare, module_at
     from ..trace.replay import words
     from .tables import rows
+
     other = module_at(path)
     different = False
     for one in traces:
@@ -220,15 +259,28 @@
             continue
         different = True
         kinds = sorted(found.kinds.items(), key=lambda item: -item[1].many)
-        rows("differences", [{"noted -> other": name, "many": kind.many, "lost": round(kind.lost, 2),
-                              "at_most_gained": round(kind.at_most_gained, 2),
-                              "as noted": ", ".join(f"{many} {what}" for what, many in kind.outcomes.most_common())}
-                             for name, kind in kinds])
+        rows(
+            "differences",
+            [
+                {
+                    "noted -> other": name,
+                    "many": kind.many,
+                    "lost": round(kind.lost, 2),
+                    "at_most_gained": round(kind.at_most_gained, 2),
+                    "as noted": ", ".join(f"{many} {what}" for what, many in kind.outcomes.most_common()),
+                }
+                for name, kind in kinds
+            ],
+        )
         for name, kind in kinds:
             for example in kind.examples[:1]:
-                click.echo(f"  {name}: record {example.place}, {(example.now - one.header.started) / UNIT:.4f} s: "
-                           + "; ".join(f"{who} {words(action).strip().removeprefix('-> ') if action else 'nothing'}"
-                                       for who, action in (("noted", example.noted), ("other", example.asked))))
+                click.echo(
+                    f"  {name}: record {example.place}, {(example.now - one.header.started) / UNIT:.4f} s: "
+                    + "; ".join(
+                        f"{who} {words(action).strip().removeprefix('-> ') if action else 'nothing'}"
+                        for who, action in (("noted", example.noted), ("other", example.asked))
+                    )
+                )
     return 1 if different else 0
 
 
@@ -239,6 +291,7 @@
     """Whether two traces say the same: exit 0, or 1 with the first record that differs."""
     from ..trace.difference import difference
     from ..trace.replay import words
+
     found = difference(_one((left,)), _one((right,)))
     for line in found.headers:
         click.echo(f"header: {line}")
@@ -264,6 +317,7 @@
     from ..trace.causes import bad_stretches
     from ..trace.tally import Tally
     from .trace_tables import draw, tables
+
     for one in _opened(files):
         tally = Tally(one.sources, round(span * UNIT))
         for entry in one.entries():
@@ -289,6 +343,7 @@
     """Every dialog as a tree of spans (dialog, legs, waits), in OpenTelemetry's form, each with its place in the trace."""
     from ..spans.export import FileSpans
     from ..spans.tree import trees
+
     with FileSpans(out) as exporter:
         for one in _opened(files):
             for tree in trees(one):
@@ -304,6 +359,7 @@
 def from_tap(tap: Path, out: Path) -> None:
     """Turn the recorded wire of a bench run into traces: exit 0, or 1 where this module's replies differ from those recorded."""
     from ..trace.tap import converted
+
     done = converted(tap, out)
     for path, records in done.written:
         click.echo(f"{path}: {records} records")
@@ -315,6 +371,7 @@
 
 def _ask(path: str, what: str) -> Any:
     from ..control.client import NoAnswerError, ask
+
     try:
         return ask(path, what)
     except NoAnswerError as error:
@@ -329,7 +386,9 @@
     @CONTROL
     def command(control: str) -> None:
         from .tables import rows
+
         rows("recording", [_ask(control, what)])
+
     return command
 
 
--- a/gingergap/cli/trace_tables.py
+++ b/gingergap/cli/trace_tables.py
@@ -18,26 +18,58 @@
     """Service, declines, set-up times, far ends' troubles, bad stretches."""
     began = trace.header.started
     names = [f"{source.instance}-{source.epoch}" for source in tally.sources]
-    print(f"{trace.name}: {', '.join(names)}: {(tally.last - tally.first) / UNIT:.1f} s"
-          + (f", {tally.gaps} gaps" if tally.gaps else ""))
+    print(
+        f"{trace.name}: {', '.join(names)}: {(tally.last - tally.first) / UNIT:.1f} s"
+        + (f", {tally.gaps} gaps" if tally.gaps else "")
+    )
     kinds = tally.sources[0].figures["types"]
-    rows("service by traffic type", [
-        {"type": kind, "importance": kinds[kind][3], "came": many["came"], "stood": many["stood"], "in time": many["in time"],
-         "declined": many["declined"], "aborted": many["aborted"], "given up": many["given up"], "cut": many["cut"],
-         "service": round(many["in time"] / many["came"], 4) if many["came"] else ""}
-        for kind, many in sorted(tally.by_kind.items())])
+    rows(
+        "service by traffic type",
+        [
+            {
+                "type": kind,
+                "importance": kinds[kind][3],
+                "came": many["came"],
+                "stood": many["stood"],
+                "in time": many["in time"],
+                "declined": many["declined"],
+                "aborted": many["aborted"],
+                "given up": many["given up"],
+                "cut": many["cut"],
+                "service": round(many["in time"] / many["came"], 4) if many["came"] else "",
+            }
+            for kind, many in sorted(tally.by_kind.items())
+        ],
+    )
     rows("what did not stand, by cause", [{"cause": cause, "dialogs": many} for cause, many in tally.causes.most_common()])
-    times = [(name, histogram) for name, histogram in (
-        ("set-up, direct", tally.set_up[True]), ("set-up, over a tandem", tally.set_up[False]),
-        ("final answer of the rest", tally.answered)) if histogram.get_total_count()]
-    rows("times in ms", [{"of": name, "many": histogram.get_total_count(), **{
-        f"p{share:g}": round(histogram.get_value_at_percentile(share) / 1000, 1) for share in PERCENTILES},
-        "most": round(histogram.get_max_value() / 1000, 1)} for name, histogram in times])
+    times = [
+        (name, histogram)
+        for name, histogram in (
+            ("set-up, direct", tally.set_up[True]),
+            ("set-up, over a tandem", tally.set_up[False]),
+            ("final answer of the rest", tally.answered),
+        )
+        if histogram.get_total_count()
+    ]
+    rows(
+        "times in ms",
+        [
+            {
+                "of": name,
+                "many": histogram.get_total_count(),
+                **{f"p{share:g}": round(histogram.get_value_at_percentile(share) / 1000, 1) for share in PERCENTILES},
+                "most": round(histogram.get_max_value() / 1000, 1),
+            }
+            for name, histogram in times
+        ],
+    )
     _far_ends(tally, began)
     for stretch in stretches:
-        print(f"bad stretch at {names[stretch.source]}, {(stretch.begin - began) / UNIT:.1f} s to "
-              f"{(stretch.end - began) / UNIT:.1f} s: {stretch.came} dialogs, {stretch.lost} lost, {stretch.troubles} troubles; "
-              f"likeliest cause: {stretch.cause}")
+        print(
+            f"bad stretch at {names[stretch.source]}, {(stretch.begin - began) / UNIT:.1f} s to "
+            f"{(stretch.end - began) / UNIT:.1f} s: {stretch.came} dialogs, {stretch.lost} lost, {stretch.troubles} troubles; "
+            f"likeliest cause: {stretch.cause}"
+        )
         for line in stretch.evidence:
             print(f"    {line}")
     if not stretches:
@@ -59,31 +91,49 @@
                 row = many.setdefault(number, {})
                 row[column] = row.get(column, 0) + troubles
     columns = range(-(-(tally.last - tally.first + 1) // width))
-    rows("far ends' troubles over time (seconds)", [
-        {"far end": number, "legs": legs[number],
-         **{f"{(tally.first - began + column * width) / UNIT:.0f}": row.get(column, "") for column in columns}}
-        for number, row in sorted(many.items())])
+    rows(
+        "far ends' troubles over time (seconds)",
+        [
+            {
+                "far end": number,
+                "legs": legs[number],
+                **{f"{(tally.first - began + column * width) / UNIT:.0f}": row.get(column, "") for column in columns},
+            }
+            for number, row in sorted(many.items())
+        ],
+    )
 
 
 def draw(trace: Trace, tally: Tally, stretches: list[Stretch], path: Path) -> None:
     """Dialogs, troubles and set-up times over time, bad stretches shaded. Raises ValueError for a kind of file that
     can't be drawn, OSError where it can't be written."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     began, limit = trace.header.started, slow_limit(tally.usual(), tally.objective())
     figure, axes = pyplot.subplots(len(tally.sources), 1, figsize=(11, 3 * len(tally.sources)), squeeze=False, sharex=True)
 
     def seconds(when: float) -> float:
         return (when - began) / UNIT
+
     for source, axis in enumerate(axes[:, 0]):
         held = [one for one in tally.all_slices() if one.source == source]
         at = [seconds(one.begin) for one in held]
         width = tally.span / UNIT
 
-        def bars(value: Callable[[Any], float], colour: str, label: str, axis: Any = axis, held: Any = held, at: Any = at,
-                 width: float = width) -> None:
+        def bars(
+            value: Callable[[Any], float],
+            colour: str,
+            label: str,
+            axis: Any = axis,
+            held: Any = held,
+            at: Any = at,
+            width: float = width,
+        ) -> None:
             axis.bar(at, [value(one) for one in held], width, align="edge", color=colour, label=label)
+
         bars(lambda one: one.came + one.turned_away, "#c8d3e0", "dialogs")
         bars(lambda one: one.lost, "#d1495b", "lost")
         for stretch in stretches:
@@ -92,8 +142,13 @@
                 axis.annotate(stretch.cause, (seconds(stretch.begin), axis.get_ylim()[1]), va="top", fontsize=8)
         other = axis.twinx()
         medians = [(one, sorted(took for far in one.far.values() for took in far.set_ups)) for one in held]
-        other.plot([seconds(one.begin) + width / 2 for one, took in medians if took],
-                   [took[len(took) // 2] / 10 for _, took in medians if took], color="#00798c", linewidth=1, label="median set-up")
+        other.plot(
+            [seconds(one.begin) + width / 2 for one, took in medians if took],
+            [took[len(took) // 2] / 10 for _, took in medians if took],
+            color="#00798c",
+            linewidth=1,
+            label="median set-up",
+        )
         other.axhline(limit / 10, color="#00798c", linewidth=0.5, linestyle=":")
         other.set_ylabel("ms")
         axis.set_ylabel("dialogs")
--- a/gingergap/cli/watch.py
+++ b/gingergap/cli/watch.py
@@ -51,8 +51,10 @@
         if self.before is not None and counts["uptime_s"] > self.before[0]:
             rate = f"{(dialogs - self.before[1]) / (counts['uptime_s'] - self.before[0]):.1f} calls/s, "
         self.before = counts["uptime_s"], dialogs
-        return (f"{counts['name']}: {rate}{counts['open']} being set up, {counts['dialogs']} known, "
-                f"{counts['busy'] * 100:.0f}% busy, up {counts['uptime_s']:.0f} s")
+        return (
+            f"{counts['name']}: {rate}{counts['open']} being set up, {counts['dialogs']} known, "
+            f"{counts['busy'] * 100:.0f}% busy, up {counts['uptime_s']:.0f} s"
+        )
 
     @staticmethod
     def _fill(table: DataTable, rows: list[dict[str, Any]]) -> None:
--- a/gingergap/duties/keeper.py
+++ b/gingergap/duties/keeper.py
@@ -42,8 +42,19 @@
 class Held:
     """What the keeper knows of one duty."""
 
-    __slots__ = ("duty", "claim", "since", "done_at", "heard_done_at", "failures", "aside_until", "owner", "owner_since",
-                 "stands_in_until", "order")
+    __slots__ = (
+        "duty",
+        "claim",
+        "since",
+        "done_at",
+        "heard_done_at",
+        "failures",
+        "aside_until",
+        "owner",
+        "owner_since",
+        "stands_in_until",
+        "order",
+    )
 
     def __init__(self, duty: Duty, now: int) -> None:
         self.duty = duty
@@ -62,9 +73,21 @@
     """`everybody` are the configured members' names, `lasts` the length of a lease, `error` the clocks' rate error,
     `settle` how long a nearer member has to be present before a duty is handed to it."""
 
-    def __init__(self, host: KeeperHost, draw: Random, now: int, name: str, life: int, everybody: frozenset[str],
-                 duties: list[Duty], *, lasts: int = 30_000, error: float = 0.01, settle: int = 10_000,
-                 patience: int = 5_000) -> None:
+    def __init__(
+        self,
+        host: KeeperHost,
+        draw: Random,
+        now: int,
+        name: str,
+        life: int,
+        everybody: frozenset[str],
+        duties: list[Duty],
+        *,
+        lasts: int = 30_000,
+        error: float = 0.01,
+        settle: int = 10_000,
+        patience: int = 5_000,
+    ) -> None:
         self.host, self.draw, self.name, self.everybody = host, draw, name, everybody | {name}
         self.holder = f"{name}/{life:x}"
         self.lasts, self.error, self.settle, self.patience = lasts, error, settle, patience
@@ -107,13 +130,14 @@
         granted = self.voter.asked(now, duty, token, lasts)
         return granted, self.voter.newest.get(duty, 0)
 
-    def voted(self, now: int, voter: str, duty: str, counter: int, granted: bool, newest: int,
-              present: dict[str, int]) -> None:
+    def voted(self, now: int, voter: str, duty: str, counter: int, granted: bool, newest: int, present: dict[str, int]) -> None:
         held = self.held.get(duty)
         if held is None or voter not in self.everybody:
             return
-        if held.claim.voted(now, voter, counter, granted, newest, self._needed(held, present), self.lasts, self.error) \
-                and held.since < 0:
+        if (
+            held.claim.voted(now, voter, counter, granted, newest, self._needed(held, present), self.lasts, self.error)
+            and held.since < 0
+        ):
             held.since = now
             first_in = max(0, held.heard_done_at + held.duty.period - now)
             self.host.begin(held.duty, self.token(held), first_in)
--- a/gingergap/edge/calls.py
+++ b/gingergap/edge/calls.py
@@ -10,8 +10,7 @@
 class Leg:
     """One way tried: an INVITE sent on. `given_up` once its end has been told though it may still answer."""
 
-    __slots__ = ("call", "gw", "far", "place", "serial", "client", "started", "given_up", "over", "tag",
-                 "by_datagram", "crossing")
+    __slots__ = ("call", "gw", "far", "place", "serial", "client", "started", "given_up", "over", "tag", "by_datagram", "crossing")
 
     def __init__(self, call: "Call", gw: int, far: int, place: int, serial: int, started: int) -> None:
         self.call, self.gw, self.far, self.place, self.serial = call, gw, far, place, serial
@@ -26,11 +25,41 @@
     """One dialog from its INVITE to its BYE. The INVITE goes once the dialog stands: it is the larger part of
     what a standing dialog would take in memory."""
 
-    __slots__ = ("index", "server", "invite", "kind", "width", "far", "key", "transit", "redialled", "leg", "legs",
-                 "answered", "stands", "how", "rsn", "arrived", "number", "crossing")
-
-    def __init__(self, index: int, server: Server, invite: Message, kind: int, width: int, far: int,
-                 key: tuple[str, str], transit: bool, redialled: bool, arrived: int, number: str) -> None:
+    __slots__ = (
+        "index",
+        "server",
+        "invite",
+        "kind",
+        "width",
+        "far",
+        "key",
+        "transit",
+        "redialled",
+        "leg",
+        "legs",
+        "answered",
+        "stands",
+        "how",
+        "rsn",
+        "arrived",
+        "number",
+        "crossing",
+    )
+
+    def __init__(
+        self,
+        index: int,
+        server: Server,
+        invite: Message,
+        kind: int,
+        width: int,
+        far: int,
+        key: tuple[str, str],
+        transit: bool,
+        redialled: bool,
+        arrived: int,
+        number: str,
+    ) -> None:
         self.index, self.server, self.kind, self.width, self.far = index, server, kind, width, far
         self.invite: Message | None = invite
         self.key, self.transit, self.redialled, self.arrived = key, transit, redialled, arrived
--- a/gingergap/edge/circuits.py
+++ b/gingergap/edge/circuits.py
@@ -5,7 +5,6 @@
 here is only what the count is.
 """
 
-
 BELIEVED = 10_000  # tenths of a millisecond for which a turn-back counts for more than an older count
 
 
--- a/gingergap/edge/coordination.py
+++ b/gingergap/edge/coordination.py
@@ -34,18 +34,27 @@
 class LocalWork:
     """Background tasks that every proxy does for itself, coordinated or not."""
 
-    def __init__(self, proxy: EdgeProxy, clock: Callable[[], int], log: Any, load: Callable[[], float], *, budget: float,
-                 longest_dialog: int) -> None:
+    def __init__(
+        self, proxy: EdgeProxy, clock: Callable[[], int], log: Any, load: Callable[[], float], *, budget: float, longest_dialog: int
+    ) -> None:
         self.proxy, self.clock = proxy, clock
-        self.plan = Background(Random(secrets.randbits(64)), {
-            "duties": WorkClass(budget), "sweeps": WorkClass(budget), "store": WorkClass(budget)})
+        self.plan = Background(
+            Random(secrets.randbits(64)), {"duties": WorkClass(budget), "sweeps": WorkClass(budget), "store": WorkClass(budget)}
+        )
         self.runner = Runner(self.plan, clock, load, log, self._over)
         self.over: Callable[[str, bool], None] = lambda name, done: None
-        self.runner.add("sweep dialogs", "sweeps", lambda: self._sweep(longest_dialog), period=5 * SECOND, limit=60 * SECOND,
-                        first_in=5 * SECOND)
-
-    def add_sweep(self, name: str, run: Callable[[], bool], *, period: int, limit: int, kind: str = "sweeps",
-                  deadline: int | None = None) -> None:
+        self.runner.add(
+            "sweep dialogs",
+            "sweeps",
+            lambda: self._sweep(longest_dialog),
+            period=5 * SECOND,
+            limit=60 * SECOND,
+            first_in=5 * SECOND,
+        )
+
+    def add_sweep(
+        self, name: str, run: Callable[[], bool], *, period: int, limit: int, kind: str = "sweeps", deadline: int | None = None
+    ) -> None:
         """Housekeeping of another part of this process; `run` says whether it was done."""
         self.runner.add(name, kind, run, period=period, limit=limit, first_in=period, deadline=deadline)
 
@@ -63,20 +72,57 @@
 class Coordination:
     """Host of `Members` and of the `Keeper`. `everybody` maps each configured member's name to its address."""
 
-    def __init__(self, proxy: EdgeProxy, work: LocalWork, clock: Callable[[], int], log: Any, *, name: str, address: str,
-                 listen: str, key: bytes, everybody: dict[str, str], weight: int, period: int, lasts: int, probe_every: int,
-                 probe_limit: int, tokens: dict[str, int] | None = None) -> None:
+    def __init__(
+        self,
+        proxy: EdgeProxy,
+        work: LocalWork,
+        clock: Callable[[], int],
+        log: Any,
+        *,
+        name: str,
+        address: str,
+        listen: str,
+        key: bytes,
+        everybody: dict[str, str],
+        weight: int,
+        period: int,
+        lasts: int,
+        probe_every: int,
+        probe_limit: int,
+        tokens: dict[str, int] | None = None,
+    ) -> None:
         self.proxy, self.work, self.clock, self.log, self.name = proxy, work, clock, log, name
         self.everybody = everybody
         life = time.time_ns() // 1_000_000 << 8 | secrets.randbits(8)
         self.datagrams = Datagrams(host_port(listen), Sealer(key, name, life), self._got)
         now = clock()
-        self.members = Members(self, Random(secrets.randbits(64)), now, name, address, life, weight, period=period,
-                               timeout=period * 3 // 10, seeds=tuple(everybody.values()), sync_every=10 * period)
+        self.members = Members(
+            self,
+            Random(secrets.randbits(64)),
+            now,
+            name,
+            address,
+            life,
+            weight,
+            period=period,
+            timeout=period * 3 // 10,
+            seeds=tuple(everybody.values()),
+            sync_every=10 * period,
+        )
         duties = [Duty(f"probe {exchange}", probe_every, probe_limit, cost=0.5) for exchange in proxy.ids]
         duties.append(Duty("check list", 2 * probe_every, 2 * probe_limit, cost=0.2, worth=2.0, once=False))
-        self.keeper = Keeper(self, Random(secrets.randbits(64)), now, name, life, frozenset(everybody), duties, lasts=lasts,
-                             settle=2 * period, patience=period)
+        self.keeper = Keeper(
+            self,
+            Random(secrets.randbits(64)),
+            now,
+            name,
+            life,
+            frozenset(everybody),
+            duties,
+            lasts=lasts,
+            settle=2 * period,
+            patience=period,
+        )
         for duty, counter in (tokens or {}).items():
             self.keeper.recall(duty, counter)
         self.learned: dict[str, tuple[float, int, str]] = {}  # what: value, when by the own clock, who learned it
@@ -166,8 +212,17 @@
 
     def begin(self, duty: Duty, token: Token, first_in: int) -> None:
         self.log.info("duty-ours", duty=duty.name, counter=token.counter)
-        self.work.runner.add(duty.name, "duties", lambda: self._run(duty), period=duty.period, limit=duty.limit, cost=duty.cost,
-                             worth=duty.worth, first_in=first_in, deadline=duty.limit // 2)
+        self.work.runner.add(
+            duty.name,
+            "duties",
+            lambda: self._run(duty),
+            period=duty.period,
+            limit=duty.limit,
+            cost=duty.cost,
+            worth=duty.worth,
+            first_in=first_in,
+            deadline=duty.limit // 2,
+        )
 
     def end(self, duty: Duty) -> None:
         self.log.info("duty-given-up", duty=duty.name)
@@ -208,8 +263,10 @@
             message = None
         if message is not None and message.status == 412:
             newest = message.get(DUTY_FIELD)
-            counter = next((int(part[8:]) for part in newest.split(";") if part.startswith("counter=")
-                            and part[8:].isdigit()), token.counter + 1)
+            counter = next(
+                (int(part[8:]) for part in newest.split(";") if part.startswith("counter=") and part[8:].isdigit()),
+                token.counter + 1,
+            )
             self.refused.add(duty.name)
             self.keeper.refused(self.clock(), duty.name, Token(counter, ""))
             return False
@@ -242,12 +299,26 @@
 
     def members_table(self) -> list[dict[str, Any]]:
         now = self.clock()
-        own = {"name": self.name, "address": self.members.address, "standing": "out" if self.members.out else
-               "left" if self.members.leaving else "alive", "incarnation": self.members.incarnation,
-               "since_s": None, "own": True, "health": self.members.health}
-        return [own] + [{"name": member.name, "address": member.address, "standing": member.standing.name.lower(),
-                         "incarnation": member.incarnation, "since_s": round((now - member.since) / SECOND, 1), "own": False}
-                        for member in sorted(self.members.others.values(), key=lambda one: one.name)]
+        own = {
+            "name": self.name,
+            "address": self.members.address,
+            "standing": "out" if self.members.out else "left" if self.members.leaving else "alive",
+            "incarnation": self.members.incarnation,
+            "since_s": None,
+            "own": True,
+            "health": self.members.health,
+        }
+        return [own] + [
+            {
+                "name": member.name,
+                "address": member.address,
+                "standing": member.standing.name.lower(),
+                "incarnation": member.incarnation,
+                "since_s": round((now - member.since) / SECOND, 1),
+                "own": False,
+            }
+            for member in sorted(self.members.others.values(), key=lambda one: one.name)
+        ]
 
     def duties_table(self) -> list[dict[str, Any]]:
         now = self.clock()
@@ -256,13 +327,23 @@
             grant = self.keeper.voter.grants.get(name)
             holder = grant.token.holder.partition("/")[0] if grant is not None and now < grant.until else ""
             ago = (now - held.heard_done_at) / SECOND
-            rows.append({"duty": name, "nearest": held.owner, "holder": self.name if held.since >= 0 else holder,
-                         "counter": held.claim.counter if held.since >= 0 else grant.token.counter if grant else 0,
-                         "mode": "once at most" if held.duty.once else "at least once", "done_ago_s": round(ago, 1),
-                         "overdue": ago * SECOND > held.duty.limit, "runs_here": self.runs.get(name, 0)})
+            rows.append(
+                {
+                    "duty": name,
+                    "nearest": held.owner,
+                    "holder": self.name if held.since >= 0 else holder,
+                    "counter": held.claim.counter if held.since >= 0 else grant.token.counter if grant else 0,
+                    "mode": "once at most" if held.duty.once else "at least once",
+                    "done_ago_s": round(ago, 1),
+                    "overdue": ago * SECOND > held.duty.limit,
+                    "runs_here": self.runs.get(name, 0),
+                }
+            )
         return rows
 
     def learned_table(self) -> list[dict[str, Any]]:
         now = self.clock()
-        return [{"what": what, "value": value, "age_s": round((now - at) / SECOND, 1), "by": who}
-                for what, (value, at, who) in sorted(self.learned.items())]
+        return [
+            {"what": what, "value": value, "age_s": round((now - at) / SECOND, 1), "by": who}
+            for what, (value, at, who) in sorted(self.learned.items())
+        ]
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -91,13 +91,40 @@
     `kinds` maps Resource-Priority values to places in `types`, `widths` gives their circuits; `wall` is the wall
     time in seconds at `now`, by which other clocks' starts are read. `fresh` draws unguessable text."""
 
-    def __init__(self, wire: Wire, now: int, wall: float, fresh: Any, log: Any, *, address: tuple[str, int],
-                 domain: str, here: int, seed: int, exchanges: list[tuple[int, str, tuple[str, int]]],
-                 exchange_list: tuple[str, int] | None, types: list[TrafficType], kinds: dict[str, int],
-                 widths: list[int], numbering: Numbering, door: Door, default_expires: int,
-                 most_transactions: int, t1: int, release_guard: int, most_legs: int, longest_hold_off: int,
-                 tells: bool, cold_from: float, warm_after: int, multiple: float, fall_span: int,
-                 tape: Tape | None = None, memory: Memory | None = None, recalled: Recalled | None = None) -> None:
+    def __init__(
+        self,
+        wire: Wire,
+        now: int,
+        wall: float,
+        fresh: Any,
+        log: Any,
+        *,
+        address: tuple[str, int],
+        domain: str,
+        here: int,
+        seed: int,
+        exchanges: list[tuple[int, str, tuple[str, int]]],
+        exchange_list: tuple[str, int] | None,
+        types: list[TrafficType],
+        kinds: dict[str, int],
+        widths: list[int],
+        numbering: Numbering,
+        door: Door,
+        default_expires: int,
+        most_transactions: int,
+        t1: int,
+        release_guard: int,
+        most_legs: int,
+        longest_hold_off: int,
+        tells: bool,
+        cold_from: float,
+        warm_after: int,
+        multiple: float,
+        fall_span: int,
+        tape: Tape | None = None,
+        memory: Memory | None = None,
+        recalled: Recalled | None = None,
+    ) -> None:
         self.wire, self.log, self.fresh = wire, log, fresh
         self.address, self.domain, self.here = address, domain, here
         self.tape, self.memory = tape, memory
@@ -105,8 +132,7 @@
         self.types, self.kinds, self.widths = types, kinds, widths
         self.numbering, self.door, self.default_expires = numbering, door, default_expires
         self.now, self.wall_at_start, self.started_at = now, wall, now
-        self.transactions = Transactions(self, wire, address, t1=t1, t2=8 * t1, t4=10 * t1,
-                                         most=most_transactions)
+        self.transactions = Transactions(self, wire, address, t1=t1, t2=8 * t1, t4=10 * t1, most=most_transactions)
         self.boot = fresh(6)
         self.serial = 0
         self.uri = f"sip:{address[0]}:{address[1]}"
@@ -129,11 +155,26 @@
         self.messages_out: dict[int, int] = {}
         self.list_at = exchange_list
         self.subscribers = {LIST: Subscriber(LIST, 60 * SECOND), GROUPS: Subscriber(GROUPS, 20 * SECOND)}
-        figures = {"release_guard": release_guard, "most_legs": most_legs, "longest_hold_off": longest_hold_off,
-                   "may_cancel": True, "must_ask": exchange_list is not None, "may_tell": tells, "centre_advises": False,
-                   "cold_from": cold_from, "warm_after": warm_after, "multiple": multiple, "fall_span": fall_span}
-        self.figures = {**figures, "seed": seed, "here": here, "proxies": len(exchanges), "types": [
-            [*entry[:5], None if entry.pools is None else sorted(entry.pools)] for entry in types]}
+        figures = {
+            "release_guard": release_guard,
+            "most_legs": most_legs,
+            "longest_hold_off": longest_hold_off,
+            "may_cancel": True,
+            "must_ask": exchange_list is not None,
+            "may_tell": tells,
+            "centre_advises": False,
+            "cold_from": cold_from,
+            "warm_after": warm_after,
+            "multiple": multiple,
+            "fall_span": fall_span,
+        }
+        self.figures = {
+            **figures,
+            "seed": seed,
+            "here": here,
+            "proxies": len(exchanges),
+            "types": [[*entry[:5], None if entry.pools is None else sorted(entry.pools)] for entry in types],
+        }
         if tape is None:
             self.controller = CallController(self, seed, here, len(exchanges), types, **figures)
         else:
@@ -168,8 +209,9 @@
         message = bad.message
         self.log.debug("bad-message", why=str(bad), peer=f"{hop.host}:{hop.port}", status=bad.status)
         if message is not None and message.method and bad.status:
-            self.transactions.stateless(message, bad.status, self._still_tag(message), hop,
-                                        [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')])
+            self.transactions.stateless(
+                message, bad.status, self._still_tag(message), hop, [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')]
+            )
 
     def hop_failed(self, now: int, hop: Hop, reset: bool) -> None:
         self.now = now
@@ -225,8 +267,15 @@
             if self.door.draining:
                 self._answer(now, server, 503, [("Retry-After", "5")])
             else:
-                self._answer(now, server, 200, [("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, MESSAGE, NOTIFY"),
-                                                ("Accept", "application/sdp, application/octet-stream")])
+                self._answer(
+                    now,
+                    server,
+                    200,
+                    [
+                        ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, MESSAGE, NOTIFY"),
+                        ("Accept", "application/sdp, application/octet-stream"),
+                    ],
+                )
         elif method == "MESSAGE":
             self._told(now, server, message)
         elif method == "BYE":
@@ -241,8 +290,7 @@
             next_hop(onward)
         except BadMessageError:
             return  # no answer is due to an ACK
-        branch = MAGIC + "a" + blake2s(top_via(message).branch.encode(errors="replace"),
-                                       digest_size=10).hexdigest()
+        branch = MAGIC + "a" + blake2s(top_via(message).branch.encode(errors="replace"), digest_size=10).hexdigest()
         if not self._is_own(onward):
             self._send_stateless(onward, branch)
 
@@ -277,8 +325,7 @@
         if type(owner) is Leg:
             if owner.over:
                 return
-            end = {Lost.TIMEOUT: LegEnd.NO_ANSWER, Lost.UNREACHABLE: LegEnd.UNREACHABLE,
-                   Lost.RESET: LegEnd.CUT}[how]
+            end = {Lost.TIMEOUT: LegEnd.NO_ANSWER, Lost.UNREACHABLE: LegEnd.UNREACHABLE, Lost.RESET: LegEnd.CUT}[how]
             self.soon.append((owner, end, 0))
         elif type(owner) is Onward:
             self._answer(now, owner.server, 408 if how == Lost.TIMEOUT else 503)
@@ -307,8 +354,7 @@
                 raise BadMessageError("Contact is missing")
             uri_of(address_of(message.all("Contact")[0])[0])
         except BadMessageError as bad:
-            self._answer(now, server, bad.status or 400,
-                         [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')])
+            self._answer(now, server, bad.status or 400, [("Warning", f'399 {self.domain} "{_plain(str(bad))}"')])
             return
         key = message.call_id, tag_of(message.get("From"))
         if hops <= 0:
@@ -331,8 +377,7 @@
             self._note("turned_away", kind, int(self.door.lag), self.open_dialogs)
             self._answer(now, server, 503, [("Retry-After", str(away)), words.q850(words.CONGESTION)])
             return
-        call = Call(self.call_count, server, message, kind, self.widths[kind], far, key, told.transit,
-                    told.redialled, now, number)
+        call = Call(self.call_count, server, message, kind, self.widths[kind], far, key, told.transit, told.redialled, now, number)
         if told.transit:
             self._came_by(call, message)
         self.call_count += 1
@@ -341,8 +386,7 @@
         self.open_dialogs += 1
         self._count("dialogs")
         self.transactions.respond(now, server, response(message, 100))
-        self.controller.dialog_came(now, call.index, kind, far, call.width, number, expires, told.transit,
-                                    told.redialled, told.cut)
+        self.controller.dialog_came(now, call.index, kind, far, call.width, number, expires, told.transit, told.redialled, told.cut)
 
     def _cancelled(self, now: int, server: Server, message: Message) -> None:
         branch, sent_by, _ = server.key
@@ -415,13 +459,24 @@
         for gw, number in enumerate(self.numbers):
             hop = self.hops[gw]
             ex = self.controller.by_number.get(number)
-            if (number == self.here or hop is None or ex is None or ex.gw != gw or not ex.ready
-                    or self.messages_out.get(gw, 0) >= MOST_MESSAGES):
+            if (
+                number == self.here
+                or hop is None
+                or ex is None
+                or ex.gw != gw
+                or not ex.ready
+                or self.messages_out.get(gw, 0) >= MOST_MESSAGES
+            ):
                 continue
             message = Message("MESSAGE", f"sip:proxy@{hop.host}:{hop.port}", body=told)
-            message.fields = [("From", f"<{self.uri}>;tag={self.fresh(8)}"), ("To", f"<{message.uri}>"),
-                              ("Call-ID", self.fresh(16)), ("CSeq", "1 MESSAGE"), ("Max-Forwards", "10"),
-                              ("Content-Type", "application/octet-stream")]
+            message.fields = [
+                ("From", f"<{self.uri}>;tag={self.fresh(8)}"),
+                ("To", f"<{message.uri}>"),
+                ("Call-ID", self.fresh(16)),
+                ("CSeq", "1 MESSAGE"),
+                ("Max-Forwards", "10"),
+                ("Content-Type", "application/octet-stream"),
+            ]
             self.messages_out[gw] = self.messages_out.get(gw, 0) + 1
             self._note("sent", crossing(message.call_id), -1)
             self.transactions.request(self.now, message, hop, self._branch(), gw)
@@ -437,8 +492,7 @@
         invite = call.invite.copy()
         over = leg.far != call.far
         way = ";transport=tcp" if hop.transport == "TCP" else ""
-        invite.uri = (f"sip:{call.number};tgrp=g{self.here}-{leg.far};trunk-context={self.domain}"
-                      f"@{hop.host}:{hop.port}{way}")
+        invite.uri = f"sip:{call.number};tgrp=g{self.here}-{leg.far};trunk-context={self.domain}@{hop.host}:{hop.port}{way}"
         self._strip_routes(invite)
         invite.put("Max-Forwards", str(self._hops_left(invite) - 1))
         came = ";transport=tcp" if call.server.hop.transport == "TCP" else ""
@@ -476,8 +530,12 @@
             self._count("stand")
             self.transactions.respond(now, call.server, message)
             if self.memory is not None:
-                self.memory.stood(*call.key, KeptStanding(call.kind, call.width, call.far, self.ids[leg.gw], leg.far,
-                                                          self._wall(call.arrived), call.transit, tag))
+                self.memory.stood(
+                    *call.key,
+                    KeptStanding(
+                        call.kind, call.width, call.far, self.ids[leg.gw], leg.far, self._wall(call.arrived), call.transit, tag
+                    ),
+                )
             call.invite = None
             call.number = ""
             leg.client.request = call.server.request = None
@@ -631,10 +689,17 @@
         sub.cseq += 1
         uri = f"sip:{sub.event}@{hop.host}:{hop.port}"
         message = Message("SUBSCRIBE", uri)
-        message.fields = [("From", f"<{self.uri}>;tag={sub.tag}"), ("To", sub.to or f"<{uri}>"),
-                          ("Call-ID", sub.call_id), ("CSeq", f"{sub.cseq} SUBSCRIBE"), ("Max-Forwards", "70"),
-                          ("Contact", f"<{self.uri}>"), ("Event", sub.event),
-                          ("Expires", str(sub.watching.lasts // SECOND)), ("Accept", "application/json")]
+        message.fields = [
+            ("From", f"<{self.uri}>;tag={sub.tag}"),
+            ("To", sub.to or f"<{uri}>"),
+            ("Call-ID", sub.call_id),
+            ("CSeq", f"{sub.cseq} SUBSCRIBE"),
+            ("Max-Forwards", "70"),
+            ("Contact", f"<{self.uri}>"),
+            ("Event", sub.event),
+            ("Expires", str(sub.watching.lasts // SECOND)),
+            ("Accept", "application/json"),
+        ]
         sub.client = self.transactions.request(now, message, hop, self._branch(), sub)
 
     def _notifier(self, sub: Subscriber) -> Hop | None:
@@ -702,12 +767,19 @@
             self.hops[gw] = hop
             if hop is None:
                 state = GwState.GONE
-            self.log.info("exchange-listed", exchange=line.id, number=line.number, state=line.state,
-                          started=line.started)
+            self.log.info("exchange-listed", exchange=line.id, number=line.number, state=line.state, started=line.started)
             if self.memory is not None:
-                self.memory.listed(line.id, Word(line.number, int(state), line.started, self._wall(now),
-                                                 "" if hop is None else f"{hop.host}:{hop.port}",
-                                                 "UDP" if hop is None else hop.transport))
+                self.memory.listed(
+                    line.id,
+                    Word(
+                        line.number,
+                        int(state),
+                        line.started,
+                        self._wall(now),
+                        "" if hop is None else f"{hop.host}:{hop.port}",
+                        "UDP" if hop is None else hop.transport,
+                    ),
+                )
             entries.append(ListEntry(gw, line.number, state, self._start(now, gw, line.started)))
         self.controller.list_pushed(now, entries, body.state == "full")
         self._settle(now)
@@ -769,9 +841,15 @@
         gws = [self.gws.get(id_, -1) for id_ in recalled.ids]
         learned = recalled.learned._replace(
             now=now,
-            exchanges=[known._replace(gw=gws[known.gw], started=self._start(now, gws[known.gw], recalled.starts.get(
-                recalled.ids[known.gw], 0.0))) for known in recalled.learned.exchanges if gws[known.gw] >= 0],
-            pairs=[pair._replace(gw=gws[pair.gw]) for pair in recalled.learned.pairs if gws[pair.gw] >= 0])
+            exchanges=[
+                known._replace(
+                    gw=gws[known.gw], started=self._start(now, gws[known.gw], recalled.starts.get(recalled.ids[known.gw], 0.0))
+                )
+                for known in recalled.learned.exchanges
+                if gws[known.gw] >= 0
+            ],
+            pairs=[pair._replace(gw=gws[pair.gw]) for pair in recalled.learned.pairs if gws[pair.gw] >= 0],
+        )
         self.controller.recall(now, learned, recalled.age)
         for (call_id, tag), kept in recalled.standing.items():
             self._stands_still(now, (call_id, tag), kept)
@@ -780,8 +858,19 @@
         """A dialog that stood before this process began: its requests find their way by their routes; here is known that
         it stands, over which group, and since when."""
         arrived = self.started_at + int((kept.since - self.wall_at_start) * SECOND)
-        call = Call(self.call_count, NoServer(), None, min(kept.kind, len(self.types) - 1), kept.width, kept.far, key,
-                    kept.transit, False, min(arrived, now), "")
+        call = Call(
+            self.call_count,
+            NoServer(),
+            None,
+            min(kept.kind, len(self.types) - 1),
+            kept.width,
+            kept.far,
+            key,
+            kept.transit,
+            False,
+            min(arrived, now),
+            "",
+        )
         self.call_count += 1
         self.serial += 1
         call.leg = Leg(call, self.gws.get(kept.leg, -1), kept.leg_number, 0, self.serial, now)
@@ -808,8 +897,9 @@
         except BadMessageError:
             return
         port = via.params.get("rport", "")
-        self.wire.transmit(bytes(message), Hop(via.transport, via.params.get("received", via.host),
-                                               int(port) if port.isdigit() else via.port))
+        self.wire.transmit(
+            bytes(message), Hop(via.transport, via.params.get("received", via.host), int(port) if port.isdigit() else via.port)
+        )
 
     # --- background work ----------------------------------------------------------------------------------
 
@@ -817,8 +907,14 @@
         """OPTIONS to an exchange (RFC 3261 section 11), saying under which token it comes (the field is ours)."""
         self.now = now
         message = Message("OPTIONS", f"sip:{hop.host}:{hop.port}")
-        message.fields = [("From", f"<{self.uri}>;tag={self.fresh(8)}"), ("To", f"<{message.uri}>"),
-                          ("Call-ID", self.fresh(16)), ("CSeq", "1 OPTIONS"), ("Max-Forwards", "10"), (DUTY_FIELD, duty)]
+        message.fields = [
+            ("From", f"<{self.uri}>;tag={self.fresh(8)}"),
+            ("To", f"<{message.uri}>"),
+            ("Call-ID", self.fresh(16)),
+            ("CSeq", "1 OPTIONS"),
+            ("Max-Forwards", "10"),
+            (DUTY_FIELD, duty),
+        ]
         self._count("probes")
         self.transactions.request(now, message, hop, self._branch(), Asked(told))
 
@@ -880,11 +976,9 @@
         self.numbers[gw] = number
         return gw
 
-    def _answer(self, now: int, server: Server, status: int,
-                fields: list[tuple[str, str]] | None = None) -> None:
+    def _answer(self, now: int, server: Server, status: int, fields: list[tuple[str, str]] | None = None) -> None:
         if server.request is not None:
-            self.transactions.respond(now, server, response(server.request, status,
-                                                            self._still_tag(server.request), fields or ()))
+            self.transactions.respond(now, server, response(server.request, status, self._still_tag(server.request), fields or ()))
 
     def _still_tag(self, message: Message) -> str:
         """A tag that is the same for the same request, with nothing kept (section 8.2.7)."""
--- a/gingergap/edge/remembering.py
+++ b/gingergap/edge/remembering.py
@@ -30,8 +30,19 @@
 class Remembering:
     """`folder` is the store's. Spans in seconds. `apart` runs a function away from the event loop and returns its result."""
 
-    def __init__(self, folder: Path, instance: str, log: Any, worths: list[float], *, word_lasts: float, longest_dialog: float,
-                 caller_lasts: float, most_callers: int, apart: Callable[..., Any]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        instance: str,
+        log: Any,
+        worths: list[float],
+        *,
+        word_lasts: float,
+        longest_dialog: float,
+        caller_lasts: float,
+        most_callers: int,
+        apart: Callable[..., Any],
+    ) -> None:
         self.folder, self.instance, self.log, self.apart = folder, instance, log, apart
         self.word_lasts, self.longest_dialog, self.caller_lasts = word_lasts, longest_dialog, caller_lasts
         self.most_callers = most_callers
@@ -51,8 +62,16 @@
         began = time.perf_counter()
         try:
             self.book = Book(self.folder)
-            found = recalled(self.book.items, time.time(), time.monotonic(), self.boot, word_lasts=self.word_lasts,
-                             longest_dialog=self.longest_dialog, caller_lasts=self.caller_lasts, damage=self.book.damage)
+            found = recalled(
+                self.book.items,
+                time.time(),
+                time.monotonic(),
+                self.boot,
+                word_lasts=self.word_lasts,
+                longest_dialog=self.longest_dialog,
+                caller_lasts=self.caller_lasts,
+                damage=self.book.damage,
+            )
         except BadStoreError as bad:
             self.log.error("store-not-open", why=str(bad))
             self.book = None
@@ -60,8 +79,14 @@
         self.read_ms = (time.perf_counter() - began) * 1000
         for line in self.book.damage[:20]:
             self.log.warning("store-damaged", what=line)
-        self.log.info("recalled", age_s=found.age / UNIT, exchanges=len(found.ids), standing=len(found.standing),
-                      callers=len(found.learned.callers), ms=round(self.read_ms, 1))
+        self.log.info(
+            "recalled",
+            age_s=found.age / UNIT,
+            exchanges=len(found.ids),
+            standing=len(found.standing),
+            callers=len(found.learned.callers),
+            ms=round(self.read_ms, 1),
+        )
         self._carry_on(found)
         return found
 
@@ -76,10 +101,21 @@
     def start(self, proxy: EdgeProxy, work: Any, clock: Callable[[], int], *, every: float, learn_every: float) -> None:
         """Begin the background tasks. `work` is the proxy's LocalWork."""
         self.proxy, self.clock = proxy, clock
-        work.add_sweep("store changes", self.write, period=round(every * UNIT), limit=round(10 * every * UNIT), kind="store",
-                       deadline=60 * UNIT)
-        work.add_sweep("store what was learned", self.learn, period=round(learn_every * UNIT),
-                       limit=round(4 * learn_every * UNIT), kind="store")
+        work.add_sweep(
+            "store changes",
+            self.write,
+            period=round(every * UNIT),
+            limit=round(10 * every * UNIT),
+            kind="store",
+            deadline=60 * UNIT,
+        )
+        work.add_sweep(
+            "store what was learned",
+            self.learn,
+            period=round(learn_every * UNIT),
+            limit=round(4 * learn_every * UNIT),
+            kind="store",
+        )
         work.add_sweep("store eviction", self.evict, period=60 * UNIT, limit=600 * UNIT, kind="store", deadline=60 * UNIT)
 
     # --- tasks ---
@@ -131,8 +167,15 @@
 
     def figures(self) -> dict[str, Any]:
         """For operators."""
-        return {"folder": str(self.folder), "batches": self.batches, "records": self.acknowledged, "bytes": self.written,
-                "failures": self.failures, "waiting": len(self.memory.pending), "evicted": self.evicted,
-                "read_ms": round(self.read_ms, 1), "standing_remembered": self.proxy.counts.get("remembered", 0),
-                "found_over": self.proxy.audit.lost}
-
+        return {
+            "folder": str(self.folder),
+            "batches": self.batches,
+            "records": self.acknowledged,
+            "bytes": self.written,
+            "failures": self.failures,
+            "waiting": len(self.memory.pending),
+            "evicted": self.evicted,
+            "read_ms": round(self.read_ms, 1),
+            "standing_remembered": self.proxy.counts.get("remembered", 0),
+            "found_over": self.proxy.audit.lost,
+        }
--- a/gingergap/edge/serve.py
+++ b/gingergap/edge/serve.py
@@ -42,27 +42,62 @@
     return round(ms * 10)
 
 
-def proxy_of(form: EdgeForm, wire: Any, log: Any, now: int, wall: float, fresh: Any,
-             tape: Tape | None = None, memory: Memory | None = None, recalled: Recalled | None = None) -> EdgeProxy:
+def proxy_of(
+    form: EdgeForm,
+    wire: Any,
+    log: Any,
+    now: int,
+    wall: float,
+    fresh: Any,
+    tape: Tape | None = None,
+    memory: Memory | None = None,
+    recalled: Recalled | None = None,
+) -> EdgeProxy:
     """The proxy that a settings file describes."""
-    types = [TrafficType(units(entry.setup_objective_ms), units(entry.no_answer_time_ms), entry.late_share,
-                         entry.importance, entry.repeatable, None) for entry in form.traffic_type]
-    kinds = {value.lower(): place for place, entry in enumerate(form.traffic_type)
-             for value in entry.resource_priority}
+    types = [
+        TrafficType(
+            units(entry.setup_objective_ms),
+            units(entry.no_answer_time_ms),
+            entry.late_share,
+            entry.importance,
+            entry.repeatable,
+            None,
+        )
+        for entry in form.traffic_type
+    ]
+    kinds = {value.lower(): place for place, entry in enumerate(form.traffic_type) for value in entry.resource_priority}
     return EdgeProxy(
-        wire, now, wall, fresh, log, address=host_port(form.listen), domain=form.domain, here=form.here,
-        seed=form.seed, exchanges=[(entry.number, entry.id, host_port(entry.address))
-                                   for entry in form.exchange],
-        exchange_list=host_port(form.exchange_list) if form.exchange_list else None, types=types, kinds=kinds,
+        wire,
+        now,
+        wall,
+        fresh,
+        log,
+        address=host_port(form.listen),
+        domain=form.domain,
+        here=form.here,
+        seed=form.seed,
+        exchanges=[(entry.number, entry.id, host_port(entry.address)) for entry in form.exchange],
+        exchange_list=host_port(form.exchange_list) if form.exchange_list else None,
+        types=types,
+        kinds=kinds,
         widths=[entry.circuits for entry in form.traffic_type],
         numbering=Numbering({prefix: entry.number for entry in form.exchange for prefix in entry.prefix}),
         door=Door(form.bounds.dialogs, LATE, [entry.importance for entry in form.traffic_type]),
-        default_expires=form.default_expires_s, most_transactions=form.bounds.transactions,
-        t1=units(form.t1_ms), release_guard=units(form.release_guard_ms) + 1, most_legs=form.most_legs,
-        longest_hold_off=units(form.longest_hold_off_ms), tells=form.tell_peers,
-        cold_from=form.cold.from_share, warm_after=units(form.cold.warm_after_ms) + 1,
-        multiple=form.cold.multiple, fall_span=units(form.cold.span_ms) + 1, tape=tape,
-        memory=memory, recalled=recalled)
+        default_expires=form.default_expires_s,
+        most_transactions=form.bounds.transactions,
+        t1=units(form.t1_ms),
+        release_guard=units(form.release_guard_ms) + 1,
+        most_legs=form.most_legs,
+        longest_hold_off=units(form.longest_hold_off_ms),
+        tells=form.tell_peers,
+        cold_from=form.cold.from_share,
+        warm_after=units(form.cold.warm_after_ms) + 1,
+        multiple=form.cold.multiple,
+        fall_span=units(form.cold.span_ms) + 1,
+        tape=tape,
+        memory=memory,
+        recalled=recalled,
+    )
 
 
 class EdgeProcess:
@@ -70,8 +105,9 @@
 
     def __init__(self, form: EdgeForm, log: Any) -> None:
         self.form, self.log = form, log.bind(edge=form.name)
-        self.sockets = Sockets(self, host_port(form.listen), most_queued=form.bounds.queued_bytes,
-                               most_connections=form.bounds.connections)
+        self.sockets = Sockets(
+            self, host_port(form.listen), most_queued=form.bounds.queued_bytes, most_connections=form.bounds.connections
+        )
         self.proxy: EdgeProxy | None = None
         self.over = Event()
         self.drained_by: float | None = None
@@ -92,21 +128,40 @@
             self.log.error("address-taken", listen=self.form.listen, why=error.strerror)
             return 2
         recalled = self._open_store()
-        self.proxy = proxy_of(self.form, self.sockets, self.log, clock(), time.time(),
-                              lambda size: secrets.token_hex(size // 2), None if self.form.trace is None else self.tape,
-                              None if self.store is None else self.store.memory, recalled)
+        self.proxy = proxy_of(
+            self.form,
+            self.sockets,
+            self.log,
+            clock(),
+            time.time(),
+            lambda size: secrets.token_hex(size // 2),
+            None if self.form.trace is None else self.tape,
+            None if self.store is None else self.store.memory,
+            recalled,
+        )
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.drain)
         self.log.info("serving", listen=self.form.listen, here=self.form.here)
-        self.work = LocalWork(self.proxy, clock, self.log, lambda: self.busy, budget=self.form.background_ms_per_s,
-                              longest_dialog=round(self.form.longest_dialog_s * UNIT))
+        self.work = LocalWork(
+            self.proxy,
+            clock,
+            self.log,
+            lambda: self.busy,
+            budget=self.form.background_ms_per_s,
+            longest_dialog=round(self.form.longest_dialog_s * UNIT),
+        )
         try:
             self._open_coordination({} if recalled is None else recalled.tokens)
             if self.store is not None:
                 if self.coordination is not None:
                     self.store.counters = self.coordination.keeper.counters
-                self.store.start(self.proxy, self.work, clock, every=self.form.store.every_ms / 1000,
-                                 learn_every=self.form.store.learn_every_ms / 1000)
+                self.store.start(
+                    self.proxy,
+                    self.work,
+                    clock,
+                    every=self.form.store.every_ms / 1000,
+                    learn_every=self.form.store.learn_every_ms / 1000,
+                )
             self._open_control()
             self._open_trace()
         except OSError as error:
@@ -136,9 +191,16 @@
         if form is None:
             return None
         self.store = Remembering(
-            Path(form.folder), self.form.name, self.log, [entry.importance for entry in self.form.traffic_type],
-            word_lasts=form.word_lasts_s, longest_dialog=self.form.longest_dialog_s, most_callers=form.most_callers,
-            caller_lasts=max(entry.no_answer_time_ms for entry in self.form.traffic_type) / 1000, apart=self._apart)
+            Path(form.folder),
+            self.form.name,
+            self.log,
+            [entry.importance for entry in self.form.traffic_type],
+            word_lasts=form.word_lasts_s,
+            longest_dialog=self.form.longest_dialog_s,
+            most_callers=form.most_callers,
+            caller_lasts=max(entry.no_answer_time_ms for entry in self.form.traffic_type) / 1000,
+            apart=self._apart,
+        )
         recalled = self.store.open()
         if self.store.book is None:
             self.store = None
@@ -156,11 +218,22 @@
         everybody = {entry.name: entry.address for entry in form.member}
         listens = {entry.name: entry.listen or entry.address for entry in form.member}
         self.coordination = Coordination(
-            self.proxy, self.work, clock, self.log, name=self.form.name, address=everybody[self.form.name],
-            listen=listens[self.form.name], key=form.key.encode(), everybody=everybody, weight=form.weight,
+            self.proxy,
+            self.work,
+            clock,
+            self.log,
+            name=self.form.name,
+            address=everybody[self.form.name],
+            listen=listens[self.form.name],
+            key=form.key.encode(),
+            everybody=everybody,
+            weight=form.weight,
             period=units(form.period_ms),
-            lasts=units(form.lease_ms), probe_every=units(form.probe_every_ms), probe_limit=units(form.probe_limit_ms),
-            tokens=tokens)
+            lasts=units(form.lease_ms),
+            probe_every=units(form.probe_every_ms),
+            probe_limit=units(form.probe_limit_ms),
+            tokens=tokens,
+        )
         self.coordination.open()
 
     def _open_control(self) -> None:
@@ -172,8 +245,15 @@
         form = self.form.trace
         if form is None:
             return
-        header = Header(FORMAT, module_digest(), secrets.token_hex(4), self.form.name, self.proxy.wall_at_start,
-                        self.proxy.started_at, self.proxy.figures)
+        header = Header(
+            FORMAT,
+            module_digest(),
+            secrets.token_hex(4),
+            self.form.name,
+            self.proxy.wall_at_start,
+            self.proxy.started_at,
+            self.proxy.figures,
+        )
         folder, part, budget = Path(form.folder), round(form.part_mb * 2**20), round(form.budget_mb * 2**20)
         self.tape.switch(form.recording)
 
@@ -181,10 +261,12 @@
         told: list[Any] = []
         if form.metrics:
             from ..metrics.calls import CallFigures  # its library and that of spans take longer to load than all the rest
+
             self.figures = CallFigures([entry.name for entry in self.form.traffic_type])
             told.append(self.figures.over)
         if form.spans_slower_ms is not None:
             from ..spans.live import LiveSpans
+
             self.spans = LiveSpans(folder, source, units(form.spans_slower_ms))
             told.append(self.spans.over)
         stories = LiveStories(source, self.log, told)
@@ -193,11 +275,25 @@
             if self.spans is not None:
                 self.spans.file(name, stories.stories.place)
             stories.take(records)
-        self.recorder = Recorder(folder, self.tape, header, self.log, part=part, lasts=round(form.part_s * UNIT), clock=clock,
-                                 apart=self._apart, seen=seen if told else None)
+
+        self.recorder = Recorder(
+            folder,
+            self.tape,
+            header,
+            self.log,
+            part=part,
+            lasts=round(form.part_s * UNIT),
+            clock=clock,
+            apart=self._apart,
+            seen=seen if told else None,
+        )
         self.recorder.open()
-        self.work.add_sweep("trace budget", lambda: self._apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
-                            period=10 * UNIT, limit=60 * UNIT)
+        self.work.add_sweep(
+            "trace budget",
+            lambda: self._apart(keep_budget, folder, self.form.name, budget, part, self.log) >= 0,
+            period=10 * UNIT,
+            limit=60 * UNIT,
+        )
 
     def drain(self) -> None:
         """No new dialogs; those that stand may finish until the limit."""
@@ -268,13 +364,28 @@
             case "exchanges":
                 return self._exchanges()
             case "counts":
-                return {"name": self.form.name, "busy": round(self.busy, 3), "open": self.proxy.open_dialogs,
-                        "dialogs": len(self.proxy.calls), "uptime_s": round((clock() - self.proxy.started_at) / UNIT, 1),
-                        "counts": dict(self.proxy.counts), "coordinates": joined is not None,
-                        "datagrams": dict(joined.datagrams.counts, sent=joined.datagrams.sent,
-                                          bytes=joined.datagrams.sent_bytes) if joined is not None else {},
-                        "tasks": [{"task": task.name, "runs": task.runs, "failures": task.failures, "missed": task.missed,
-                                   "overruns": task.overruns} for task in self.work.plan.tasks.values()]}
+                return {
+                    "name": self.form.name,
+                    "busy": round(self.busy, 3),
+                    "open": self.proxy.open_dialogs,
+                    "dialogs": len(self.proxy.calls),
+                    "uptime_s": round((clock() - self.proxy.started_at) / UNIT, 1),
+                    "counts": dict(self.proxy.counts),
+                    "coordinates": joined is not None,
+                    "datagrams": dict(joined.datagrams.counts, sent=joined.datagrams.sent, bytes=joined.datagrams.sent_bytes)
+                    if joined is not None
+                    else {},
+                    "tasks": [
+                        {
+                            "task": task.name,
+                            "runs": task.runs,
+                            "failures": task.failures,
+                            "missed": task.missed,
+                            "overruns": task.overruns,
+                        }
+                        for task in self.work.plan.tasks.values()
+                    ],
+                }
         raise KeyError(f"nothing is called {what!r}")
 
     def _traced(self) -> Recorder:
@@ -287,9 +398,19 @@
         for gw, name in enumerate(self.proxy.ids):
             ex = self.proxy.controller.gws.get(gw)
             if ex is not None:
-                rows.append({"exchange": name, "number": ex.number, "ready": ex.ready, "free": ex.group.free,
-                             "circuits": ex.group.size, "expected_ms": ex.expected(now) / 10, "legs_out": len(ex.out),
-                             "cold": now < ex.cold_until, "pressed": now < ex.pressed_until})
+                rows.append(
+                    {
+                        "exchange": name,
+                        "number": ex.number,
+                        "ready": ex.ready,
+                        "free": ex.group.free,
+                        "circuits": ex.group.size,
+                        "expected_ms": ex.expected(now) / 10,
+                        "legs_out": len(ex.out),
+                        "cold": now < ex.cold_until,
+                        "pressed": now < ex.pressed_until,
+                    }
+                )
         return rows
 
     def got(self, message: Message, hop: Hop) -> None:
--- a/gingergap/edge/words.py
+++ b/gingergap/edge/words.py
@@ -69,9 +69,13 @@
     a millisecond; SIP has whole seconds, and a caller asked to stay away is not let back early."""
     if how == LegEnd.BUSY:
         return (486, [q850(USER_BUSY)]) if rsn == Rsn.LINES_BUSY else (480, [q850(41)])
-    fields = [q850(CONGESTION, BEYOND if transit else "") if rsn in (Rsn.PROCESSOR_FULL,
-                                                                     Rsn.BEYOND_TANDEM_FULL)
-              else q850(REJECTED, TANDEM) if transit else q850(NO_CIRCUIT)]
+    fields = [
+        q850(CONGESTION, BEYOND if transit else "")
+        if rsn in (Rsn.PROCESSOR_FULL, Rsn.BEYOND_TANDEM_FULL)
+        else q850(REJECTED, TANDEM)
+        if transit
+        else q850(NO_CIRCUIT)
+    ]
     if hold_off > 0:
         fields.append(("Retry-After", str(math.ceil(hold_off / 10_000))))
     return 503, fields
--- a/gingergap/emulator/day.py
+++ b/gingergap/emulator/day.py
@@ -46,8 +46,26 @@
 class Caller:
     """One dialog with all its tries."""
 
-    __slots__ = ("home", "kind", "far", "first", "began", "tries", "give_up_at", "stood_at", "in_time", "cut", "redialled",
-                 "marks_cut", "hold", "number", "call", "open", "last", "attempt")
+    __slots__ = (
+        "home",
+        "kind",
+        "far",
+        "first",
+        "began",
+        "tries",
+        "give_up_at",
+        "stood_at",
+        "in_time",
+        "cut",
+        "redialled",
+        "marks_cut",
+        "hold",
+        "number",
+        "call",
+        "open",
+        "last",
+        "attempt",
+    )
 
     def __init__(self, home: int, kind: int, far: int, now: int, give_up_at: int, hold: int, number: str) -> None:
         self.home, self.kind, self.far, self.first, self.began = home, kind, far, now, now
@@ -69,8 +87,17 @@
         self.engine = Engine(1)
         self.rules = Rules(units(form.release_guard_ms), units(form.drain_grace_ms))
         self.groups = Groups(self.engine, self.plan, self._tell_group)
-        self.types = [TrafficType(units(kind.setup_objective_ms), units(kind.no_answer_time_ms), kind.late_share, kind.importance,
-                                  kind.repeatable, None) for kind in form.traffic_type]
+        self.types = [
+            TrafficType(
+                units(kind.setup_objective_ms),
+                units(kind.no_answer_time_ms),
+                kind.late_share,
+                kind.importance,
+                kind.repeatable,
+                None,
+            )
+            for kind in form.traffic_type
+        ]
         self.widths = [kind.circuits for kind in form.traffic_type]
         self.shares = list(accumulate(kind.share for kind in form.traffic_type))
         self.machines: dict[str, Machine] = {}
@@ -96,9 +123,18 @@
             if life.born == LONG_AGO:
                 self._born(life)
                 first.append((life.id, life.number))
-        self.proxies = [Proxy(self.engine, self, self.rules, here,
-                              lambda host, here=here: make(host, here, exchanges, self.types), first, form.store)
-                        for here in range(exchanges)]
+        self.proxies = [
+            Proxy(
+                self.engine,
+                self,
+                self.rules,
+                here,
+                lambda host, here=here: make(host, here, exchanges, self.types),
+                first,
+                form.store,
+            )
+            for here in range(exchanges)
+        ]
         for here in range(exchanges):
             for number in range(exchanges):
                 if number != here:
@@ -135,8 +171,9 @@
             if life.dies < NEVER:
                 self.engine.at(round(life.dies * SECOND), self._dies, life)
         for when, name, number, state, started in self.plan.list_news():
-            self.engine.at(round(when * SECOND), self._news, name, number, STATES[state], max(1, round(started * SECOND))
-                           if started > 0 else 0)
+            self.engine.at(
+                round(when * SECOND), self._news, name, number, STATES[state], max(1, round(started * SECOND)) if started > 0 else 0
+            )
         for strike in self.plan.strikes:
             fault, begin = strike.fault, round(strike.fault.at * SECOND)
             end = begin + round(fault.lasts * SECOND)
@@ -165,8 +202,9 @@
         if machine is None or machine.life != life and machine.life.born != life.born:
             return
         for caller, proxy, leg in list(self.standing.values()):
-            if leg.holds is not None and (leg.holds.machine is machine
-                                          or leg.holds.beyond is not None and self._end_machine(leg) is machine):
+            if leg.holds is not None and (
+                leg.holds.machine is machine or leg.holds.beyond is not None and self._end_machine(leg) is machine
+            ):
                 self._cut(caller, proxy, leg, life.orderly)
 
     def _end_machine(self, leg: Leg) -> Machine | None:
@@ -174,11 +212,15 @@
         return beyond.holds.machine if beyond is not None and beyond.holds is not None else None
 
     def _news(self, name: str, number: int, state: GwState, started: int) -> None:
-        silent = [strike.fault for strike in self.plan.strikes if strike.fault.kind == "list-silent"
-                  and strike.on(self.engine.now / SECOND)]
+        silent = [
+            strike.fault
+            for strike in self.plan.strikes
+            if strike.fault.kind == "list-silent" and strike.on(self.engine.now / SECOND)
+        ]
         if silent:  # told once the list is heard again
-            self.engine.at(round((max(fault.at + fault.lasts for fault in silent) + 0.5) * SECOND), self._news, name, number, state,
-                           started)
+            self.engine.at(
+                round((max(fault.at + fault.lasts for fault in silent) + 0.5) * SECOND), self._news, name, number, state, started
+            )
             return
         for proxy in self.proxies:
             self.engine.after(HOP, self._if_running, proxy, proxy.listed, [(name, number, state, started)])
@@ -195,14 +237,25 @@
         now, lines = self.engine.now, []
         for life in self.plan.lives:
             if life.born <= now / SECOND:
-                state = (GwState.GONE if now / SECOND >= life.dies else GwState.DRAINING if now / SECOND >= life.drains
-                         else GwState.READY)
+                state = (
+                    GwState.GONE
+                    if now / SECOND >= life.dies
+                    else GwState.DRAINING
+                    if now / SECOND >= life.drains
+                    else GwState.READY
+                )
                 lines.append((life.id, life.number, state, max(1, round(life.born * SECOND)) if life.born > LONG_AGO else 0))
         self.engine.after(2 * HOP, self._if_running, proxy, proxy.listed, lines)
         for other in range(self.form.exchanges):
             if other != number:
-                self.engine.after(2 * HOP, self._tell_group, number, other, max(0, self.groups.free(number, other)),
-                                  self.groups.size(number, other))
+                self.engine.after(
+                    2 * HOP,
+                    self._tell_group,
+                    number,
+                    other,
+                    max(0, self.groups.free(number, other)),
+                    self.groups.size(number, other),
+                )
 
     def _pause(self, number: int, until: int) -> None:
         self.proxies[number].paused_until = until
@@ -244,9 +297,16 @@
         kind = stream.pick(self.shares)
         far = stream.pick(self.ways[home])
         form, now = self.form.traffic_type[kind], self.engine.now
-        hold = math.exp(math.log(form.hold_s) - SPREAD ** 2 / 2 + SPREAD * self.chance["holding"].normal())
-        caller = Caller(home, kind, far, now, now + units(form.no_answer_time_ms), round(hold * SECOND),
-                        f"0{far:03d}{int(stream.uniform() * 1e6):06d}")
+        hold = math.exp(math.log(form.hold_s) - SPREAD**2 / 2 + SPREAD * self.chance["holding"].normal())
+        caller = Caller(
+            home,
+            kind,
+            far,
+            now,
+            now + units(form.no_answer_time_ms),
+            round(hold * SECOND),
+            f"0{far:03d}{int(stream.uniform() * 1e6):06d}",
+        )
         self.came += 1
         self.worth += form.importance
         if now >= self.last_quarter:
@@ -277,9 +337,17 @@
             return
         life = proxy.life
         caller.call = proxy.offered(
-            caller.kind, self.widths[caller.kind], caller.far, caller.number, max(1, expires - delay), False,
-            caller.redialled and self.form.callers.marks_redial, caller.marks_cut,
-            lambda *final: self.engine.after(HOP, self._answered, caller, attempt, *final), (caller, life))
+            caller.kind,
+            self.widths[caller.kind],
+            caller.far,
+            caller.number,
+            max(1, expires - delay),
+            False,
+            caller.redialled and self.form.callers.marks_redial,
+            caller.marks_cut,
+            lambda *final: self.engine.after(HOP, self._answered, caller, attempt, *final),
+            (caller, life),
+        )
         if caller.call.answered and not caller.call.stands:
             caller.call = None
 
@@ -443,9 +511,11 @@
 
         def told(status: int, cause: int, away: int) -> None:
             self.engine.after(2 * HOP, self._transit_told, proxy, leg, status, cause)
+
         leg.holds.tandem = tandem
-        leg.holds.beyond = tandem.offered(call.kind, call.width, call.far, "", max(1, limit - (self.engine.now - leg.sent)), True,
-                                          False, False, told, None)
+        leg.holds.beyond = tandem.offered(
+            call.kind, call.width, call.far, "", max(1, limit - (self.engine.now - leg.sent)), True, False, False, told, None
+        )
 
     def _transit_told(self, proxy: Proxy, leg: Leg, status: int, cause: int) -> None:
         if status == 200:
@@ -499,8 +569,9 @@
         holds.released = True
         now = self.engine.now
         if work and holds.beyond is None and holds.machine.runs(now):
-            self.engine.at(holds.machine.put(now, self.form.processor.release_ms), self.groups.release, holds.source, holds.number,
-                           holds.width)
+            self.engine.at(
+                holds.machine.put(now, self.form.processor.release_ms), self.groups.release, holds.source, holds.number, holds.width
+            )
         else:
             self.groups.release(holds.source, holds.number, holds.width)
         beyond = holds.beyond
@@ -557,13 +628,22 @@
         """Service (importance that stood in time and was not cut, over importance offered) and the rest; times in ms."""
         legs = sum(proxy.counts.get("legs", 0) for proxy in self.proxies)
         dialogs = max(1, self.came)
-        return {"offered": self.came, "stood": self.stood, "stood_in_time": self.in_time, "cut": self.cut, "tries": self.tries,
-                "service": round(self.earned / self.worth, 4) if self.worth else 0.0,
-                "service_at_end": round(self.earned_at_end / self.worth_at_end, 4) if self.worth_at_end else 0.0,
-                "setup_ms": {f"p{share:g}": round(self.set_up.get_value_at_percentile(share) / 1000, 2)
-                             for share in (50.0, 90.0, 99.0)} if self.stood else {},
-                "legs_a_dialog": round(legs / dialogs, 3), "stood_over_tandems": self.two_legs,
-                "declined": sum(proxy.counts.get("declined", 0) for proxy in self.proxies),
-                "final_answers": dict(sorted(self.finals.items())),
-                "rules": {rule: {"judged": self.rules.judged[rule], "broken": self.rules.broken[rule]} for rule in range(1, 6)},
-                "events": self.engine.done, "seconds": round(self.took, 3)}
+        return {
+            "offered": self.came,
+            "stood": self.stood,
+            "stood_in_time": self.in_time,
+            "cut": self.cut,
+            "tries": self.tries,
+            "service": round(self.earned / self.worth, 4) if self.worth else 0.0,
+            "service_at_end": round(self.earned_at_end / self.worth_at_end, 4) if self.worth_at_end else 0.0,
+            "setup_ms": {f"p{share:g}": round(self.set_up.get_value_at_percentile(share) / 1000, 2) for share in (50.0, 90.0, 99.0)}
+            if self.stood
+            else {},
+            "legs_a_dialog": round(legs / dialogs, 3),
+            "stood_over_tandems": self.two_legs,
+            "declined": sum(proxy.counts.get("declined", 0) for proxy in self.proxies),
+            "final_answers": dict(sorted(self.finals.items())),
+            "rules": {rule: {"judged": self.rules.judged[rule], "broken": self.rules.broken[rule]} for rule in range(1, 6)},
+            "events": self.engine.done,
+            "seconds": round(self.took, 3),
+        }
--- a/gingergap/emulator/machines.py
+++ b/gingergap/emulator/machines.py
@@ -19,11 +19,18 @@
         self.arrivals: deque[float] = deque()
         cold = plan.day.cold
         self.warm_at = life.born + cold.warm_after_ms / 1000 if life.born > LONG_AGO else LONG_AGO
-        self.unsteady = [(strike.fault.at, strike.fault.at + strike.fault.lasts) for strike in plan.strikes
-                         if strike.fault.kind == "all-slow"
-                         or strike.fault.kind in ("slow", "ageing", "pauses") and life.number in strike.members]
-        self.silences = [(strike.fault.at, strike.fault.at + strike.fault.lasts) for strike in plan.strikes
-                         if strike.fault.kind == "silence" and life.number in strike.members]
+        self.unsteady = [
+            (strike.fault.at, strike.fault.at + strike.fault.lasts)
+            for strike in plan.strikes
+            if strike.fault.kind == "all-slow"
+            or strike.fault.kind in ("slow", "ageing", "pauses")
+            and life.number in strike.members
+        ]
+        self.silences = [
+            (strike.fault.at, strike.fault.at + strike.fault.lasts)
+            for strike in plan.strikes
+            if strike.fault.kind == "silence" and life.number in strike.members
+        ]
 
     def runs(self, now: int) -> bool:
         at = now / SECOND
--- a/gingergap/emulator/policies.py
+++ b/gingergap/emulator/policies.py
@@ -12,8 +12,9 @@
 class Plain:
     """Direct first, then up to `tandems` random ones; a dialog that nothing takes is declined at once."""
 
-    def __init__(self, host: Any, here: int, proxies: int, types: list[TrafficType], seed: int, tandems: int = 0,
-                 reserved: int = 0) -> None:
+    def __init__(
+        self, host: Any, here: int, proxies: int, types: list[TrafficType], seed: int, tandems: int = 0, reserved: int = 0
+    ) -> None:
         self.host, self.here, self.types = host, here, types
         self.tandems, self.reserved = tandems, reserved
         self.draw = Random(seed)
@@ -30,8 +31,12 @@
             self.states[entry.gw] = entry.state
             self.started[entry.gw] = max(entry.started, self.started.get(entry.gw, 0))
             held = self.by_number.get(entry.number)
-            if held is None or entry.state == GwState.READY and self.started[entry.gw] >= self.started[held] or (
-                    self.states[held] != GwState.READY):
+            if (
+                held is None
+                or entry.state == GwState.READY
+                and self.started[entry.gw] >= self.started[held]
+                or (self.states[held] != GwState.READY)
+            ):
                 self.by_number[entry.number] = entry.gw
 
     def begin(self, now: int) -> None:
@@ -50,8 +55,20 @@
     def group_told(self, now: int, gw: int, free: int, size: int) -> None:
         self.groups[gw] = free, size
 
-    def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str, expires_in: int, transit: bool,
-                    redialled: bool, cut: bool, advised: int = -1) -> None:
+    def dialog_came(
+        self,
+        now: int,
+        dialog: int,
+        kind: int,
+        far: int,
+        width: int,
+        number: str,
+        expires_in: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        advised: int = -1,
+    ) -> None:
         others = [] if transit else [one for one in self.by_number if one not in (far, self.here)]
         ways = [far, *self.draw.sample(others, min(self.tandems, len(others)))]
         self.dialogs[dialog] = [far, width, transit, now + expires_in - 400, ways]
--- a/gingergap/emulator/proxies.py
+++ b/gingergap/emulator/proxies.py
@@ -13,11 +13,26 @@
 class Call:
     """A dialog at one proxy. `told` is called once with its final answer: status, Q.850 cause, seconds to stay away."""
 
-    __slots__ = ("index", "kind", "width", "far", "transit", "told", "leg", "answered", "stands", "how", "rsn", "came", "source",
-                 "legs")
-
-    def __init__(self, index: int, kind: int, width: int, far: int, transit: bool, told: Callable[..., None], came: int,
-                 source: Any) -> None:
+    __slots__ = (
+        "index",
+        "kind",
+        "width",
+        "far",
+        "transit",
+        "told",
+        "leg",
+        "answered",
+        "stands",
+        "how",
+        "rsn",
+        "came",
+        "source",
+        "legs",
+    )
+
+    def __init__(
+        self, index: int, kind: int, width: int, far: int, transit: bool, told: Callable[..., None], came: int, source: Any
+    ) -> None:
         self.index, self.kind, self.width, self.far, self.transit = index, kind, width, far, transit
         self.told, self.came, self.source = told, came, source
         self.leg: Leg | None = None
@@ -50,8 +65,16 @@
     """The proxy of exchange `here`. `make` gives its controller for a host; `life` counts its starts. With `remembers`
     a process begins with what the one before knew when it was killed."""
 
-    def __init__(self, engine: Engine, network: Network, rules: Rules, here: int, make: Callable[[Any], Any],
-                 machines: list[tuple[str, int]], remembers: bool = False) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        network: Network,
+        rules: Rules,
+        here: int,
+        make: Callable[[Any], Any],
+        machines: list[tuple[str, int]],
+        remembers: bool = False,
+    ) -> None:
         self.engine, self.network, self.rules, self.here, self.make = engine, network, rules, here, make
         self.remembers = remembers
         self.kept: tuple[Learned, list[str], dict[str, ListEntry]] | None = None
@@ -92,9 +115,14 @@
                 self.controller.list_pushed(now, [word._replace(gw=self._gw(name, word.number))], False)
                 self.rules.word(now, self.here, name, word.state)
         gws = [self.gws.get(name, -1) for name in ids]
-        self.controller.recall(now, learned._replace(
-            exchanges=[known._replace(gw=gws[known.gw]) for known in learned.exchanges if gws[known.gw] >= 0],
-            pairs=[pair._replace(gw=gws[pair.gw]) for pair in learned.pairs if gws[pair.gw] >= 0]), now - learned.now)
+        self.controller.recall(
+            now,
+            learned._replace(
+                exchanges=[known._replace(gw=gws[known.gw]) for known in learned.exchanges if gws[known.gw] >= 0],
+                pairs=[pair._replace(gw=gws[pair.gw]) for pair in learned.pairs if gws[pair.gw] >= 0],
+            ),
+            now - learned.now,
+        )
 
     def kill(self) -> None:
         if not self.running:
@@ -119,8 +147,19 @@
 
     # --- what can happen ---
 
-    def offered(self, kind: int, width: int, far: int, number: str, expires_in: int, transit: bool, redialled: bool, cut: bool,
-                told: Callable[..., None], source: Any = None) -> Call:
+    def offered(
+        self,
+        kind: int,
+        width: int,
+        far: int,
+        number: str,
+        expires_in: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        told: Callable[..., None],
+        source: Any = None,
+    ) -> Call:
         """A dialog comes."""
         now = self.engine.now
         call = Call(self.dialogs, kind, width, far, transit, told, now, source)
--- a/gingergap/emulator/streams.py
+++ b/gingergap/emulator/streams.py
@@ -38,4 +38,5 @@
     def pick(self, cumulative: list[float]) -> int:
         """A place by cumulative weights."""
         from bisect import bisect_right
+
         return min(bisect_right(cumulative, self.uniform() * cumulative[-1]), len(cumulative) - 1)
--- a/gingergap/emulator/theory.py
+++ b/gingergap/emulator/theory.py
@@ -32,7 +32,7 @@
         rate = direct + (overflow if busy < circuits - reserved else 0.0)
         weights.append(weights[-1] * rate / (busy + 1))
     whole = sum(weights)
-    return weights[-1] / whole, sum(weights[circuits - reserved:]) / whole
+    return weights[-1] / whole, sum(weights[circuits - reserved :]) / whole
 
 
 def reservation_fixed_point(load: float, circuits: int, reserved: int, tandems: int, rounds: int = 2_000) -> float:
--- a/gingergap/emulator/versions.py
+++ b/gingergap/emulator/versions.py
@@ -28,14 +28,23 @@
     except (BadTraceError, OSError) as bad:
         raise UnknownPolicyError(str(bad)) from None
     return lambda host, here, proxies, types: module.CallController(
-        host, seed * 1000 + here, here, proxies, types, **figures_of(form))
+        host, seed * 1000 + here, here, proxies, types, **figures_of(form)
+    )
 
 
 def figures_of(form: DayForm) -> dict[str, Any]:
     """What the module is told of a day's agreements; the guard and spans as the running edge rounds them."""
     cold = form.cold
-    return {"release_guard": round(form.release_guard_ms * 10) + 1, "most_legs": form.most_legs,
-            "longest_hold_off": round(form.longest_hold_off_ms * 10), "may_cancel": True, "must_ask": False,
-            "may_tell": form.tell_peers, "centre_advises": False, "cold_from": cold.from_share,
-            "warm_after": round(cold.warm_after_ms * 10) + 1, "multiple": cold.multiple,
-            "fall_span": round(cold.span_ms * 10) + 1}
+    return {
+        "release_guard": round(form.release_guard_ms * 10) + 1,
+        "most_legs": form.most_legs,
+        "longest_hold_off": round(form.longest_hold_off_ms * 10),
+        "may_cancel": True,
+        "must_ask": False,
+        "may_tell": form.tell_peers,
+        "centre_advises": False,
+        "cold_from": cold.from_share,
+        "warm_after": round(cold.warm_after_ms * 10) + 1,
+        "multiple": cold.multiple,
+        "fall_span": round(cold.span_ms * 10) + 1,
+    }
--- a/gingergap/experiments/judge.py
+++ b/gingergap/experiments/judge.py
@@ -34,8 +34,9 @@
             low, high = -float("inf"), float("inf")
     else:
         level = 1 - (1 - confidence) / max(1, comparisons)
-        found = bootstrap((np.array(apart),), np.mean, confidence_level=level, n_resamples=4_999, method="BCa",
-                          rng=np.random.default_rng(1))
+        found = bootstrap(
+            (np.array(apart),), np.mean, confidence_level=level, n_resamples=4_999, method="BCa", rng=np.random.default_rng(1)
+        )
         low, high = float(found.confidence_interval.low), float(found.confidence_interval.high)
         if np.isnan(low) or np.isnan(high):
             low, high = min(apart), max(apart)
--- a/gingergap/experiments/report.py
+++ b/gingergap/experiments/report.py
@@ -22,12 +22,18 @@
         for name in runner.policies:
             values = runner.results.values(key, name, runner.form.measure, seeds)
             difference = differences.get(name)
-            rows.append({**{factor.field: level for factor, level in zip(runner.form.factor, cell.levels, strict=True)},
-                         "policy": name, "seeds": len(seeds), runner.form.measure: round(statistics.fmean(values), 4),
-                         "difference": "" if difference is None else f"{difference.mean:+.4f}",
-                         "interval": "" if difference is None else f"{difference.low:+.4f} to {difference.high:+.4f}",
-                         "verdict": "" if difference is None else difference.verdict,
-                         "rules broken": round(sum(runner.results.values(key, name, "broken", seeds)))})
+            rows.append(
+                {
+                    **{factor.field: level for factor, level in zip(runner.form.factor, cell.levels, strict=True)},
+                    "policy": name,
+                    "seeds": len(seeds),
+                    runner.form.measure: round(statistics.fmean(values), 4),
+                    "difference": "" if difference is None else f"{difference.mean:+.4f}",
+                    "interval": "" if difference is None else f"{difference.low:+.4f} to {difference.high:+.4f}",
+                    "verdict": "" if difference is None else difference.verdict,
+                    "rules broken": round(sum(runner.results.values(key, name, "broken", seeds))),
+                }
+            )
     return rows
 
 
@@ -41,18 +47,22 @@
             rounds = runner.rounds_done(key)
             if rounds:
                 by_level.setdefault(cell.levels[place], []).extend(
-                    runner.results.values(key, first, runner.form.measure, runner.seeds(rounds)))
+                    runner.results.values(key, first, runner.form.measure, runner.seeds(rounds))
+                )
         if len(by_level) > 1:
-            rows += [{"factor": factor.field, "level": level, "effect": f"{value:+.4f}"}
-                     for level, value in effect(by_level).items()]
+            rows += [
+                {"factor": factor.field, "level": level, "effect": f"{value:+.4f}"} for level, value in effect(by_level).items()
+            ]
     return rows
 
 
 def chart(runner: Runner) -> bytes:
     """The measure over the first factor's levels, a line for each policy, as PNG."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     figure, axis = pyplot.subplots(figsize=(8, 4.5))
     for name in runner.policies:
         points: dict[float, list[float]] = {}
@@ -60,12 +70,15 @@
             rounds = runner.rounds_done(key)
             if rounds:
                 points.setdefault(cell.levels[0] if cell.levels else 0.0, []).extend(
-                    runner.results.values(key, name, runner.form.measure, runner.seeds(rounds)))
+                    runner.results.values(key, name, runner.form.measure, runner.seeds(rounds))
+                )
         levels = sorted(points)
-        spread = [statistics.stdev(points[level]) / len(points[level]) ** 0.5 * 2 if len(points[level]) > 1 else 0
-                  for level in levels]
-        axis.errorbar(range(len(levels)), [statistics.fmean(points[level]) for level in levels], spread, marker="o", capsize=3,
-                      label=name)
+        spread = [
+            statistics.stdev(points[level]) / len(points[level]) ** 0.5 * 2 if len(points[level]) > 1 else 0 for level in levels
+        ]
+        axis.errorbar(
+            range(len(levels)), [statistics.fmean(points[level]) for level in levels], spread, marker="o", capsize=3, label=name
+        )
         axis.set_xticks(range(len(levels)), [f"{level:g}" for level in levels])
     axis.set_xlabel(runner.form.factor[0].field if runner.form.factor else "")
     axis.set_ylabel(runner.form.measure)
@@ -87,14 +100,17 @@
         head = "".join(f"<th>{html.escape(str(name))}</th>" for name in rows[0])
         body = "".join("<tr>" + "".join(f"<td>{html.escape(str(value))}</td>" for value in row.values()) + "</tr>" for row in rows)
         return f"<table><tr>{head}</tr>{body}</table>"
+
     picture = base64.b64encode(chart(runner)).decode()
     first = next(iter(runner.policies))
     broken = sum(row["broken"] for row in runner.results.rows.values())
-    return (f"<!doctype html><meta charset=utf-8><title>{html.escape(form.name)}</title>"
-            "<style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}"
-            "td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}</style>"
-            f"<h1>{html.escape(form.name)}</h1><p>{len(runner.results.rows)} emulated days; differences to {html.escape(first)}, "
-            f"seed by seed, intervals at {form.confidence:g} shared among {runner.comparisons} comparisons; rules broken: "
-            f"{broken:g}.</p>"
-            f"<img alt=chart src='data:image/png;base64,{picture}'><h2>Comparisons</h2>{rows_of(table(runner))}"
-            f"<h2>What the factors do</h2>{rows_of(effects(runner))}")
+    return (
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(form.name)}</title>"
+        "<style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}"
+        "td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}</style>"
+        f"<h1>{html.escape(form.name)}</h1><p>{len(runner.results.rows)} emulated days; differences to {html.escape(first)}, "
+        f"seed by seed, intervals at {form.confidence:g} shared among {runner.comparisons} comparisons; rules broken: "
+        f"{broken:g}.</p>"
+        f"<img alt=chart src='data:image/png;base64,{picture}'><h2>Comparisons</h2>{rows_of(table(runner))}"
+        f"<h2>What the factors do</h2>{rows_of(effects(runner))}"
+    )
--- a/gingergap/experiments/results.py
+++ b/gingergap/experiments/results.py
@@ -7,10 +7,29 @@
 import pyarrow
 import pyarrow.parquet
 
-MEASURES = ("service", "service_at_end", "stood", "offered", "legs_a_dialog", "p50", "p90", "p99", "broken", "tandems", "declined",
-            "events", "seconds")
-SCHEMA = pyarrow.schema([("cell", pyarrow.string()), ("policy", pyarrow.string()), ("seed", pyarrow.int64()),
-                         *((name, pyarrow.float64()) for name in MEASURES)])
+MEASURES = (
+    "service",
+    "service_at_end",
+    "stood",
+    "offered",
+    "legs_a_dialog",
+    "p50",
+    "p90",
+    "p99",
+    "broken",
+    "tandems",
+    "declined",
+    "events",
+    "seconds",
+)
+SCHEMA = pyarrow.schema(
+    [
+        ("cell", pyarrow.string()),
+        ("policy", pyarrow.string()),
+        ("seed", pyarrow.int64()),
+        *((name, pyarrow.float64()) for name in MEASURES),
+    ]
+)
 
 
 class Results:
--- a/gingergap/experiments/runner.py
+++ b/gingergap/experiments/runner.py
@@ -36,19 +36,28 @@
     done = Day(day, work.seed, maker(policy, work.seed, day)).run()
     figures = done.figures()
     times = figures["setup_ms"]
-    return {"cell": work.cell, "policy": work.policy, "seed": work.seed,
-            **{name: float(figures[name]) for name in ("service", "service_at_end", "stood", "offered", "legs_a_dialog", "declined",
-                                                       "events", "seconds")},
-            "p50": times.get("p50", 0.0), "p90": times.get("p90", 0.0), "p99": times.get("p99", 0.0),
-            "tandems": float(figures["stood_over_tandems"]),
-            "broken": float(sum(rule["broken"] for rule in figures["rules"].values()))}
+    return {
+        "cell": work.cell,
+        "policy": work.policy,
+        "seed": work.seed,
+        **{
+            name: float(figures[name])
+            for name in ("service", "service_at_end", "stood", "offered", "legs_a_dialog", "declined", "events", "seconds")
+        },
+        "p50": times.get("p50", 0.0),
+        "p90": times.get("p90", 0.0),
+        "p99": times.get("p99", 0.0),
+        "tandems": float(figures["stood_over_tandems"]),
+        "broken": float(sum(rule["broken"] for rule in figures["rules"].values())),
+    }
 
 
 class Runner:
     """`told` is called with the number of rows that are there and that are known to be wanted so far."""
 
-    def __init__(self, form: ExperimentForm, day: DayForm, folder: Path,
-                 told: Callable[[int, int], None] = lambda *_: None) -> None:
+    def __init__(
+        self, form: ExperimentForm, day: DayForm, folder: Path, told: Callable[[int, int], None] = lambda *_: None
+    ) -> None:
         self.form, self.folder, self.told = form, folder, told
         self.cells = {cell.key(): cell for cell in cells(form, day)}
         self.results = Results(folder)
@@ -67,8 +76,9 @@
     def rounds_done(self, cell: str) -> int:
         """Rounds of which every row is there, and that were wanted."""
         rounds = 0
-        while self.wanted(cell, rounds) and all((cell, policy, seed) in self.results.rows for policy in self.policies
-                                                for seed in self.seeds(rounds + 1)):
+        while self.wanted(cell, rounds) and all(
+            (cell, policy, seed) in self.results.rows for policy in self.policies for seed in self.seeds(rounds + 1)
+        ):
             rounds += 1
         return rounds
 
@@ -85,16 +95,27 @@
         seeds, form = self.seeds(rounds), self.form
         first, *others = self.policies
         base = self.results.values(cell, first, form.measure, seeds)
-        return [(name, paired(self.results.values(cell, name, form.measure, seeds), base, form.confidence, self.comparisons,
-                              form.tolerance)) for name in others]
+        return [
+            (
+                name,
+                paired(
+                    self.results.values(cell, name, form.measure, seeds), base, form.confidence, self.comparisons, form.tolerance
+                ),
+            )
+            for name in others
+        ]
 
     def missing(self, cell: str) -> list[Work]:
         """What is to be run next in a cell; nothing when it is clear."""
         rounds = self.rounds_done(cell)
         if not self.wanted(cell, rounds):
             return []
-        return [Work(cell, policy, seed) for seed in self.seeds(rounds + 1) for policy in self.policies
-                if (cell, policy, seed) not in self.results.rows]
+        return [
+            Work(cell, policy, seed)
+            for seed in self.seeds(rounds + 1)
+            for policy in self.policies
+            if (cell, policy, seed) not in self.results.rows
+        ]
 
     def run(self, workers: int) -> None:
         """Until every cell is clear; rows are kept as they come."""
@@ -107,6 +128,7 @@
                     if work not in asked:
                         asked.add(work)
                         out[pool.submit(run_one, cell.day, self.policies[work.policy], work)] = work
+
             for cell in self.cells.values():
                 ask(cell)
             self.told(len(self.results.rows), len(self.results.rows) + len(out))
--- a/gingergap/experiments/search.py
+++ b/gingergap/experiments/search.py
@@ -14,9 +14,29 @@
 from ..settings.day import DayForm, FaultForm
 
 BASELINES = ("direct", "random tandem", "reservation")
-DRAWN = ("burst", "flood", "slow", "all-slow", "ageing", "pauses", "silence", "vanish", "mass-restart", "rolling", "kill-exchange",
-         "kill-proxy", "pause-proxy", "answers-lost", "district-cut", "groups-shrink", "stale-list", "list-silent", "messages-lost",
-         "loss", "delay")
+DRAWN = (
+    "burst",
+    "flood",
+    "slow",
+    "all-slow",
+    "ageing",
+    "pauses",
+    "silence",
+    "vanish",
+    "mass-restart",
+    "rolling",
+    "kill-exchange",
+    "kill-proxy",
+    "pause-proxy",
+    "answers-lost",
+    "district-cut",
+    "groups-shrink",
+    "stale-list",
+    "list-silent",
+    "messages-lost",
+    "loss",
+    "delay",
+)
 PARTS = frozenset({"answers-lost", "messages-lost", "loss"})  # kinds whose factor is a part
 BROKEN = 10.0  # a broken rule is worse than any service
 
@@ -38,8 +58,17 @@
         at = round(draw.uniform(0.1, 0.7) * seconds, 1)
         lasts = round(min(seconds - at, draw.uniform(0.05, 0.3) * seconds), 1)
         factor = round(draw.uniform(0.05, 0.9), 2) if kind in PARTS else round(draw.uniform(1.3, 6.0), 1)
-        drawn.append(FaultForm(kind=kind, at=at, lasts=max(0.1, lasts), share=round(draw.uniform(0.05, 1.0), 2), factor=factor,
-                               ms=round(draw.uniform(20, 2_000)), every_ms=round(draw.uniform(400, 3_000))))
+        drawn.append(
+            FaultForm(
+                kind=kind,
+                at=at,
+                lasts=max(0.1, lasts),
+                share=round(draw.uniform(0.05, 1.0), 2),
+                factor=factor,
+                ms=round(draw.uniform(20, 2_000)),
+                every_ms=round(draw.uniform(400, 3_000)),
+            )
+        )
     return drawn
 
 
@@ -66,7 +95,7 @@
 def smaller(day: DayForm) -> Iterator[DayForm]:
     """Days with one thing less, the largest steps first."""
     for place in range(len(day.fault)):
-        yield day.model_copy(update={"fault": [*day.fault[:place], *day.fault[place + 1:]]})
+        yield day.model_copy(update={"fault": [*day.fault[:place], *day.fault[place + 1 :]]})
     last = max((fault.at + fault.lasts for fault in day.fault), default=0.0)
     if day.seconds > last + 4:
         yield day.model_copy(update={"seconds": round(last + 3, 1)})
@@ -75,7 +104,7 @@
     for place, fault in enumerate(day.fault):
         if fault.lasts > 0.5:
             shorter = fault.model_copy(update={"lasts": round(fault.lasts / 2, 2)})
-            yield day.model_copy(update={"fault": [*day.fault[:place], shorter, *day.fault[place + 1:]]})
+            yield day.model_copy(update={"fault": [*day.fault[:place], shorter, *day.fault[place + 1 :]]})
 
 
 def shrunk(found: Found, keeps: float, judge: Callable[[DayForm, int], tuple[float, str]] = judged) -> Found:
--- a/gingergap/facts.py
+++ b/gingergap/facts.py
@@ -12,8 +12,13 @@
 UNIT = 100  # microseconds in a tenth of a millisecond
 SAFETY = 1  # a span between two rounded clocks may seem one unit longer than it was
 NUMBER = (int, float)
-NOTES = {"no_path": Rsn.NO_CIRCUIT, "sent_back": Rsn.TANDEM_DECLINED, "queue_long": Rsn.PROCESSOR_FULL,
-         "line_taken": Rsn.LINES_BUSY, "end_queue_long": Rsn.BEYOND_TANDEM_FULL}
+NOTES = {
+    "no_path": Rsn.NO_CIRCUIT,
+    "sent_back": Rsn.TANDEM_DECLINED,
+    "queue_long": Rsn.PROCESSOR_FULL,
+    "line_taken": Rsn.LINES_BUSY,
+    "end_queue_long": Rsn.BEYOND_TANDEM_FULL,
+}
 STATES = {"in_service": GwState.READY, "terminating": GwState.DRAINING, "terminated": GwState.GONE}
 
 
@@ -61,14 +66,16 @@
         if not isinstance(lane, dict):
             raise BadFactError(f"field {facts.where}.Lanes[{place}] is ill-typed")
         lane = Facts(lane, f"{facts.where}.Lanes[{place}]")
-        types.append(TrafficType(
-            setup_objective=at_most(lane.get("OnTime", NUMBER)),
-            no_answer_time=at_most(lane.get("Deadline", NUMBER)),
-            late_share=float(lane.get("LateShare", NUMBER, 0.0)),
-            importance=float(lane.get("Value", NUMBER, 1.0)),
-            repeatable=lane.get("Repeat", str, "safe") == "safe",
-            pools=frozenset(pools[place]) if place < len(pools) and pools[place] is not None else None,
-        ))
+        types.append(
+            TrafficType(
+                setup_objective=at_most(lane.get("OnTime", NUMBER)),
+                no_answer_time=at_most(lane.get("Deadline", NUMBER)),
+                late_share=float(lane.get("LateShare", NUMBER, 0.0)),
+                importance=float(lane.get("Value", NUMBER, 1.0)),
+                repeatable=lane.get("Repeat", str, "safe") == "safe",
+                pools=frozenset(pools[place]) if place < len(pools) and pools[place] is not None else None,
+            )
+        )
     if not types:
         raise BadFactError(f"field {facts.where}.Lanes is empty")
     return types
@@ -77,20 +84,26 @@
 def controller_facts(start: Facts) -> tuple[int, int, list[TrafficType], dict[str, Any]]:
     """The settings object as the controller's arguments: own number, proxies, traffic types, and the rest by name."""
     family, ceilings, rules = start.part("Specifics"), start.part("Ceilings"), start.part("Rules")
-    return family.get("Here", int, -1), start.get("NInstances", int), traffic_types(start, family), {
-        "release_guard": at_least(family.get("Guard", NUMBER, 0)),
-        "most_legs": ceilings.get("MostTries", int, 1),
-        "longest_hold_off": (at_most(ceilings.get("MaxRetryAfter", NUMBER, 0))
-                             if ceilings.get("RetryAfter", bool, False) else 0),
-        "may_cancel": ceilings.get("Cancelling", bool, False),
-        "may_tell": ceilings.get("PeerMessages", bool, False),
-        "centre_advises": family.get("RouteAdvice", bool, False),
-        "must_ask": start.get("MembershipMode", str, "push") == "ask",
-        "cold_from": float(rules.get("ColdFrom", NUMBER, 1.0)),
-        "warm_after": at_least(rules.get("WarmAfter", NUMBER, 0)),
-        "multiple": float(rules.get("OverloadFactor", NUMBER, 1.0)),
-        "fall_span": at_least(rules.get("Fall", NUMBER, 0)),
-    }
+    return (
+        family.get("Here", int, -1),
+        start.get("NInstances", int),
+        traffic_types(start, family),
+        {
+            "release_guard": at_least(family.get("Guard", NUMBER, 0)),
+            "most_legs": ceilings.get("MostTries", int, 1),
+            "longest_hold_off": (
+                at_most(ceilings.get("MaxRetryAfter", NUMBER, 0)) if ceilings.get("RetryAfter", bool, False) else 0
+            ),
+            "may_cancel": ceilings.get("Cancelling", bool, False),
+            "may_tell": ceilings.get("PeerMessages", bool, False),
+            "centre_advises": family.get("RouteAdvice", bool, False),
+            "must_ask": start.get("MembershipMode", str, "push") == "ask",
+            "cold_from": float(rules.get("ColdFrom", NUMBER, 1.0)),
+            "warm_after": at_least(rules.get("WarmAfter", NUMBER, 0)),
+            "multiple": float(rules.get("OverloadFactor", NUMBER, 1.0)),
+            "fall_span": at_least(rules.get("Fall", NUMBER, 0)),
+        },
+    )
 
 
 def circuits_in(report: dict[str, Any]) -> tuple[int, int]:
--- a/gingergap/membership/swim.py
+++ b/gingergap/membership/swim.py
@@ -120,10 +120,27 @@
     times the logarithm of the size, and up to `widest` times that while nobody confirms it. `most_updates` ride on a
     message. `seeds` are addresses where others may be found."""
 
-    def __init__(self, host: MemberHost, draw: Random, now: int, name: str, address: str, life: int, weight: int = 1, *,
-                 seeds: tuple[str, ...] = (), period: int = 5_000, timeout: int = 1_500, indirect: int = 3,
-                 patience: float = 3.0, widest: float = 4.0, most_updates: int = 10, sync_every: int = 50_000,
-                 forget_after: int = 600_000, most_health: int = 8) -> None:
+    def __init__(
+        self,
+        host: MemberHost,
+        draw: Random,
+        now: int,
+        name: str,
+        address: str,
+        life: int,
+        weight: int = 1,
+        *,
+        seeds: tuple[str, ...] = (),
+        period: int = 5_000,
+        timeout: int = 1_500,
+        indirect: int = 3,
+        patience: float = 3.0,
+        widest: float = 4.0,
+        most_updates: int = 10,
+        sync_every: int = 50_000,
+        forget_after: int = 600_000,
+        most_health: int = 8,
+    ) -> None:
         self.host, self.draw, self.now = host, draw, now
         self.name, self.address, self.life, self.weight = name, address, life, weight
         self.seeds = tuple(seed for seed in seeds if seed != address)
@@ -256,12 +273,12 @@
         if probe is None or probe.acked or probe.target not in self.others:
             return
         target = self.others[probe.target]
-        helpers = self._some([member for member in self.others.values()
-                              if member.standing == Standing.ALIVE and member is not target], self.indirect)
+        helpers = self._some(
+            [member for member in self.others.values() if member.standing == Standing.ALIVE and member is not target], self.indirect
+        )
         probe.asked = len(helpers)
         for helper in helpers:
-            self.host.send(helper.name, helper.address, PingFor(seq, target.name, target.address,
-                                                                self._riders(helper.name)))
+            self.host.send(helper.name, helper.address, PingFor(seq, target.name, target.address, self._riders(helper.name)))
         # The datagram or its answer may just have been lost: one more try from here, as good as a helper's.
         self.host.send(target.name, target.address, Ping(seq, self._riders(target.name)))
 
@@ -442,14 +459,14 @@
         if member is not None and member.standing != Standing.ALIVE:
             riders.append(member.word(next(iter(sorted(member.by)), "")))
         limit = math.ceil(3 * math.log2(self.size() + 1))
-        for name in sorted(self.news, key=lambda one: self.news[one][1])[:self.most_updates]:
+        for name in sorted(self.news, key=lambda one: self.news[one][1])[: self.most_updates]:
             word, sent = self.news[name]
             riders.append(word)
             if sent + 1 >= limit:
                 del self.news[name]
             else:
                 self.news[name] = word, sent + 1
-        return riders[:self.most_updates]
+        return riders[: self.most_updates]
 
     def _part(self) -> list[Update]:
         """A bounded part of the whole state: oneself and random others, the gone among them."""
--- a/gingergap/metrics/calls.py
+++ b/gingergap/metrics/calls.py
@@ -14,11 +14,13 @@
     def __init__(self, types: list[str]) -> None:
         self.types = types
         self.registry = CollectorRegistry()
-        self.dialogs = Counter("gingergap_dialogs", "Dialogs by traffic type, way and end", ("type", "way", "final", "cause"),
-                               registry=self.registry)
+        self.dialogs = Counter(
+            "gingergap_dialogs", "Dialogs by traffic type, way and end", ("type", "way", "final", "cause"), registry=self.registry
+        )
         self.legs = Counter("gingergap_legs", "Legs by exchange and end", ("exchange", "end"), registry=self.registry)
-        self.set_up = Histogram("gingergap_set_up_seconds", "From arrival to standing", ("type", "way"), buckets=BUCKETS,
-                                registry=self.registry)
+        self.set_up = Histogram(
+            "gingergap_set_up_seconds", "From arrival to standing", ("type", "way"), buckets=BUCKETS, registry=self.registry
+        )
 
     def over(self, story: Story) -> None:
         kind = self.types[story.kind]
