--- a/gingergap/scheduler/plan.py
+++ b/gingergap/scheduler/plan.py
@@ -27,11 +27,24 @@
 class Task:
     """One periodic (or single: `period` 0) piece of work. `cost` is an estimate in ms that follows what runs take."""
 
-    __slots__ = ("name", "kind", "period", "limit", "worth", "cost", "due", "started", "runs", "failures", "missed",
-                 "overruns", "last_done", "deadline")
-
-    def __init__(self, name: str, kind: str, period: int, limit: int, worth: float, cost: float, due: int,
-                 deadline: int) -> None:
+    __slots__ = (
+        "name",
+        "kind",
+        "period",
+        "limit",
+        "worth",
+        "cost",
+        "due",
+        "started",
+        "runs",
+        "failures",
+        "missed",
+        "overruns",
+        "last_done",
+        "deadline",
+    )
+
+    def __init__(self, name: str, kind: str, period: int, limit: int, worth: float, cost: float, due: int, deadline: int) -> None:
         self.name, self.kind, self.period, self.limit, self.worth, self.cost = name, kind, period, limit, worth, cost
         self.due, self.deadline = due, deadline
         self.started = -1  # -1: not running
@@ -49,8 +62,19 @@
 
     # --- what can happen ---
 
-    def add(self, now: int, name: str, kind: str, *, period: int, limit: int, cost: float = 1.0, worth: float = 1.0,
-            first_in: int = 0, deadline: int | None = None) -> None:
+    def add(
+        self,
+        now: int,
+        name: str,
+        kind: str,
+        *,
+        period: int,
+        limit: int,
+        cost: float = 1.0,
+        worth: float = 1.0,
+        first_in: int = 0,
+        deadline: int | None = None,
+    ) -> None:
         """A task comes, or comes again with other figures. `deadline` is how long one run may take; a run that takes
         longer than the period by itself is not started twice."""
         old = self.tasks.get(name)
--- a/gingergap/scheduler/runner.py
+++ b/gingergap/scheduler/runner.py
@@ -13,8 +13,9 @@
     """`clock` gives tenths of a millisecond, `load` the part that calls take. `run` of a task is called with nothing and
     returns whether it was done."""
 
-    def __init__(self, plan: Background, clock: Callable[[], int], load: Callable[[], float], log: Any,
-                 over: Callable[[str, bool], None]) -> None:
+    def __init__(
+        self, plan: Background, clock: Callable[[], int], load: Callable[[], float], log: Any, over: Callable[[str, bool], None]
+    ) -> None:
         self.plan, self.clock, self.load, self.log, self.over = plan, clock, load, log, over
         self.runs: dict[str, Callable[[], bool]] = {}
         self.greenlets: dict[str, gevent.Greenlet] = {}
--- a/gingergap/service/belief.py
+++ b/gingergap/service/belief.py
@@ -37,9 +37,19 @@
         if d is None:
             return
         ex = controller.by_number.get(d.far)
-        why = ("no exchange" if ex is None else "not ready" if not ex.ready
-               else "no circuits" if not ex.group.fits(d.width) else "slow" if controller._kept_back(d, ex)
-               else "cold" if now < ex.cold_until else "other")
+        why = (
+            "no exchange"
+            if ex is None
+            else "not ready"
+            if not ex.ready
+            else "no circuits"
+            if not ex.group.fits(d.width)
+            else "slow"
+            if controller._kept_back(d, ex)
+            else "cold"
+            if now < ex.cold_until
+            else "other"
+        )
         self.declined[f"{'transit' if d.transit else 'redialled' if d.redialled else 'first'}, {d.legs} legs, {why}"] += 1
 
     def beat(self, calls: Any, now: int) -> None:
@@ -51,10 +61,19 @@
             if not ex.ready:
                 continue
             took = sorted(self.took.get(gw, []))
-            self.log("believed", switch=calls.ids[gw], number=ex.number, free=ex.group.free, reported=self.reported.get(gw),
-                     expected_ms=ex.expected(now) // MS, took_ms=[took[len(took) // 2] // MS, took[-1] // MS] if took else "-",
-                     out=len(ex.out), pressed_ms=max(0, ex.pressed_until - now) // MS, cold_ms=max(0, ex.cold_until - now) // MS,
-                     ends=dict(self.ends.get(gw, {})))
+            self.log(
+                "believed",
+                switch=calls.ids[gw],
+                number=ex.number,
+                free=ex.group.free,
+                reported=self.reported.get(gw),
+                expected_ms=ex.expected(now) // MS,
+                took_ms=[took[len(took) // 2] // MS, took[-1] // MS] if took else "-",
+                out=len(ex.out),
+                pressed_ms=max(0, ex.pressed_until - now) // MS,
+                cold_ms=max(0, ex.cold_until - now) // MS,
+                ends=dict(self.ends.get(gw, {})),
+            )
         self.log("declined", waiting=len(controller.waiting), **{"why": dict(self.declined)})
         self.took.clear()
         self.ends.clear()
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -57,8 +57,23 @@
 class Call:
     """A call from its set-up to its last word."""
 
-    __slots__ = ("id", "dialog", "conn", "kind", "number", "sdp", "gw", "link", "legs", "used", "sent_at", "until",
-                 "stands", "over", "width")
+    __slots__ = (
+        "id",
+        "dialog",
+        "conn",
+        "kind",
+        "number",
+        "sdp",
+        "gw",
+        "link",
+        "legs",
+        "used",
+        "sent_at",
+        "until",
+        "stands",
+        "over",
+        "width",
+    )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, kind: str, number: str, sdp: str, width: int) -> None:
         self.id, self.dialog, self.conn = id, dialog, conn
@@ -75,8 +90,15 @@
 class Calls:
     """One proxy's calls. Raises BadFactError where the settings can't be read."""
 
-    def __init__(self, wire: Wire, now: int, seed: int, settings: dict[str, Any],
-                 make: Callable[..., CallController] = CallController, belief: Belief | None = None) -> None:
+    def __init__(
+        self,
+        wire: Wire,
+        now: int,
+        seed: int,
+        settings: dict[str, Any],
+        make: Callable[..., CallController] = CallController,
+        belief: Belief | None = None,
+    ) -> None:
         self.wire, self.belief = wire, belief
         start = Facts(settings, "settings")
         here, proxies, self.types, figures = controller_facts(start)
@@ -149,8 +171,22 @@
 
     # --- callers ---
 
-    def set_up(self, now: int, conn: Conn, id: str, kind: str, left: int, number: str, far: int, width: int, advised: int,
-               transit: bool, redialled: bool, cut: bool, sdp: str) -> None:
+    def set_up(
+        self,
+        now: int,
+        conn: Conn,
+        id: str,
+        kind: str,
+        left: int,
+        number: str,
+        far: int,
+        width: int,
+        advised: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        sdp: str,
+    ) -> None:
         self.now = now
         place = self.kinds.get(kind)
         if place is None:
@@ -172,8 +208,9 @@
         self.by_id[id] = self.by_dialog[call.dialog] = call
         self.on_conn.setdefault(conn, {})[id] = call
         self.lately.pop(id, None)
-        self.controller.dialog_came(now, call.dialog, place, far, width, number, left * MS, transit, redialled, cut,
-                                    -1 if transit else advised)
+        self.controller.dialog_came(
+            now, call.dialog, place, far, width, number, left * MS, transit, redialled, cut, -1 if transit else advised
+        )
         self._tell_later()
 
     def _taken_twice(self, conn: Conn, call: Call) -> None:
@@ -293,8 +330,7 @@
             self._group_told(gw, free, size)
             return
         self.wire.to_link(link, words.ack(call.number, id, call.legs))
-        how = (LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY
-               else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT)
+        how = LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT
         self.count(f"legs refused {status} {word}")
         if self.belief is not None:
             dialog = self.controller.dialogs.get(call.dialog)
--- a/gingergap/service/far.py
+++ b/gingergap/service/far.py
@@ -195,8 +195,11 @@
         opening = any(not link.up for link in self.links)
         # A release that crossed the close of its connection went to nobody while others stayed open: it is sent again
         # on the next connection that is opened, and has to reach its caller within a second.
-        if not opening and (not up or standing and (self.renew or now - self.heard_at > SILENT)) and (
-                self.renew or now - self.tried_at >= AGAIN):
+        if (
+            not opening
+            and (not up or standing and (self.renew or now - self.heard_at > SILENT))
+            and (self.renew or now - self.tried_at >= AGAIN)
+        ):
             self._open()
         # A vanished machine resets nothing: what stood there is over when new connections have failed for so long.
         if self.failed_since and now - self.failed_since > LOST and now - self.heard_at > LOST:
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -111,8 +111,7 @@
         self.feed: gevent.Greenlet | None = None
         ceilings = Facts(config.settings, "settings").part("Ceilings")
         self.connect_timeout = ceilings.get("ConnectTimeout", int, 500_000) / 1e6
-        self.calls = Calls(self, self.clock(), config.seed, config.settings,
-                           belief=Belief(log) if belief else None)
+        self.calls = Calls(self, self.clock(), config.seed, config.settings, belief=Belief(log) if belief else None)
         for number, whole, entries in events_after(0, config.known):
             self.listed(number, whole, entries)
         self.last = max(self.last, config.known.offset)
@@ -143,9 +142,14 @@
         return 0
 
     def _log_counts(self, event: str) -> None:
-        log(event, open=len(self.calls.by_dialog), callers=len(self.callers),
-            links=sum(len(far.links) for far in self.fars.values()), standing=sum(map(len, self.calls.standing.values())),
-            **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()})
+        log(
+            event,
+            open=len(self.calls.by_dialog),
+            callers=len(self.callers),
+            links=sum(len(far.links) for far in self.fars.values()),
+            standing=sum(map(len, self.calls.standing.values())),
+            **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()},
+        )
 
     # --- the wire of the calls ---
 
@@ -258,8 +262,7 @@
 
     def listed(self, number: int, whole: bool, entries: list[Line]) -> None:
         self.last = number
-        self.calls.listed(self.clock(), whole, [(line.uid, line.pod_group, state_of(line), line.boot_ms * 10)
-                                                for line in entries])
+        self.calls.listed(self.clock(), whole, [(line.uid, line.pod_group, state_of(line), line.boot_ms * 10) for line in entries])
         named = {self.calls.gw_of[line.uid] for line in entries}
         if whole:
             for gw, far in self.fars.items():
@@ -322,6 +325,7 @@
             except Exception as error:  # one event that fails must not end the timer: the other calls go on
                 log("event-failed", error=repr(error))
                 import traceback
+
                 traceback.print_exc()
 
     def _look(self) -> None:
@@ -336,8 +340,9 @@
                 untold, self.untold = self.untold, []
                 for data in untold:
                     known.put(data)
-        if not self.ready and (self.seconds() - self.started > READY
-                               or all(far.main is not None and far.main.state for far in self.fars.values())):
+        if not self.ready and (
+            self.seconds() - self.started > READY or all(far.main is not None and far.main.state for far in self.fars.values())
+        ):
             self.ready = True
             for caller, id in self.tests:
                 self.pinged(caller, id)
--- a/gingergap/service/told.py
+++ b/gingergap/service/told.py
@@ -52,8 +52,9 @@
     sockets = facts.part("limits").get("sockets", int, 256)
     if sockets < 32:
         raise BadFactError("field config.limits.sockets is under 32, the least to serve with")
-    return Told(facts.get("name", str), _address(facts, "listen"), _address(facts, "bus"), seed, sockets, known,
-                facts.get("settings", dict))
+    return Told(
+        facts.get("name", str), _address(facts, "listen"), _address(facts, "bus"), seed, sockets, known, facts.get("settings", dict)
+    )
 
 
 def told(environment: Mapping[str, str]) -> tuple[Path, Told]:
--- a/gingergap/settings/day.py
+++ b/gingergap/settings/day.py
@@ -11,9 +11,32 @@
 Seconds = Annotated[float, Field(ge=0, le=86_400)]
 
 KINDS = (
-    "burst", "flood", "slow", "all-slow", "ageing", "pauses", "silence", "vanish", "mass-restart", "rolling",
-    "kill-exchange", "kill-proxy", "pause-proxy", "split-proxies", "resets", "answers-lost", "district-cut", "groups-shrink", "cut",
-    "stale-list", "list-silent", "messages-lost", "loss", "duplication", "reordering", "delay",
+    "burst",
+    "flood",
+    "slow",
+    "all-slow",
+    "ageing",
+    "pauses",
+    "silence",
+    "vanish",
+    "mass-restart",
+    "rolling",
+    "kill-exchange",
+    "kill-proxy",
+    "pause-proxy",
+    "split-proxies",
+    "resets",
+    "answers-lost",
+    "district-cut",
+    "groups-shrink",
+    "cut",
+    "stale-list",
+    "list-silent",
+    "messages-lost",
+    "loss",
+    "duplication",
+    "reordering",
+    "delay",
 )
 
 CHANCES = ("answers-lost", "messages-lost", "loss", "duplication", "reordering")
--- a/gingergap/settings/edge.py
+++ b/gingergap/settings/edge.py
@@ -148,12 +148,13 @@
     def _whole(self) -> Self:
         if not self.traffic_type:
             raise ValueError("a traffic-type is missing")
-        for what, values in (("exchange number", [entry.number for entry in self.exchange]),
-                             ("exchange id", [entry.id for entry in self.exchange]),
-                             ("traffic-type name", [entry.name for entry in self.traffic_type]),
-                             ("prefix", [p for entry in self.exchange for p in entry.prefix]),
-                             ("resource-priority", [p for t in self.traffic_type
-                                                    for p in t.resource_priority])):
+        for what, values in (
+            ("exchange number", [entry.number for entry in self.exchange]),
+            ("exchange id", [entry.id for entry in self.exchange]),
+            ("traffic-type name", [entry.name for entry in self.traffic_type]),
+            ("prefix", [p for entry in self.exchange for p in entry.prefix]),
+            ("resource-priority", [p for t in self.traffic_type for p in t.resource_priority]),
+        ):
             for value in values:
                 if values.count(value) > 1:
                     raise ValueError(f"{what} {value!r} stands twice")
--- a/gingergap/settings/forms.py
+++ b/gingergap/settings/forms.py
@@ -20,8 +20,9 @@
 class Form(BaseModel):
     """A record read from a form: fields are named with dashes in the file."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True, populate_by_name=True,
-                              alias_generator=lambda name: name.replace("_", "-"))
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, populate_by_name=True, alias_generator=lambda name: name.replace("_", "-")
+    )
 
 
 def read(path: str | Path, **kinds: type[Form]) -> Form:
--- a/gingergap/sip/dialogs.py
+++ b/gingergap/sip/dialogs.py
@@ -10,8 +10,7 @@
 
     __slots__ = ("call_id", "local", "remote", "target", "route", "cseq", "remote_cseq", "invite_cseq")
 
-    def __init__(self, call_id: str, local: str, remote: str, target: str, route: list[str], cseq: int,
-                 remote_cseq: int) -> None:
+    def __init__(self, call_id: str, local: str, remote: str, target: str, route: list[str], cseq: int, remote_cseq: int) -> None:
         self.call_id, self.local, self.remote, self.target, self.route = call_id, local, remote, target, route
         self.cseq, self.remote_cseq = cseq, remote_cseq
         self.invite_cseq = cseq
@@ -23,8 +22,15 @@
         contact = answer.all("Contact")
         if not contact:
             raise BadMessageError("a 2xx to INVITE lacks Contact")
-        return cls(answer.call_id, answer.get("From"), answer.get("To"), address_of(contact[0])[0],
-                   answer.all("Record-Route")[::-1], number, 0)
+        return cls(
+            answer.call_id,
+            answer.get("From"),
+            answer.get("To"),
+            address_of(contact[0])[0],
+            answer.all("Record-Route")[::-1],
+            number,
+            0,
+        )
 
     @classmethod
     def of_uas(cls, invite: Message, tag: str) -> "SipDialog":
@@ -34,8 +40,15 @@
             raise BadMessageError("INVITE lacks Contact", 400, invite)
         number, _ = invite.cseq()
         to = invite.get("To")
-        return cls(invite.call_id, to if tag_of(to) else f"{to};tag={tag}", invite.get("From"),
-                   address_of(contact[0])[0], invite.all("Record-Route"), 0, number)
+        return cls(
+            invite.call_id,
+            to if tag_of(to) else f"{to};tag={tag}",
+            invite.get("From"),
+            address_of(contact[0])[0],
+            invite.all("Record-Route"),
+            0,
+            number,
+        )
 
     def request(self, method: str) -> Message:
         """A request within the dialog (section 12.2.1.1). An ACK repeats the INVITE's number."""
@@ -46,8 +59,13 @@
             number = self.cseq
         message = Message(method, self.target)
         message.fields = [("Route", entry) for entry in self.route]
-        message.fields += [("From", self.local), ("To", self.remote), ("Call-ID", self.call_id),
-                           ("CSeq", f"{number} {method}"), ("Max-Forwards", "70")]
+        message.fields += [
+            ("From", self.local),
+            ("To", self.remote),
+            ("Call-ID", self.call_id),
+            ("CSeq", f"{number} {method}"),
+            ("Max-Forwards", "70"),
+        ]
         return message
 
     def taken(self, message: Message) -> bool:
@@ -76,6 +94,6 @@
     for place, entry in enumerate(dialog.route):
         uri = uri_of(address_of(entry)[0])
         if (uri.host, uri.port) == own:
-            dialog.route = dialog.route[place + 1:]
+            dialog.route = dialog.route[place + 1 :]
             break
     return dialog
--- a/gingergap/sip/fields.py
+++ b/gingergap/sip/fields.py
@@ -93,7 +93,7 @@
         close = value.find(">", open_at)
         if close < 0:
             raise BadMessageError("an address lacks its closing bracket")
-        return value[open_at + 1:close], params_of(value[close + 1:])
+        return value[open_at + 1 : close], params_of(value[close + 1 :])
     uri, _, rest = value.partition(";")
     return uri.strip(), params_of(rest)
 
@@ -104,7 +104,7 @@
     if at < 0:
         return address_of(value)[1].get("tag", "") if ";" in value else ""
     end = value.find(";", at + 5)
-    return value[at + 5:] if end < 0 else value[at + 5:end]
+    return value[at + 5 :] if end < 0 else value[at + 5 : end]
 
 
 @lru_cache(REMEMBERED)
@@ -122,8 +122,7 @@
     where, _, params = where.partition(";")
     host, port = host_port(where, 5061 if scheme == "sips" else 5060)
     user, _, user_params = user.partition(";")
-    return Uri(scheme, user.partition(":")[0] if at else "", host, port, params_of(params),
-               params_of(user_params))
+    return Uri(scheme, user.partition(":")[0] if at else "", host, port, params_of(params), params_of(user_params))
 
 
 def reason_of(message: Message) -> tuple[int, str]:
--- a/gingergap/sip/framing.py
+++ b/gingergap/sip/framing.py
@@ -17,8 +17,12 @@
     BadMessageError is raised and the connection is to be closed. `most_message` bounds head and body together;
     `read` makes a message of its bytes."""
 
-    def __init__(self, most_body: int = MOST_BODY, most_message: int = MOST_HEAD + 4 + MOST_BODY,
-                 read: Callable[[bytes], Any] = parse_in_stream) -> None:
+    def __init__(
+        self,
+        most_body: int = MOST_BODY,
+        most_message: int = MOST_HEAD + 4 + MOST_BODY,
+        read: Callable[[bytes], Any] = parse_in_stream,
+    ) -> None:
         self.most_body, self.most_message, self.read = most_body, most_message, read
         self.held = bytearray()
         self.searched = 0  # no empty line ends before here: a slow sender must not cost a search each byte
@@ -33,7 +37,7 @@
         while True:
             if self.searched == 0:
                 blank = 0
-                while self.held[blank:blank + 2] == b"\r\n":  # keep-alives between messages (RFC 5626)
+                while self.held[blank : blank + 2] == b"\r\n":  # keep-alives between messages (RFC 5626)
                     blank += 2
                 if blank:
                     del self.held[:blank]
--- a/gingergap/sip/message.py
+++ b/gingergap/sip/message.py
@@ -11,28 +11,100 @@
 MOST_FIELDS = 256
 VERSION = "SIP/2.0"
 KNOWN = (
-    "Accept", "Allow", "Allow-Events", "Call-ID", "Contact", "Content-Encoding", "Content-Length",
-    "Content-Type", "CSeq", "Event", "Expires", "From", "Max-Forwards", "Reason", "Record-Route", "Require",
-    "Resource-Priority", "Retry-After", "Route", "Subject", "Subscription-State", "Supported", "Timestamp",
-    "To", "Unsupported", "Via", "Warning", "Gingergap-Dialog", "Gingergap-Duty", "Proxy-Require", "User-Agent",
+    "Accept",
+    "Allow",
+    "Allow-Events",
+    "Call-ID",
+    "Contact",
+    "Content-Encoding",
+    "Content-Length",
+    "Content-Type",
+    "CSeq",
+    "Event",
+    "Expires",
+    "From",
+    "Max-Forwards",
+    "Reason",
+    "Record-Route",
+    "Require",
+    "Resource-Priority",
+    "Retry-After",
+    "Route",
+    "Subject",
+    "Subscription-State",
+    "Supported",
+    "Timestamp",
+    "To",
+    "Unsupported",
+    "Via",
+    "Warning",
+    "Gingergap-Dialog",
+    "Gingergap-Duty",
+    "Proxy-Require",
+    "User-Agent",
 )
 COMPACT = {  # RFC 3261 section 7.3.3 and the RFCs of events
-    "i": "Call-ID", "m": "Contact", "e": "Content-Encoding", "l": "Content-Length", "c": "Content-Type",
-    "f": "From", "s": "Subject", "k": "Supported", "t": "To", "v": "Via", "o": "Event", "u": "Allow-Events",
+    "i": "Call-ID",
+    "m": "Contact",
+    "e": "Content-Encoding",
+    "l": "Content-Length",
+    "c": "Content-Type",
+    "f": "From",
+    "s": "Subject",
+    "k": "Supported",
+    "t": "To",
+    "v": "Via",
+    "o": "Event",
+    "u": "Allow-Events",
 }
-NAMES = ({name: name for name in KNOWN} | {name.lower(): name for name in KNOWN}
-         | COMPACT | {short.upper(): name for short, name in COMPACT.items()})
-LISTED = frozenset({"Via", "Route", "Record-Route", "Contact", "Require", "Proxy-Require", "Resource-Priority",
-                    "Reason", "Supported", "Allow", "Accept"})
+NAMES = (
+    {name: name for name in KNOWN}
+    | {name.lower(): name for name in KNOWN}
+    | COMPACT
+    | {short.upper(): name for short, name in COMPACT.items()}
+)
+LISTED = frozenset(
+    {
+        "Via",
+        "Route",
+        "Record-Route",
+        "Contact",
+        "Require",
+        "Proxy-Require",
+        "Resource-Priority",
+        "Reason",
+        "Supported",
+        "Allow",
+        "Accept",
+    }
+)
 TOKEN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.!%*_+`'~")
 PHRASES = {
-    100: "Trying", 180: "Ringing", 183: "Session Progress", 200: "OK", 202: "Accepted", 400: "Bad Request",
-    404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 412: "Conditional Request Failed",
+    100: "Trying",
+    180: "Ringing",
+    183: "Session Progress",
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    412: "Conditional Request Failed",
     416: "Unsupported URI Scheme",
-    420: "Bad Extension", 480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist",
-    482: "Loop Detected", 483: "Too Many Hops", 486: "Busy Here", 487: "Request Terminated", 489: "Bad Event",
-    500: "Server Internal Error", 503: "Service Unavailable", 504: "Server Time-out",
-    505: "Version Not Supported", 513: "Message Too Large", 603: "Decline",
+    420: "Bad Extension",
+    480: "Temporarily Unavailable",
+    481: "Call/Transaction Does Not Exist",
+    482: "Loop Detected",
+    483: "Too Many Hops",
+    486: "Busy Here",
+    487: "Request Terminated",
+    489: "Bad Event",
+    500: "Server Internal Error",
+    503: "Service Unavailable",
+    504: "Server Time-out",
+    505: "Version Not Supported",
+    513: "Message Too Large",
+    603: "Decline",
 }
 
 
@@ -54,8 +126,15 @@
 
     __slots__ = ("method", "uri", "status", "phrase", "fields", "body")
 
-    def __init__(self, method: str = "", uri: str = "", status: int = 0, phrase: str = "",
-                 fields: Iterable[tuple[str, str]] = (), body: bytes = b"") -> None:
+    def __init__(
+        self,
+        method: str = "",
+        uri: str = "",
+        status: int = 0,
+        phrase: str = "",
+        fields: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+    ) -> None:
         self.method, self.uri, self.status, self.phrase = method, uri, status, phrase
         self.fields, self.body = list(fields), body
 
@@ -133,8 +212,7 @@
         return int(number), method
 
     def __bytes__(self) -> bytes:
-        lines = [f"{self.method} {self.uri} {VERSION}" if self.method
-                 else f"{VERSION} {self.status} {self.phrase}"]
+        lines = [f"{self.method} {self.uri} {VERSION}" if self.method else f"{VERSION} {self.status} {self.phrase}"]
         lines += [f"{name}: {value}" for name, value in self.fields if name != "Content-Length"]
         lines.append(f"Content-Length: {len(self.body)}\r\n\r\n")
         return "\r\n".join(lines).encode("utf-8", "surrogateescape") + self.body
@@ -174,7 +252,7 @@
         raise BadMessageError("no empty line ends the header", 0)
     if cut > MOST_HEAD:
         raise BadMessageError("header over the size limit", 513)
-    head, body = data[:cut], data[cut + 4:]
+    head, body = data[:cut], data[cut + 4 :]
     if b"\0" in head:
         raise BadMessageError("NUL in the header", 0)
     text = head.lstrip(b"\r\n").decode("utf-8", "surrogateescape")
@@ -203,7 +281,7 @@
             raise BadMessageError("Content-Length is not a number", 400, message)
         if int(length) > len(body):
             raise BadMessageError("the body is shorter than Content-Length", 400, message)
-        body = body[:int(length)]
+        body = body[: int(length)]
     message.body = body
     return message
 
@@ -224,8 +302,7 @@
     if line.startswith("SIP/"):
         version, _, rest = line.partition(" ")
         code, _, phrase = rest.partition(" ")
-        if version != VERSION or len(code) != 3 or not code.isascii() or not code.isdigit() or code < "100" \
-                or code >= "700":
+        if version != VERSION or len(code) != 3 or not code.isascii() or not code.isdigit() or code < "100" or code >= "700":
             raise BadMessageError("bad status line", 0)
         return Message(status=int(code), phrase=phrase)
     parts = line.split(" ")
@@ -261,8 +338,7 @@
         raise BadMessageError("the Request-URI is not a URI", 400, message)
 
 
-def response(request: Message, status: int, tag: str = "", fields: Iterable[tuple[str, str]] = (),
-             body: bytes = b"") -> Message:
+def response(request: Message, status: int, tag: str = "", fields: Iterable[tuple[str, str]] = (), body: bytes = b"") -> Message:
     """A response to a request (section 8.2.6): Via, From, To, Call-ID and CSeq as they came."""
     answer = Message(status=status, phrase=PHRASES.get(status, "Unknown"), body=body)
     kept = answer.fields
--- a/gingergap/sip/transactions.py
+++ b/gingergap/sip/transactions.py
@@ -77,8 +77,21 @@
 class Client:
     """A client transaction. `owner` is the user's own."""
 
-    __slots__ = ("branch", "method", "request", "hop", "state", "owner", "gap", "seqs", "cancelled", "heard",
-                 "sent", "started", "data")
+    __slots__ = (
+        "branch",
+        "method",
+        "request",
+        "hop",
+        "state",
+        "owner",
+        "gap",
+        "seqs",
+        "cancelled",
+        "heard",
+        "sent",
+        "started",
+        "data",
+    )
 
     def __init__(self, branch: str, request: Message, hop: Hop, owner: Any, now: int) -> None:
         self.branch, self.method, self.request, self.hop, self.owner = branch, request.method, request, hop, owner
@@ -120,8 +133,7 @@
     if "rport" not in via.params and via.host == hop.host:
         return
     value = message.all("Via")[0]
-    parts = [part for part in value.split(";") if part.partition("=")[0].strip().lower()
-             not in ("rport", "received")]
+    parts = [part for part in value.split(";") if part.partition("=")[0].strip().lower() not in ("rport", "received")]
     if "rport" in via.params:
         parts.append(f"rport={hop.port}")
     parts.append(f"received={hop.host}")
@@ -135,16 +147,16 @@
     if via.branch.startswith(MAGIC):
         return via.branch, f"{via.host}:{via.port}", method
     number = message.get("CSeq").split(" ")[0]
-    return (f"{message.call_id} {number} {tag_of(message.get('From'))} {message.uri}",
-            f"{via.host}:{via.port}", method)
+    return (f"{message.call_id} {number} {tag_of(message.get('From'))} {message.uri}", f"{via.host}:{via.port}", method)
 
 
 class Transactions:
     """`t1`, `t2` and `t4` in tenths of a millisecond; `most` bounds the server transactions kept open, and
     beyond it new requests are handed to `door_shut` while retransmissions are still absorbed."""
 
-    def __init__(self, user: User, wire: Wire, sent_by: tuple[str, int], t1: int = T1, t2: int = T2,
-                 t4: int = T4, most: int = 200_000) -> None:
+    def __init__(
+        self, user: User, wire: Wire, sent_by: tuple[str, int], t1: int = T1, t2: int = T2, t4: int = T4, most: int = 200_000
+    ) -> None:
         self.user, self.wire, self.sent_by, self.most = user, wire, sent_by, most
         self.t1, self.t2, self.t4 = t1, t2, t4
         self.timer_d = TIMER_D * t1 // T1
@@ -245,8 +257,7 @@
         else:
             self._send_cancel(now, client)
 
-    def stateless(self, message: Message, status: int, tag: str, hop: Hop,
-                  fields: list[tuple[str, str]] | None = None) -> None:
+    def stateless(self, message: Message, status: int, tag: str, hop: Hop, fields: list[tuple[str, str]] | None = None) -> None:
         """Answer a request without keeping anything (section 8.2.7); the same request must get the same tag."""
         if message.method == "ACK":
             return
@@ -365,8 +376,13 @@
         ack.fields = [("Via", request.all("Via")[0])]
         ack.fields += [entry for entry in request.fields if entry[0] == "Route"]
         number, _ = request.cseq()
-        ack.fields += [("From", request.get("From")), ("To", message.get("To")), ("Call-ID", request.call_id),
-                       ("CSeq", f"{number} ACK"), ("Max-Forwards", "70")]
+        ack.fields += [
+            ("From", request.get("From")),
+            ("To", message.get("To")),
+            ("Call-ID", request.call_id),
+            ("CSeq", f"{number} ACK"),
+            ("Max-Forwards", "70"),
+        ]
         return ack
 
     def _send_cancel(self, now: int, client: Client) -> None:
@@ -375,8 +391,13 @@
         cancel = Message("CANCEL", request.uri)
         cancel.fields = [("Via", request.all("Via")[0])]
         cancel.fields += [entry for entry in request.fields if entry[0] == "Route"]
-        cancel.fields += [("From", request.get("From")), ("To", request.get("To")),
-                          ("Call-ID", request.call_id), ("CSeq", f"{number} CANCEL"), ("Max-Forwards", "70")]
+        cancel.fields += [
+            ("From", request.get("From")),
+            ("To", request.get("To")),
+            ("Call-ID", request.call_id),
+            ("CSeq", f"{number} CANCEL"),
+            ("Max-Forwards", "70"),
+        ]
         called_off = Client(client.branch, cancel, client.hop, None, now)
         called_off.data = bytes(cancel)
         self._open(called_off)
--- a/gingergap/spans/export.py
+++ b/gingergap/spans/export.py
@@ -34,8 +34,9 @@
         self.path = path
         self.file = path.open("w", encoding="utf-8")
         self.ids = GivenIds()
-        self.exporter = SimpleSpanProcessor(ConsoleSpanExporter(
-            out=self.file, formatter=lambda span: span.to_json(indent=None) + "\n"))
+        self.exporter = SimpleSpanProcessor(
+            ConsoleSpanExporter(out=self.file, formatter=lambda span: span.to_json(indent=None) + "\n")
+        )
         self.providers: dict[str, TracerProvider] = {}
         self.dialogs = self.spans = 0
 
@@ -52,8 +53,10 @@
         provider = self.providers.get(tree.instance)
         if provider is None:
             provider = self.providers[tree.instance] = TracerProvider(
-                resource=Resource({"service.name": "gingergap", "service.instance.id": tree.instance}), id_generator=self.ids,
-                shutdown_on_exit=False)
+                resource=Resource({"service.name": "gingergap", "service.instance.id": tree.instance}),
+                id_generator=self.ids,
+                shutdown_on_exit=False,
+            )
             provider.add_span_processor(self.exporter)
         tracer = provider.get_tracer("gingergap.spans")
         self.ids.trace_id = int.from_bytes(tree.trace_id)
@@ -63,9 +66,15 @@
             if span.parent:
                 above = SpanContext(self.ids.trace_id, int.from_bytes(span.parent), True, TraceFlags(TraceFlags.SAMPLED))
                 context = set_span_in_context(NonRecordingSpan(above))
-            made = tracer.start_span(span.name, context, start_time=self._nano(tree, span.begin), attributes={
-                **{f"gingergap.{name.replace(' ', '_')}": value for name, value in span.fields.items()},
-                "gingergap.position": f"{span.file}:{span.place}"})
+            made = tracer.start_span(
+                span.name,
+                context,
+                start_time=self._nano(tree, span.begin),
+                attributes={
+                    **{f"gingergap.{name.replace(' ', '_')}": value for name, value in span.fields.items()},
+                    "gingergap.position": f"{span.file}:{span.place}",
+                },
+            )
             if span.name in ("dialog", "transit") and not tree.stood:
                 made.set_status(Status(StatusCode.ERROR, str(span.fields.get("cause", ""))))
             made.end(self._nano(tree, span.end))
--- a/gingergap/spans/tree.py
+++ b/gingergap/spans/tree.py
@@ -81,8 +81,14 @@
         file, place = self.files.find(story.place)
         end = story.final_at if story.final_at >= 0 else story.last
         fields: dict[str, str | int | bool] = {
-            "dialog": story.dialog, "traffic type": story.kind, "far": story.far, "circuits": story.width,
-            "transit": story.transit, "redialled": story.redialled, "final": story.final}
+            "dialog": story.dialog,
+            "traffic type": story.kind,
+            "far": story.far,
+            "circuits": story.width,
+            "transit": story.transit,
+            "redialled": story.redialled,
+            "final": story.final,
+        }
         if story.cause():
             fields["cause"] = story.cause()
         if story.crossing and not parent:
@@ -97,13 +103,32 @@
                 if len(self.crossed) > MOST_CROSSINGS:
                     self.crossed.popitem(last=False)
             how = "stood" if leg.stood >= 0 else LegEnd(leg.how).name.lower() if leg.how is not None else "out"
-            spans.append(Span(span_id, root, "leg", leg.sent, over, place, file, {
-                "gw": leg.gw, "exchange": leg.number, "tandem": leg.number not in (story.far, -1), "end": how,
-                "rsn": leg.rsn}))
+            spans.append(
+                Span(
+                    span_id,
+                    root,
+                    "leg",
+                    leg.sent,
+                    over,
+                    place,
+                    file,
+                    {"gw": leg.gw, "exchange": leg.number, "tandem": leg.number not in (story.far, -1), "end": how, "rsn": leg.rsn},
+                )
+            )
         for number, (begin, over) in enumerate(story.waits()):
             file, place = self.files.find(story.place)
-            spans.append(Span(hashlib.blake2s(root + b"wait" + bytes([number % 256]), digest_size=8).digest(), root, "wait",
-                              begin, over, place, file, {}))
+            spans.append(
+                Span(
+                    hashlib.blake2s(root + b"wait" + bytes([number % 256]), digest_size=8).digest(),
+                    root,
+                    "wait",
+                    begin,
+                    over,
+                    place,
+                    file,
+                    {},
+                )
+            )
         return Tree(trace_id, source.instance, self.wall, spans, story.final == STOOD)
 
 
--- a/gingergap/standins/caller.py
+++ b/gingergap/standins/caller.py
@@ -57,11 +57,11 @@
 class Callers(Element):
     """All callers of exchange `home`, who reach their proxy at `proxy`."""
 
-    def __init__(self, plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float,
-                 capture: Capture) -> None:
+    def __init__(
+        self, plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float, capture: Capture
+    ) -> None:
         self.plan, self.home, self.proxy, self.epoch = plan, home, proxy, epoch
-        gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}", f"{plan.seed} callers {home}",
-                           frozenset([proxy]))
+        gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}", f"{plan.seed} callers {home}", frozenset([proxy]))
         super().__init__(address, epoch, gate)
         self.draw = random.Random(f"{plan.seed} callers {home}")
         self.tries: dict[tuple[str, str], Try] = {}
@@ -124,25 +124,28 @@
             if habits.marks_redial and "redialled" not in marks:
                 marks = [*marks, "redialled"]
 
-    def _try(self, kind: Any, number: str, caller: str, transport: str, marks: list[str],
-             draw: random.Random) -> Try:
+    def _try(self, kind: Any, number: str, caller: str, transport: str, marks: list[str], draw: random.Random) -> Try:
         host, port = self.address
         way = ";transport=tcp" if transport == "TCP" else ""
         invite = Message("INVITE", f"sip:{number}@{self.proxy[0]}:{self.proxy[1]}{way}", body=BODY)
         tag, call_id = secrets.token_hex(4), secrets.token_hex(8)
         invite.fields = [
-            ("Max-Forwards", "70"), ("From", f'"{caller}" <sip:{caller}@{host}>;tag={tag}'),
-            ("To", f"<sip:{number}@{self.proxy[0]}>"), ("Call-ID", call_id), ("CSeq", "1 INVITE"),
-            ("Contact", f"<sip:{caller}@{host}:{port}{way}>"), ("Expires", str(kind.patience_s)),
-            ("Content-Type", "application/sdp")]
+            ("Max-Forwards", "70"),
+            ("From", f'"{caller}" <sip:{caller}@{host}>;tag={tag}'),
+            ("To", f"<sip:{number}@{self.proxy[0]}>"),
+            ("Call-ID", call_id),
+            ("CSeq", "1 INVITE"),
+            ("Contact", f"<sip:{caller}@{host}:{port}{way}>"),
+            ("Expires", str(kind.patience_s)),
+            ("Content-Type", "application/sdp"),
+        ]
         if kind.resource_priority:
             invite.fields.append(("Resource-Priority", kind.resource_priority[0]))
         if marks:
             invite.fields.append((MARKS, ";".join(marks)))
         attempt = Try()
         self.tries[call_id, tag] = attempt
-        client = self.transactions.request(units(), invite, Hop(transport, *self.proxy),
-                                           MAGIC + secrets.token_hex(8), attempt)
+        client = self.transactions.request(units(), invite, Hop(transport, *self.proxy), MAGIC + secrets.token_hex(8), attempt)
         patience = float(kind.patience_s)
         if draw.random() < self.plan.day.callers.impatient:
             patience *= draw.random() ** 2
@@ -194,8 +197,11 @@
             attempt.status = message.status
             attempt.dialog = SipDialog.of_uac(message)
             attempt.ack = attempt.dialog.request("ACK")
-            attempt.ack.push("Via", f"SIP/2.0/{next_hop(attempt.ack).transport} {self.address[0]}:"
-                                    f"{self.address[1]};branch={MAGIC}{secrets.token_hex(8)};rport")
+            attempt.ack.push(
+                "Via",
+                f"SIP/2.0/{next_hop(attempt.ack).transport} {self.address[0]}:"
+                f"{self.address[1]};branch={MAGIC}{secrets.token_hex(8)};rport",
+            )
             attempt.answered.set()
         self.sockets.transmit(bytes(attempt.ack), next_hop(attempt.ack))
         if attempt.given_up and not attempt.ended.is_set():
@@ -221,8 +227,7 @@
             client.owner.answered.set()
 
 
-def play(plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float,
-         report: Path) -> None:
+def play(plan: Plan, home: int, address: tuple[str, int], proxy: tuple[str, int], epoch: float, report: Path) -> None:
     """Call for the day's length, let the last tries end, and write what became of each dialog."""
     capture = Capture(report / f"part-callers-{home}.jsonl", plan.day.capture)
     callers = Callers(plan, home, address, proxy, epoch, capture)
--- a/gingergap/standins/capture.py
+++ b/gingergap/standins/capture.py
@@ -26,14 +26,17 @@
         self.messages = messages
         self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
 
-    def message(self, transport: str, source: str, target: str, data: bytes, times: list[float],
-                at: float | None = None) -> None:
+    def message(self, transport: str, source: str, target: str, data: bytes, times: list[float], at: float | None = None) -> None:
         """`times`: after how many seconds each copy goes on; none for a lost message."""
         if not self.messages:
             return
-        line: dict[str, Any] = {"at": round(time.monotonic() if at is None else at, 5), "transport": transport,
-                                "from": source, "to": target,
-                                "message": data.decode("utf-8", "backslashreplace")}
+        line: dict[str, Any] = {
+            "at": round(time.monotonic() if at is None else at, 5),
+            "transport": transport,
+            "from": source,
+            "to": target,
+            "message": data.decode("utf-8", "backslashreplace"),
+        }
         if not times:
             line["lost"] = True
         elif min(times) > 0:
@@ -52,9 +55,17 @@
     """The network of one stand-in. `lost_in` and `lost_out` say, from the message, whether the stand-in's own
     faults lose it; the day's faults of the network are added here. Datagrams alone are harmed at random."""
 
-    def __init__(self, capture: Capture, plan: Plan, clock: Callable[[], float], own: str, seed: str,
-                 proxies: frozenset[tuple[str, int]], lost_in: Callable[[bytes, Hop], bool] | None = None,
-                 lost_out: Callable[[bytes, Hop], bool] | None = None) -> None:
+    def __init__(
+        self,
+        capture: Capture,
+        plan: Plan,
+        clock: Callable[[], float],
+        own: str,
+        seed: str,
+        proxies: frozenset[tuple[str, int]],
+        lost_in: Callable[[bytes, Hop], bool] | None = None,
+        lost_out: Callable[[bytes, Hop], bool] | None = None,
+    ) -> None:
         self.capture, self.plan, self.clock, self.own = capture, plan, clock, own
         self.draw = random.Random(seed)
         self.proxies = proxies
--- a/gingergap/standins/checker.py
+++ b/gingergap/standins/checker.py
@@ -62,8 +62,7 @@
 class Taken:
     """A dialog that came to a proxy: one INVITE transaction."""
 
-    def __init__(self, proxy: str, call: str, tag: str, at: float, limit: float, line: int,
-                 transit: bool, asker: str) -> None:
+    def __init__(self, proxy: str, call: str, tag: str, at: float, limit: float, line: int, transit: bool, asker: str) -> None:
         self.proxy, self.call, self.tag, self.at, self.limit, self.line = proxy, call, tag, at, limit, line
         self.transit, self.asker = transit, asker
         self.finals: list[tuple[float, int, str, int]] = []  # when, status, To tag, line
@@ -163,8 +162,17 @@
             case "exchange":
                 self.addresses.setdefault(line["address"], []).append((at, line["exchange"]))
                 if line["cold"]:
-                    self.starts.append(Start(at, line["exchange"], line["address"], float(line["capacity"]),
-                                             float(line["from_share"]), float(line["warm_after"]), number))
+                    self.starts.append(
+                        Start(
+                            at,
+                            line["exchange"],
+                            line["address"],
+                            float(line["capacity"]),
+                            float(line["from_share"]),
+                            float(line["warm_after"]),
+                            number,
+                        )
+                    )
             case "reset":
                 self.resets.setdefault(line["address"], []).append(at)
             case "stopped":
@@ -175,8 +183,7 @@
                 self.kills.setdefault(line["address"], []).append(at)
                 self.down.add(line["address"])
 
-    def _request(self, message: Message, source: str, target: str, at: float, reached: float | None,
-                 number: int) -> None:
+    def _request(self, message: Message, source: str, target: str, at: float, reached: float | None, number: int) -> None:
         try:
             via = top_via(message)
         except BadMessageError:
@@ -201,8 +208,7 @@
                 leg = self.by_branch.get((sender, via.branch))
                 if leg is not None:
                     leg.ended(at, "cancelled", number)
-        elif message.method == "NOTIFY" and source in self.lists and target in self.proxies \
-                and reached is not None:
+        elif message.method == "NOTIFY" and source in self.lists and target in self.proxies and reached is not None:
             self._told(message, target, reached, number)
 
     def _read_at(self, proxy: str, reached: float) -> float:
@@ -212,8 +218,7 @@
                 return until
         return reached
 
-    def _invite_taken(self, message: Message, branch: str, proxy: str, asker: str, reached: float | None,
-                      number: int) -> None:
+    def _invite_taken(self, message: Message, branch: str, proxy: str, asker: str, reached: float | None, number: int) -> None:
         if reached is None:
             return
         key = proxy, branch
@@ -231,11 +236,9 @@
         expires = message.get("Expires").strip()
         if not limit:
             limit = float(expires) if expires.isdigit() else 180.0
-        self.taken[key] = Taken(proxy, message.call_id, tag_of(message.get("From")), reached, limit, number,
-                                transit, asker)
+        self.taken[key] = Taken(proxy, message.call_id, tag_of(message.get("From")), reached, limit, number, transit, asker)
 
-    def _leg_sent(self, message: Message, branch: str, proxy: str, target: str, at: float, number: int,
-                  stream: bool) -> None:
+    def _leg_sent(self, message: Message, branch: str, proxy: str, target: str, at: float, number: int, stream: bool) -> None:
         key = proxy, branch
         leg = self.by_branch.get(key)
         if leg is None:
@@ -256,8 +259,7 @@
             name = line["id"]
             named.add(name)
             self.id_address[name] = line["address"]
-            self.words.setdefault((proxy, name), []).append(
-                Word(reached, line["state"], line["started"] > 0, number))
+            self.words.setdefault((proxy, name), []).append(Word(reached, line["state"], line["started"] > 0, number))
         if state == "full":
             for name in known - named:
                 self.words[proxy, name].append(Word(reached, "gone", False, number))
@@ -318,7 +320,8 @@
         finals = sorted(taken.finals)
         first = finals[0][0] if finals else float("inf")
         if self._killed(taken.proxy, taken.at - SLACK, min(first, by)) or any(
-                since < by and until > taken.at + SLACK and first > since for since, until in self.pauses.get(taken.proxy, ())):
+            since < by and until > taken.at + SLACK and first > since for since, until in self.pauses.get(taken.proxy, ())
+        ):
             verdict.excused += 1
             return
         if any(taken.at <= at <= min(by, first) for at in self.stops.get(taken.asker, ())):
@@ -331,19 +334,25 @@
             return
         at, status, tag, line = finals[0]
         if at > by:
-            verdict.breach(1, dialog, at, f"answered {at - taken.at - taken.limit:.3f} s after the caller's time was "
-                           "up", [taken.line, line])
+            verdict.breach(
+                1, dialog, at, f"answered {at - taken.at - taken.limit:.3f} s after the caller's time was up", [taken.line, line]
+            )
         elif taken.cancelled is not None and at > taken.cancelled[0] + AT_ONCE:
-            verdict.breach(1, dialog, at, f"given up, and answered only {at - taken.cancelled[0]:.3f} s later",
-                           [taken.line, taken.cancelled[1], line])
+            verdict.breach(
+                1,
+                dialog,
+                at,
+                f"given up, and answered only {at - taken.cancelled[0]:.3f} s later",
+                [taken.line, taken.cancelled[1], line],
+            )
         for other in finals[1:]:
             if other[1:3] != (status, tag):
-                verdict.breach(1, dialog, other[0], f"a second final answer ({status}, then {other[1]})",
-                               [taken.line, line, other[3]])
+                verdict.breach(
+                    1, dialog, other[0], f"a second final answer ({status}, then {other[1]})", [taken.line, line, other[3]]
+                )
                 break
 
-    def _judge_legs(self, key: tuple[str, str, str], legs: list[LegSeen], final: float | None,
-                    verdict: Verdict) -> None:
+    def _judge_legs(self, key: tuple[str, str, str], legs: list[LegSeen], final: float | None, verdict: Verdict) -> None:
         """Rule 2 (one leg at a time), rule 5 (the release is awaited), and nothing sent once answered (1)."""
         proxy, call, _ = key
         dialog = f"{call} at {proxy}"
@@ -369,8 +378,13 @@
             if how != "answered":
                 verdict.judged[5] += 1
                 if leg.at < ended + guard - SLACK:
-                    verdict.breach(5, dialog, leg.at, f"sent again {leg.at - ended:.3f} s after a leg that was {how}",
-                                   [before.line, line, leg.line])
+                    verdict.breach(
+                        5,
+                        dialog,
+                        leg.at,
+                        f"sent again {leg.at - ended:.3f} s after a leg that was {how}",
+                        [before.line, line, leg.line],
+                    )
 
     def _end_of(self, leg: LegSeen, by: float) -> tuple[float, str, int]:
         """When a leg that another one followed at `by` was over. What came after that can't have ended it."""
@@ -405,8 +419,13 @@
                 verdict.judged[3] += 1
                 for at, line, call in sent.get((proxy, self.id_address[name]), ()):
                     if since < at < back and self._machine_at(self.id_address[name], at) in (name, ""):
-                        verdict.breach(3, f"{call} at {proxy}", at, f"a leg to {name} {at - word.at:.2f} s after word "
-                                       f"that it is {word.state}", [word.line, line])
+                        verdict.breach(
+                            3,
+                            f"{call} at {proxy}",
+                            at,
+                            f"a leg to {name} {at - word.at:.2f} s after word that it is {word.state}",
+                            [word.line, line],
+                        )
 
     def _machine_at(self, address: str, at: float) -> str:
         lives = self.addresses.get(address, [])
@@ -431,12 +450,18 @@
         for place, (at, _, line, call) in enumerate(arrivals):
             while arrivals[first][0] <= at - span:
                 first += 1
-            within = arrivals[first:place + 1]
+            within = arrivals[first : place + 1]
             age = max(0.0, at - span - start.at)
             can = start.capacity * (start.from_share + (1 - start.from_share) * age / start.warm_after)
             if len(within) > multiple * can * span and 3 * sum(knew for _, knew, _, _ in within) >= 2 * len(within):
-                verdict.breach(4, call, at, f"{len(within)} set-ups in {span:g} s to {start.exchange}, which had "
-                               f"just started and could do {can * span:.1f}", [start.line, within[0][2], line])
+                verdict.breach(
+                    4,
+                    call,
+                    at,
+                    f"{len(within)} set-ups in {span:g} s to {start.exchange}, which had "
+                    f"just started and could do {can * span:.1f}",
+                    [start.line, within[0][2], line],
+                )
                 return
 
 
@@ -456,6 +481,7 @@
         verdict = checker.judge()
     except BadCaptureError as bad:
         raise BadCaptureError(f"{path}: {bad}") from None
-    verdict.over_tandems = sum(1 for taken in checker.taken.values()
-                               if taken.transit and taken.finals and 200 <= min(taken.finals)[1] < 300)
+    verdict.over_tandems = sum(
+        1 for taken in checker.taken.values() if taken.transit and taken.finals and 200 <= min(taken.finals)[1] < 300
+    )
     return verdict
--- a/gingergap/standins/circuits.py
+++ b/gingergap/standins/circuits.py
@@ -25,7 +25,7 @@
         return CELL.size * (source * self.exchanges + target)
 
     def held(self, a: int, b: int) -> int:
-        return (CELL.unpack_from(self.map, self._at(a, b))[0] + CELL.unpack_from(self.map, self._at(b, a))[0])
+        return CELL.unpack_from(self.map, self._at(a, b))[0] + CELL.unpack_from(self.map, self._at(b, a))[0]
 
     def add(self, source: int, target: int, width: int) -> None:
         at = self._at(source, target)
--- a/gingergap/standins/disk.py
+++ b/gingergap/standins/disk.py
@@ -106,7 +106,7 @@
             if fate < 0.4:
                 continue
             if fate < 0.6 and op.what == "write" and len(op.data) > SECTOR:
-                op = op._replace(data=op.data[:SECTOR * draw.randrange(1, -(-len(op.data) // SECTOR))])
+                op = op._replace(data=op.data[: SECTOR * draw.randrange(1, -(-len(op.data) // SECTOR))])
             _apply(sure[name], op)
     for name, data in sure.items():
         (folder / name).write_bytes(data)
@@ -114,8 +114,8 @@
 
 def _apply(data: bytearray, op: Op) -> None:
     if op.what == "truncate":
-        del data[op.at:]
+        del data[op.at :]
         return
     if len(data) < op.at:
         data.extend(bytes(op.at - len(data)))
-    data[op.at:op.at + len(op.data)] = op.data
+    data[op.at : op.at + len(op.data)] = op.data
--- a/gingergap/standins/exchange.py
+++ b/gingergap/standins/exchange.py
@@ -48,15 +48,33 @@
 class Machine(Element):
     """One machine from its start to its stop."""
 
-    def __init__(self, plan: Plan, life: Life, address: tuple[str, int], proxy: tuple[str, int],
-                 proxies: frozenset[tuple[str, int]], homes: dict[tuple[str, int], int], shared: SharedCircuits,
-                 capture: Capture, epoch: float, proxy_tcp: bool) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        life: Life,
+        address: tuple[str, int],
+        proxy: tuple[str, int],
+        proxies: frozenset[tuple[str, int]],
+        homes: dict[tuple[str, int], int],
+        shared: SharedCircuits,
+        capture: Capture,
+        epoch: float,
+        proxy_tcp: bool,
+    ) -> None:
         self.plan, self.life, self.proxy = plan, life, proxy
         self.homes, self.shared, self.capture, self.epoch = homes, shared, capture, epoch
         self.proxy_hop = Hop("TCP" if proxy_tcp else "UDP", *proxy)
         self.draw = random.Random(f"{plan.seed} {life.id} {life.born}")
-        gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}",
-                           f"{plan.seed} {life.id} {life.born} gate", proxies, self._lost_in, self._lost_out)
+        gate = HarmfulGate(
+            capture,
+            plan,
+            self.now,
+            f"{address[0]}:{address[1]}",
+            f"{plan.seed} {life.id} {life.born} gate",
+            proxies,
+            self._lost_in,
+            self._lost_out,
+        )
         super().__init__(address, epoch, gate)
         self.uri = f"sip:{address[0]}:{address[1]}"
         self.notifier = Notifier(self.transactions, "trunk-groups", "groups", self.uri)
@@ -85,10 +103,17 @@
         cold = self.life.born > LONG_AGO
         now = self.epoch + self.now()
         warm = self.plan.day.cold.warm_after_ms / 1000
-        self.capture.note("exchange", now, exchange=self.life.id, number=self.life.number,
-                          address=f"{self.address[0]}:{self.address[1]}", cold=cold,
-                          capacity=self.plan.capacity(), from_share=self.plan.day.cold.from_share,
-                          warm_after=warm)
+        self.capture.note(
+            "exchange",
+            now,
+            exchange=self.life.id,
+            number=self.life.number,
+            address=f"{self.address[0]}:{self.address[1]}",
+            cold=cold,
+            capacity=self.plan.capacity(),
+            from_share=self.plan.day.cold.from_share,
+            warm_after=warm,
+        )
         self.notifier.lines = self._groups()
         self.greenlets = [gevent.spawn(self._line), gevent.spawn(self._tick)]
 
@@ -101,8 +126,7 @@
                 self._cut(key)
             gevent.sleep(0.1)
         self.running = False
-        self.capture.note("stopped", exchange=self.life.id, number=self.life.number,
-                          address=f"{self.address[0]}:{self.address[1]}")
+        self.capture.note("stopped", exchange=self.life.id, number=self.life.number, address=f"{self.address[0]}:{self.address[1]}")
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
         self.sockets.close()
@@ -236,8 +260,7 @@
             if self.plan.cut_off(other, self.life.number, now):
                 return True
             if data.startswith(b"SIP/2.0") and b" INVITE\r\n" in data:
-                return any(self.draw.random() < fault.factor
-                           for fault in self.plan.struck("answers-lost", self.life.number, now))
+                return any(self.draw.random() < fault.factor for fault in self.plan.struck("answers-lost", self.life.number, now))
         return False
 
     def take(self, message: Message, hop: Hop) -> None:
@@ -332,8 +355,9 @@
                 self._forward(message, hop, self.proxy_hop, True)
             return
         self._arrived()
-        if not self._seize(message, True, lambda status, tag, fields: self.transactions.stateless(
-                message, status, tag, hop, fields)):
+        if not self._seize(
+            message, True, lambda status, tag, fields: self.transactions.stateless(message, status, tag, hop, fields)
+        ):
             return
         self.forwarded[branch] = False
         if len(self.forwarded) > 5_000:
@@ -342,6 +366,7 @@
         def go_on() -> None:
             self.forwarded[branch] = True
             self._forward(message, hop, self.proxy_hop, True)
+
         self._put(self.plan.day.processor.transit_ms, go_on)
 
     def _pass_within(self, message: Message, hop: Hop) -> None:
@@ -359,8 +384,7 @@
 
     # --- circuits ---
 
-    def _seize(self, message: Message, transit: bool,
-               refuse: Callable[[int, str, list[tuple[str, str]]], None]) -> bool:
+    def _seize(self, message: Message, transit: bool, refuse: Callable[[int, str, list[tuple[str, str]]], None]) -> bool:
         """Take the circuits of the group that the set-up came on, or turn it back."""
         source = self._source_of(message.uri)
         width = 1
@@ -410,12 +434,14 @@
         elif message.method == "CANCEL":
             self._cancelled(now, server, message)
         elif message.method == "BYE":
+
             def release() -> None:
                 tags = tag_of(message.get("From")), tag_of(message.get("To"))
                 known = any((message.call_id, tag) in self.held for tag in tags)
                 for tag in tags:
                     self._free((message.call_id, tag))
                 self.transactions.respond(units(), server, response(message, 200 if known else 481, "bye"))
+
             self._put(self.plan.day.processor.release_ms, release)
         elif message.method == "OPTIONS":
             self._put(self.plan.day.processor.message_ms, lambda: self._probed(server, message))
@@ -432,16 +458,24 @@
             self.capture.note("probed", exchange=self.life.id, counter=token.counter, holder=token.holder, admitted=admitted)
             if not admitted:
                 newest = self.fence.newest[duty][0]
-                self.transactions.respond(units(), server, response(message, 412, "probe", [
-                    ("Gingergap-Duty", f"{duty};counter={newest.counter};holder={newest.holder}")]))
+                self.transactions.respond(
+                    units(),
+                    server,
+                    response(
+                        message, 412, "probe", [("Gingergap-Duty", f"{duty};counter={newest.counter};holder={newest.holder}")]
+                    ),
+                )
                 return
         self.transactions.respond(units(), server, response(message, 200, "probe"))
 
     def _invited(self, now: int, server: Server, message: Message) -> None:
         self._arrived()
         key = message.call_id, tag_of(message.get("From"))
-        if not self._seize(message, False, lambda status, tag, fields: self.transactions.respond(
-                units(), server, response(message, status, tag, fields))):
+        if not self._seize(
+            message,
+            False,
+            lambda status, tag, fields: self.transactions.respond(units(), server, response(message, status, tag, fields)),
+        ):
             return
         held = self.held[key]
         held.server = server
@@ -456,16 +490,25 @@
                 return
             tag = self._tag(key)
             held.dialog = SipDialog.of_uas(message, tag)
-            held.answer = response(message, 200, tag, [
-                ("Contact", f"<{self.uri}{';transport=tcp' if server.hop.transport == 'TCP' else ''}>"),
-                ("Content-Type", "application/sdp")], BODY)
+            held.answer = response(
+                message,
+                200,
+                tag,
+                [
+                    ("Contact", f"<{self.uri}{';transport=tcp' if server.hop.transport == 'TCP' else ''}>"),
+                    ("Content-Type", "application/sdp"),
+                ],
+                BODY,
+            )
             held.stands = True
             self.transactions.respond(units(), server, held.answer)
             self._answer_again(key, held, 0.5)
+
         self._put(self.plan.day.processor.setup_ms, answer)
 
     def _answer_again(self, key: tuple[str, str], held: Held, gap: float) -> None:
         """A 2xx is sent again until its ACK comes; without one the dialog is ended (section 13.3.1.4)."""
+
         def again() -> None:
             if not self.running or held.acked or held.released:
                 return
@@ -474,6 +517,7 @@
                 return
             self.transactions.respond(units(), held.server, held.answer)
             self._answer_again(key, held, 2 * gap)
+
         gevent.spawn_later(gap, again)
 
     def _tag(self, key: tuple[str, str]) -> str:
@@ -501,17 +545,24 @@
         self.notifier.lost(client)
 
 
-def play(plan: Plan, number: int, epoch: float, addresses: list[tuple[str, int]], proxy: tuple[str, int],
-         proxies: dict[tuple[str, int], int], homes: dict[tuple[str, int], int], report: Path,
-         proxy_tcp: bool) -> None:
+def play(
+    plan: Plan,
+    number: int,
+    epoch: float,
+    addresses: list[tuple[str, int]],
+    proxy: tuple[str, int],
+    proxies: dict[tuple[str, int], int],
+    homes: dict[tuple[str, int], int],
+    report: Path,
+    proxy_tcp: bool,
+) -> None:
     """Run an exchange's machines until the process is ended. `homes` tells which exchange an address belongs to."""
     capture = Capture(report / f"part-exchange-{number}.jsonl", plan.day.capture)
     shared = SharedCircuits(report / "circuits", plan.day.exchanges)
     running: dict[Life, Machine] = {}
 
     def live(life: Life) -> None:
-        machine = Machine(plan, life, addresses[life.slot], proxy, frozenset(proxies), homes, shared, capture,
-                          epoch, proxy_tcp)
+        machine = Machine(plan, life, addresses[life.slot], proxy, frozenset(proxies), homes, shared, capture, epoch, proxy_tcp)
         running[life] = machine
         machine.start()
         if life.dies < NEVER:
@@ -527,7 +578,8 @@
         if strike.fault.kind == "cut":
             wait = epoch + strike.fault.at - time.monotonic()
             if wait > 0:
-                gevent.spawn_later(wait, lambda share: [machine.cut_share(share) for machine in running.values()],
-                                   strike.fault.share)
+                gevent.spawn_later(
+                    wait, lambda share: [machine.cut_share(share) for machine in running.values()], strike.fault.share
+                )
     while True:
         gevent.sleep(60)
--- a/gingergap/standins/exchange_list.py
+++ b/gingergap/standins/exchange_list.py
@@ -18,14 +18,21 @@
 class ExchangeList(Element):
     """`addresses` gives each exchange number its two `host:port` texts."""
 
-    def __init__(self, plan: Plan, address: tuple[str, int], addresses: dict[int, list[str]], epoch: float,
-                 proxies: frozenset[tuple[str, int]], capture: Capture) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        address: tuple[str, int],
+        addresses: dict[int, list[str]],
+        epoch: float,
+        proxies: frozenset[tuple[str, int]],
+        capture: Capture,
+    ) -> None:
         self.plan, self.addresses, self.epoch, self.capture = plan, addresses, epoch, capture
-        gate = HarmfulGate(capture, plan, self.now, f"{address[0]}:{address[1]}", f"{plan.seed} list", proxies,
-                           self._lost, self._lost)
+        gate = HarmfulGate(
+            capture, plan, self.now, f"{address[0]}:{address[1]}", f"{plan.seed} list", proxies, self._lost, self._lost
+        )
         super().__init__(address, epoch, gate)
-        self.notifier = Notifier(self.transactions, "exchange-list", "exchanges",
-                                 f"sip:{address[0]}:{address[1]}")
+        self.notifier = Notifier(self.transactions, "exchange-list", "exchanges", f"sip:{address[0]}:{address[1]}")
         self.draw = random.Random(f"{plan.seed} list words")
         self.slots = {life.id: life.slot for life in plan.lives}
 
@@ -34,14 +41,20 @@
 
     def _line(self, name: str, number: int, state: str, started: float) -> dict[str, object]:
         wall = 0.0 if started <= 0 else self.epoch + started - time.monotonic() + time.time()
-        return {"id": name, "number": number, "state": state, "started": round(wall, 3),
-                "address": self.addresses[number][self.slots[name]],
-                "transport": "TCP" if number in self.plan.tcp else "UDP"}
+        return {
+            "id": name,
+            "number": number,
+            "state": state,
+            "started": round(wall, 3),
+            "address": self.addresses[number][self.slots[name]],
+            "transport": "TCP" if number in self.plan.tcp else "UDP",
+        }
 
     def run(self) -> None:
         self.sockets.open()
-        self.notifier.lines = {life.id: self._line(life.id, life.number, "ready", 0.0)
-                               for life in self.plan.lives if life.born == LONG_AGO}
+        self.notifier.lines = {
+            life.id: self._line(life.id, life.number, "ready", 0.0) for life in self.plan.lives if life.born == LONG_AGO
+        }
         gevent.spawn(self.tick)
         for when, name, number, state, started in self.plan.list_news():
             gevent.sleep(max(0.0, self.epoch + when - time.monotonic()))
@@ -60,8 +73,14 @@
         self.notifier.lost(client)
 
 
-def play(plan: Plan, address: tuple[str, int], addresses: dict[int, list[str]], epoch: float,
-         proxies: frozenset[tuple[str, int]], report: Path) -> None:
+def play(
+    plan: Plan,
+    address: tuple[str, int],
+    addresses: dict[int, list[str]],
+    epoch: float,
+    proxies: frozenset[tuple[str, int]],
+    report: Path,
+) -> None:
     ExchangeList(plan, address, addresses, epoch, proxies, Capture(report / "part-list.jsonl", plan.day.capture)).run()
     while True:
         gevent.sleep(60)
--- a/gingergap/standins/from_bench.py
+++ b/gingergap/standins/from_bench.py
@@ -51,14 +51,22 @@
     mean_hold = sum(share * hold for share, hold in zip(shares, holds, strict=True)) / sum(shares)
     bend = min(max(mean_hold * scale, SHORTEST_HOLD), LONGEST_HOLD) / mean_hold
     tries = float(_get(clients, "try_share"))
-    types = [{
-        "name": str(_get(entry, "name")), "share": round(share / sum(shares), 6), "circuits": int(width),
-        "importance": float(_get(entry, "worth")), "hold_s": round(hold * bend, 2),
-        "resource_priority": [f"q735.{min(place, 4)}"] if place else [],
-        "setup_objective_ms": _get(entry, "aim") / 1000, "no_answer_time_ms": _get(entry, "deadline") / 1000,
-        "late_share": float(_get(entry, "late_worth")), "repeatable": _get(entry, "effect") == "safe",
-        "patience_s": max(1, round(_get(entry, "deadline") / 1e6 * tries)),
-    } for place, (entry, share, width, hold) in enumerate(zip(classes, shares, _get(fam, "width"), holds, strict=True))]
+    types = [
+        {
+            "name": str(_get(entry, "name")),
+            "share": round(share / sum(shares), 6),
+            "circuits": int(width),
+            "importance": float(_get(entry, "worth")),
+            "hold_s": round(hold * bend, 2),
+            "resource_priority": [f"q735.{min(place, 4)}"] if place else [],
+            "setup_objective_ms": _get(entry, "aim") / 1000,
+            "no_answer_time_ms": _get(entry, "deadline") / 1000,
+            "late_share": float(_get(entry, "late_worth")),
+            "repeatable": _get(entry, "effect") == "safe",
+            "patience_s": max(1, round(_get(entry, "deadline") / 1e6 * tries)),
+        }
+        for place, (entry, share, width, hold) in enumerate(zip(classes, shares, _get(fam, "width"), holds, strict=True))
+    ]
     types[0]["share"] = round(1 - sum(entry["share"] for entry in types[1:]), 6)
     if len(types) > 5:
         raise BadDayFileError("more traffic types than Resource-Priority values of one namespace")
@@ -77,23 +85,41 @@
     use = float(_get(bench, "traffic", "load"))
     per_dialog = 1000 * min(0.9, 0.6 * use) / (RATE * 1.25)
     day = {
-        "name": f"bench-{_get(bench, 'kind')}".replace("/", "-"), "seconds": seconds, "seed": 1, "exchanges": here,
-        "rate": RATE, "traffic_type": types,
-        "groups": {"mean": max(2, round(ratio * erlangs)), "spread": round(spread, 2),
-                   "without": round(1 - held / len(sizes), 2)},
-        "processor": {"setup_ms": round(per_dialog * 0.7, 1), "transit_ms": round(per_dialog * 0.4, 1),
-                      "release_ms": round(per_dialog * 0.1, 1),
-                      "turn_away_after_ms": round(_get(fam, "queue") / 1000)},
-        "callers": {"redials": int(_get(clients, "retries")), "backoff_ms": max(1, round(_get(clients, "backoff_us") / 1000)),
-                    "honour": round(float(_get(clients, "honour")), 3), "impatient": round(float(_get(clients, "impatient")), 4),
-                    "marks_redial": bool(_get(clients, "marks_retry"))},
-        "list_": {"notice_ms": max(1, round(_get(discovery, "notice") / 1000 * scale)),
-                  "silent_notice_ms": max(1, round(_get(discovery, "silent_notice") / 1000 * scale)),
-                  "add_ms": max(1, round(_get(discovery, "add") / 1000 * scale))},
-        "cold": {"from_share": round(float(_get(kind, "cold_from")), 3), "warm_after_ms": round(_get(kind, "cold") / 1000 * scale),
-                 "multiple": float(_get(bench, "fall_multiple")), "span_ms": _get(bench, "fall_for") / 1000},
-        "release_guard_ms": _get(fam, "release") / 1000, "drain_grace_ms": _get(bench, "drain_grace") / 1000,
-        "most_legs": int(_get(bench, "allow", "max_attempts")), "tell_peers": bool(_get(bench, "allow", "peers")),
+        "name": f"bench-{_get(bench, 'kind')}".replace("/", "-"),
+        "seconds": seconds,
+        "seed": 1,
+        "exchanges": here,
+        "rate": RATE,
+        "traffic_type": types,
+        "groups": {"mean": max(2, round(ratio * erlangs)), "spread": round(spread, 2), "without": round(1 - held / len(sizes), 2)},
+        "processor": {
+            "setup_ms": round(per_dialog * 0.7, 1),
+            "transit_ms": round(per_dialog * 0.4, 1),
+            "release_ms": round(per_dialog * 0.1, 1),
+            "turn_away_after_ms": round(_get(fam, "queue") / 1000),
+        },
+        "callers": {
+            "redials": int(_get(clients, "retries")),
+            "backoff_ms": max(1, round(_get(clients, "backoff_us") / 1000)),
+            "honour": round(float(_get(clients, "honour")), 3),
+            "impatient": round(float(_get(clients, "impatient")), 4),
+            "marks_redial": bool(_get(clients, "marks_retry")),
+        },
+        "list_": {
+            "notice_ms": max(1, round(_get(discovery, "notice") / 1000 * scale)),
+            "silent_notice_ms": max(1, round(_get(discovery, "silent_notice") / 1000 * scale)),
+            "add_ms": max(1, round(_get(discovery, "add") / 1000 * scale)),
+        },
+        "cold": {
+            "from_share": round(float(_get(kind, "cold_from")), 3),
+            "warm_after_ms": round(_get(kind, "cold") / 1000 * scale),
+            "multiple": float(_get(bench, "fall_multiple")),
+            "span_ms": _get(bench, "fall_for") / 1000,
+        },
+        "release_guard_ms": _get(fam, "release") / 1000,
+        "drain_grace_ms": _get(bench, "drain_grace") / 1000,
+        "most_legs": int(_get(bench, "allow", "max_attempts")),
+        "tell_peers": bool(_get(bench, "allow", "peers")),
         "longest_hold_off_ms": max(1, _get(clients, "max_retry_after") / 1000),
     }
     if _get(fam, "advice"):
@@ -123,21 +149,27 @@
         case "shared_slow":
             return {"kind": "all-slow", **fault, "factor": round(size, 2)}
         case "ageing":
-            return {"kind": "ageing", **fault, "lasts": round(max(0.3, lasts - 2.5), 2), "share": share,
-                    "factor": round(size, 2)}
+            return {"kind": "ageing", **fault, "lasts": round(max(0.3, lasts - 2.5), 2), "share": share, "factor": round(size, 2)}
         case "pauses":
-            return {"kind": "pauses", **fault, "share": share, "ms": round(size),
-                    "every_ms": round(max(extra * 1000, size + 1))}
+            return {"kind": "pauses", **fault, "share": share, "ms": round(size), "every_ms": round(max(extra * 1000, size + 1))}
         case "vanish":
             return {"kind": "vanish", **fault, "share": share}
         case "mass_restart":
             return {"kind": "mass-restart", **fault, "share": max(share, round(size, 3))}
         case "deploy":
-            return {"kind": "rolling", **fault, "share": round(min(1.0, size * max(1, len(trouble["steps"]))), 3),
-                    "batch": max(1, round(size * there))}
+            return {
+                "kind": "rolling",
+                **fault,
+                "share": round(min(1.0, size * max(1, len(trouble["steps"]))), 3),
+                "batch": max(1, round(size * there)),
+            }
         case "answer_lost":
-            return {"kind": "resets" if trouble.get("how") == "reset" else "answers-lost", **fault, "share": share,
-                    "factor": round(min(1.0, size), 3)}
+            return {
+                "kind": "resets" if trouble.get("how") == "reset" else "answers-lost",
+                **fault,
+                "share": share,
+                "factor": round(min(1.0, size), 3),
+            }
         case "zone_cut":
             return {"kind": "district-cut", **fault, "share": 0.4}
         case "origin_slow":
--- a/gingergap/standins/links.py
+++ b/gingergap/standins/links.py
@@ -14,8 +14,14 @@
 class Links:
     """`real` and `known` addresses by member number; `cut(source, target)` says whether nothing passes now."""
 
-    def __init__(self, real: list[tuple[str, int]], known: list[tuple[str, int]], cut: Callable[[int, int], bool],
-                 loss: float = 0.0, seed: int = 1) -> None:
+    def __init__(
+        self,
+        real: list[tuple[str, int]],
+        known: list[tuple[str, int]],
+        cut: Callable[[int, int], bool],
+        loss: float = 0.0,
+        seed: int = 1,
+    ) -> None:
         self.real, self.cut, self.loss, self.draw = real, cut, loss, Random(seed)
         self.numbers = {address: number for number, address in enumerate(real)}
         self.passed = self.lost = self.passed_bytes = 0
--- a/gingergap/standins/notifier.py
+++ b/gingergap/standins/notifier.py
@@ -22,8 +22,7 @@
 class Notifier:
     """One event package. `field` names the list in the body; lines are kept by key."""
 
-    def __init__(self, transactions: Transactions, event: str, field: str, contact: str,
-                 longest: int = 3600) -> None:
+    def __init__(self, transactions: Transactions, event: str, field: str, contact: str, longest: int = 3600) -> None:
         self.transactions, self.event, self.field, self.contact = transactions, event, field, contact
         self.longest = longest
         self.epoch = secrets.token_hex(4)
@@ -47,8 +46,9 @@
         except BadMessageError as bad:
             self.transactions.respond(now, server, response(message, bad.status or 400))
             return
-        self.transactions.respond(now, server, response(message, 200, tag, [
-            ("Expires", str(lasts)), ("Contact", f"<{self.contact}>")]))
+        self.transactions.respond(
+            now, server, response(message, 200, tag, [("Expires", str(lasts)), ("Contact", f"<{self.contact}>")])
+        )
         self.subscriptions[message.call_id] = subscription
         self._notify(now, subscription, "full", list(self.lines.values()))
         if lasts == 0:
@@ -76,9 +76,11 @@
     def _notify(self, now: int, subscription: Subscription, state: str, lines: list[dict[str, object]]) -> None:
         message = subscription.dialog.request("NOTIFY")
         left = max(0, subscription.ends - now) // SECOND
-        message.fields += [("Event", self.event), ("Contact", f"<{self.contact}>"),
-                           ("Subscription-State", f"active;expires={left}" if left else "terminated"),
-                           ("Content-Type", "application/json")]
-        message.body = msgspec.json.encode({"version": self.version, "state": state, "epoch": self.epoch,
-                                            self.field: lines})
+        message.fields += [
+            ("Event", self.event),
+            ("Contact", f"<{self.contact}>"),
+            ("Subscription-State", f"active;expires={left}" if left else "terminated"),
+            ("Content-Type", "application/json"),
+        ]
+        message.body = msgspec.json.encode({"version": self.version, "state": state, "epoch": self.epoch, self.field: lines})
         self.transactions.request(now, message, next_hop(message), MAGIC + secrets.token_hex(8), subscription)
--- a/gingergap/standins/player.py
+++ b/gingergap/standins/player.py
@@ -86,10 +86,10 @@
         count = day.exchanges
         ports = free_ports(6 * count + 1)
         at = [f"{HOST}:{port}" for port in ports]
-        self.proxies, self.callers = at[:count], at[count:2 * count]
-        self.exchanges = at[2 * count:4 * count]
+        self.proxies, self.callers = at[:count], at[count : 2 * count]
+        self.exchanges = at[2 * count : 4 * count]
         self.list_at = at[4 * count]
-        self.members, self.members_at = at[4 * count + 1:5 * count + 1], at[5 * count + 1:]
+        self.members, self.members_at = at[4 * count + 1 : 5 * count + 1], at[5 * count + 1 :]
 
     def play(self) -> None:
         """Run the day through; leaves `capture.jsonl` and the callers' files in the folder."""
@@ -100,8 +100,11 @@
         SharedCircuits(self.folder / "circuits", self.day.exchanges, create=True).close()
         self.epoch = time.monotonic() + LEAD + 0.12 * (3 * self.day.exchanges + 1)
         capture = Capture(self.folder / "part-player.jsonl")
-        links = Links([_pair(text) for text in self.members_at], [_pair(text) for text in self.members], self._split,
-                      seed=self.seed) if self.day.coordination else None
+        links = (
+            Links([_pair(text) for text in self.members_at], [_pair(text) for text in self.members], self._split, seed=self.seed)
+            if self.day.coordination
+            else None
+        )
         try:
             self._notes(capture)
             self._write_settings()
@@ -129,19 +132,25 @@
     def _split(self, source: int, target: int) -> bool:
         """Whether a fault parts two proxies now; calls between their exchanges are not touched."""
         now = time.monotonic() - self.epoch
-        return any(strike.fault.kind == "split-proxies" and strike.on(now) and (source in strike.members)
-                   != (target in strike.members) for strike in self.plan.strikes)
+        return any(
+            strike.fault.kind == "split-proxies" and strike.on(now) and (source in strike.members) != (target in strike.members)
+            for strike in self.plan.strikes
+        )
 
     def _notes(self, capture: Capture) -> None:
-        capture.note("rules", guard=self.day.release_guard_ms / 1000, grace=self.day.drain_grace_ms / 1000,
-                     multiple=self.day.cold.multiple, span=self.day.cold.span_ms / 1000)
+        capture.note(
+            "rules",
+            guard=self.day.release_guard_ms / 1000,
+            grace=self.day.drain_grace_ms / 1000,
+            multiple=self.day.cold.multiple,
+            span=self.day.cold.span_ms / 1000,
+        )
         capture.note("list", address=self.list_at)
         for number, address in enumerate(self.proxies):
             capture.note("proxy", number=number, address=address)
 
     def _write_settings(self) -> None:
-        places = {"proxy": self.proxies, "exchange": self.exchanges, "callers": self.callers,
-                  "exchange_list": self.list_at}
+        places = {"proxy": self.proxies, "exchange": self.exchanges, "callers": self.callers, "exchange_list": self.list_at}
         for number in range(self.day.exchanges):
             for part in ("exchange", "callers"):
                 self._standin(f"{part}-{number}.sexp", number, places)
@@ -149,8 +158,17 @@
         self._standin("list.sexp", 0, places)
 
     def _standin(self, name: str, number: int, places: dict[str, Any]) -> None:
-        (self.folder / name).write_text(form("standin", day=str(self.path), number=number, seed=self.seed,
-                                             epoch=self.epoch, report=str(self.folder), places=places))
+        (self.folder / name).write_text(
+            form(
+                "standin",
+                day=str(self.path),
+                number=number,
+                seed=self.seed,
+                epoch=self.epoch,
+                report=str(self.folder),
+                places=places,
+            )
+        )
 
     def _edge(self, number: int) -> None:
         day, cold = self.day, self.day.cold
@@ -163,26 +181,55 @@
             more["store"] = {"folder": f"store-{number}", "learn_every_ms": 1_000}
         if day.coordination:
             more["coordination"] = {
-                "key": f"the key of a day with seed {self.seed}", "period_ms": 300, "lease_ms": 1_500, "probe_every_ms": 1_000,
-                "probe_limit_ms": 6_000, "member": [{"name": f"p{other}", "address": address, "listen": self.members_at[other]}
-                                                    for other, address in enumerate(self.members)]}
-        (self.folder / f"edge-{number}.sexp").write_text(form(
-            "edge", name=f"p{number}", listen=self.proxies[number], domain="day.invalid", here=number,
-            seed=self.seed * 1000 + number, exchange_list=self.list_at,
-            exchange=[{"number": other, "id": f"x{other}", "address": self.exchanges[2 * other],
-                       "prefix": [f"0{other:02d}"]} for other in range(day.exchanges)],
-            traffic_type=[entry.model_dump(exclude={"share", "hold_s", "patience_s"}) for entry in day.traffic_type],
-            release_guard_ms=day.release_guard_ms, most_legs=day.most_legs,
-            longest_hold_off_ms=day.longest_hold_off_ms, tell_peers=day.tell_peers,
-            cold=cold.model_dump(), bounds=day.bounds.model_dump(), drain_limit_s=5, log_level="info",
-            control=f"edge-{number}.sock", trace={"folder": "traces"}, **more))
+                "key": f"the key of a day with seed {self.seed}",
+                "period_ms": 300,
+                "lease_ms": 1_500,
+                "probe_every_ms": 1_000,
+                "probe_limit_ms": 6_000,
+                "member": [
+                    {"name": f"p{other}", "address": address, "listen": self.members_at[other]}
+                    for other, address in enumerate(self.members)
+                ],
+            }
+        (self.folder / f"edge-{number}.sexp").write_text(
+            form(
+                "edge",
+                name=f"p{number}",
+                listen=self.proxies[number],
+                domain="day.invalid",
+                here=number,
+                seed=self.seed * 1000 + number,
+                exchange_list=self.list_at,
+                exchange=[
+                    {"number": other, "id": f"x{other}", "address": self.exchanges[2 * other], "prefix": [f"0{other:02d}"]}
+                    for other in range(day.exchanges)
+                ],
+                traffic_type=[entry.model_dump(exclude={"share", "hold_s", "patience_s"}) for entry in day.traffic_type],
+                release_guard_ms=day.release_guard_ms,
+                most_legs=day.most_legs,
+                longest_hold_off_ms=day.longest_hold_off_ms,
+                tell_peers=day.tell_peers,
+                cold=cold.model_dump(),
+                bounds=day.bounds.model_dump(),
+                drain_limit_s=5,
+                log_level="info",
+                control=f"edge-{number}.sock",
+                trace={"folder": "traces"},
+                **more,
+            )
+        )
 
     def _start(self, name: str, *words: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
         self.logs.append(log)
-        self.processes[name] = subprocess.Popen([sys.executable, "-m", "gingergap", *words], cwd=self.folder,
-                                                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)})
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "gingergap", *words],
+            cwd=self.folder,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        )
 
     def _await_edges(self) -> None:
         """Every proxy answers OPTIONS before the day begins."""
@@ -194,9 +241,11 @@
             for number, address in enumerate(self.proxies):
                 host, _, port = address.partition(":")
                 while True:
-                    text = (f"OPTIONS sip:{address} SIP/2.0\r\nVia: SIP/2.0/UDP {own};branch=z9hG4bK"
-                            f"{secrets.token_hex(8)}\r\nFrom: <sip:{own}>;tag=p\r\nTo: <sip:{address}>\r\n"
-                            f"Call-ID: {secrets.token_hex(8)}\r\nCSeq: 1 OPTIONS\r\nMax-Forwards: 1\r\n\r\n")
+                    text = (
+                        f"OPTIONS sip:{address} SIP/2.0\r\nVia: SIP/2.0/UDP {own};branch=z9hG4bK"
+                        f"{secrets.token_hex(8)}\r\nFrom: <sip:{own}>;tag=p\r\nTo: <sip:{address}>\r\n"
+                        f"Call-ID: {secrets.token_hex(8)}\r\nCSeq: 1 OPTIONS\r\nMax-Forwards: 1\r\n\r\n"
+                    )
                     probe.sendto(text.encode(), (host, int(port)))
                     try:
                         probe.recvfrom(65_536)
@@ -230,7 +279,7 @@
                 if kind == "edge":
                     capture.note("killed", address=self.proxies[int(number)])
                 else:
-                    for address in self.exchanges[2 * int(number):2 * int(number) + 2]:
+                    for address in self.exchanges[2 * int(number) : 2 * int(number) + 2]:
                         capture.note("stopped", number=int(number), address=address)
             elif act == "pause" and process.poll() is None:
                 process.send_signal(signal.SIGSTOP)
@@ -269,7 +318,7 @@
         for path in sorted(self.folder.glob("part-*.jsonl")):
             for text in path.read_text(encoding="utf-8").splitlines():
                 if text.startswith('{"at":') and text.endswith("}"):
-                    at = text[6:text.index(",")]
+                    at = text[6 : text.index(",")]
                     lines.append((float(at), len(lines), text))
         lines.sort()
         with (self.folder / "capture.jsonl").open("w", encoding="utf-8") as file:
--- a/gingergap/standins/report.py
+++ b/gingergap/standins/report.py
@@ -20,16 +20,16 @@
     histogram = HdrHistogram(1, 60_000_000, 3)
     for value in values:
         histogram.record_value(max(1, int(value * 1e6)))
-    return {f"p{share:g}": round(histogram.get_value_at_percentile(share) / 1000, 2) for share in PERCENTILES} \
-        if values else {}
+    return {f"p{share:g}": round(histogram.get_value_at_percentile(share) / 1000, 2) for share in PERCENTILES} if values else {}
 
 
 def service(offers: list[Offer]) -> dict[str, Any]:
     """Importance that stood in time and was not cut, over importance offered; the same by traffic type."""
     by_type: dict[str, dict[str, Any]] = {}
     for offer in offers:
-        row = by_type.setdefault(offer.type, {"offered": 0, "stood": 0, "stood_in_time": 0, "cut": 0, "tries": 0,
-                                              "worth": 0.0, "earned": 0.0})
+        row = by_type.setdefault(
+            offer.type, {"offered": 0, "stood": 0, "stood_in_time": 0, "cut": 0, "tries": 0, "worth": 0.0, "earned": 0.0}
+        )
         row["offered"] += 1
         row["tries"] += offer.tries
         row["stood"] += offer.stood >= 0
@@ -42,8 +42,12 @@
     earned = sum(row["earned"] for row in by_type.values())
     for row in by_type.values():
         row["service"] = round(row["earned"] / row["worth"], 4)
-    return {"offered": len(offers), "stood_in_time": sum(row["stood_in_time"] for row in by_type.values()),
-            "service": round(earned / worth, 4) if worth else 0.0, "by_type": by_type}
+    return {
+        "offered": len(offers),
+        "stood_in_time": sum(row["stood_in_time"] for row in by_type.values()),
+        "service": round(earned / worth, 4) if worth else 0.0,
+        "by_type": by_type,
+    }
 
 
 def from_capture(path: Path) -> dict[str, Any]:
@@ -82,8 +86,11 @@
                 if key not in counted:
                     counted.add(key)
                     finals[str(message.status)] = finals.get(str(message.status), 0) + 1
-    return {"messages": messages, "added_delay_ms": percentiles([gap for gap in added if gap < 60]),
-            "final_answers": dict(sorted(finals.items()))}
+    return {
+        "messages": messages,
+        "added_delay_ms": percentiles([gap for gap in added if gap < 60]),
+        "final_answers": dict(sorted(finals.items())),
+    }
 
 
 def duties(path: Path) -> dict[str, Any]:
@@ -98,8 +105,7 @@
             line = json.loads(text)
             if line.get("note") != "probed":
                 continue
-            row = rows.setdefault(line["exchange"], {"admitted": 0, "refused": 0, "longest_gap_s": 0.0, "went_back": 0,
-                                                     "by": {}})
+            row = rows.setdefault(line["exchange"], {"admitted": 0, "refused": 0, "longest_gap_s": 0.0, "went_back": 0, "by": {}})
             if not line["admitted"]:
                 row["refused"] += 1
                 continue
@@ -116,17 +122,23 @@
 
 
 def rules(verdict: Verdict) -> dict[str, Any]:
-    return {"rules": {str(rule): {"judged": verdict.judged[rule], "broken": verdict.broken[rule]}
-                      for rule in verdict.judged},
-            "excused_by_kills": verdict.excused, "stood_over_tandems": verdict.over_tandems,
-            "breaches": [breach._asdict() for breach in verdict.breaches]}
+    return {
+        "rules": {str(rule): {"judged": verdict.judged[rule], "broken": verdict.broken[rule]} for rule in verdict.judged},
+        "excused_by_kills": verdict.excused,
+        "stood_over_tandems": verdict.over_tandems,
+        "breaches": [breach._asdict() for breach in verdict.breaches],
+    }
 
 
 def whole(folder: Path, verdict: Verdict, offers: list[Offer]) -> dict[str, Any]:
     """The report of a day, as `report.json` has it."""
-    return {**rules(verdict), **service(offers),
-            "setup_ms": percentiles([offer.took for offer in offers if offer.stood >= 0]),
-            **from_capture(folder / "capture.jsonl"), "duties": duties(folder / "capture.jsonl")}
+    return {
+        **rules(verdict),
+        **service(offers),
+        "setup_ms": percentiles([offer.took for offer in offers if offer.stood >= 0]),
+        **from_capture(folder / "capture.jsonl"),
+        "duties": duties(folder / "capture.jsonl"),
+    }
 
 
 def offers_in(folder: Path) -> list[Offer]:
--- a/gingergap/standins/script.py
+++ b/gingergap/standins/script.py
@@ -50,8 +50,7 @@
             many = max(1, round(fault.share * count))
             self.strikes.append(Strike(fault, frozenset(draw.sample(range(count), min(many, count)))))
         self.sizes = self._sizes(draw)
-        self.weights = [[0.0 if a == b else 1 + day.skew * (2 * draw.random() - 1) for b in range(count)]
-                        for a in range(count)]
+        self.weights = [[0.0 if a == b else 1 + day.skew * (2 * draw.random() - 1) for b in range(count)] for a in range(count)]
         self.tcp = {number for number in range(count) if draw.random() < day.exchange_tcp}
         if day.exchange_tcp > 0 and not self.tcp:
             self.tcp = {count - 1}
@@ -108,8 +107,9 @@
 
     def struck(self, kind: str, number: int, now: float) -> list[FaultForm]:
         """Faults of a kind that strike an exchange now."""
-        return [strike.fault for strike in self.strikes
-                if strike.fault.kind == kind and number in strike.members and strike.on(now)]
+        return [
+            strike.fault for strike in self.strikes if strike.fault.kind == kind and number in strike.members and strike.on(now)
+        ]
 
     def anywhere(self, kind: str, now: float) -> list[FaultForm]:
         return [strike.fault for strike in self.strikes if strike.fault.kind == kind and strike.on(now)]
@@ -124,8 +124,10 @@
 
     def cut_off(self, a: int, b: int, now: float) -> bool:
         """Whether nothing passes between two exchanges: one is in a district that is cut off."""
-        return any(strike.fault.kind == "district-cut" and strike.on(now)
-                   and (a in strike.members) != (b in strike.members) for strike in self.strikes)
+        return any(
+            strike.fault.kind == "district-cut" and strike.on(now) and (a in strike.members) != (b in strike.members)
+            for strike in self.strikes
+        )
 
     def speed(self, life: Life, now: float) -> float:
         """What a processor can do as a part of what a warm and well one can; 0 while it stands still."""
@@ -182,8 +184,7 @@
                 news.append((life.born + self._late(life.born, told.add_ms), life.id, life.number, "ready", life.born))
             start = life.born if life.born > LONG_AGO else 0.0
             if life.drains < NEVER:
-                news.append((life.drains + self._late(life.drains, told.notice_ms / 4), life.id, life.number,
-                             "draining", start))
+                news.append((life.drains + self._late(life.drains, told.notice_ms / 4), life.id, life.number, "draining", start))
             if life.dies < NEVER:
                 late = told.notice_ms if life.drains < NEVER else told.silent_notice_ms
                 news.append((life.dies + self._late(life.dies, late), life.id, life.number, "gone", start))
--- a/gingergap/store/book.py
+++ b/gingergap/store/book.py
@@ -18,8 +18,10 @@
 
 APPLICATION = 0x67696E67
 FILE = "memory.db"
-TABLE = ("CREATE TABLE item (kind TEXT NOT NULL, key TEXT NOT NULL, body BLOB NOT NULL, checksum INTEGER NOT NULL, "
-         "seen REAL NOT NULL, PRIMARY KEY (kind, key)) WITHOUT ROWID")
+TABLE = (
+    "CREATE TABLE item (kind TEXT NOT NULL, key TEXT NOT NULL, body BLOB NOT NULL, checksum INTEGER NOT NULL, "
+    "seen REAL NOT NULL, PRIMARY KEY (kind, key)) WITHOUT ROWID"
+)
 INDEX = "CREATE INDEX item_by_age ON item (kind, seen)"
 
 
@@ -80,7 +82,7 @@
         try:
             application = next(self.db.execute("PRAGMA application_id"))[0]
             version = next(self.db.execute("PRAGMA user_version"))[0]
-            tables = [name for name, in self.db.execute("SELECT name FROM sqlite_master WHERE type = 'table'")]
+            tables = [name for (name,) in self.db.execute("SELECT name FROM sqlite_master WHERE type = 'table'")]
         except apsw.CorruptError:
             self.db.close()
             self.db = self._salvage(self.path)
@@ -143,8 +145,9 @@
         """Rows of a damaged file. A scan ends at the first page that is gone, so the keys are gathered from both ends of the
         table and of its index, and each row is then looked up by itself: only what was on such a page is lost."""
         try:
-            db = apsw.Connection(f"file:{path}?mode=ro&immutable=1", flags=apsw.SQLITE_OPEN_READONLY | apsw.SQLITE_OPEN_URI,
-                                 vfs=self.vfs)
+            db = apsw.Connection(
+                f"file:{path}?mode=ro&immutable=1", flags=apsw.SQLITE_OPEN_READONLY | apsw.SQLITE_OPEN_URI, vfs=self.vfs
+            )
         except apsw.Error:
             return
         keys: dict[tuple[str, str], None] = {}
@@ -283,15 +286,17 @@
         if over <= 0:
             return 0
         with self.db:
-            self.db.execute("DELETE FROM item WHERE (kind, key) IN (SELECT kind, key FROM item WHERE kind = ? "
-                            "ORDER BY seen LIMIT ?)", (kind, over))
+            self.db.execute(
+                "DELETE FROM item WHERE (kind, key) IN (SELECT kind, key FROM item WHERE kind = ? ORDER BY seen LIMIT ?)",
+                (kind, over),
+            )
         return over
 
     def verify(self) -> list[str]:
         """What is wrong, a line each: the pages, and every record."""
         faults = []
         try:
-            faults += [line for line, in self.db.execute("PRAGMA integrity_check") if line != "ok"]
+            faults += [line for (line,) in self.db.execute("PRAGMA integrity_check") if line != "ok"]
             for kind, key, body, check in self.db.execute("SELECT kind, key, body, checksum FROM item"):
                 try:
                     unpacked(kind, key, body, check)
@@ -326,4 +331,3 @@
         os.fsync(handle)
     finally:
         os.close(handle)
-
--- a/gingergap/store/memory.py
+++ b/gingergap/store/memory.py
@@ -180,8 +180,17 @@
     return round(passed * UNIT) if 0 <= passed <= OLDEST else UNKNOWN
 
 
-def recalled(items: Callable[..., Iterable[Any]], wall: float, monotonic: float, boot: str, *, word_lasts: float,
-             longest_dialog: float, caller_lasts: float, damage: list[str]) -> Recalled:
+def recalled(
+    items: Callable[..., Iterable[Any]],
+    wall: float,
+    monotonic: float,
+    boot: str,
+    *,
+    word_lasts: float,
+    longest_dialog: float,
+    caller_lasts: float,
+    damage: list[str],
+) -> Recalled:
     """What the records of a book come to at a start. `items(kind, since)` gives records with key, body and seen."""
     alive = next((item.body for item in items(ALIVE)), None)
     age = age_of(alive, wall, monotonic, boot)
@@ -193,14 +202,27 @@
             places[id_] = len(ids)
             ids.append(id_)
         return places[id_]
+
     words, starts, exchanges = {}, {}, []
     for item in items(EXCHANGE):
         body = item.body
         starts[item.key] = body.started
         if age >= 0 and wall - body.word_at <= word_lasts:
             words[item.key] = word_of(body)
-        exchanges.append(KnownExchange(place(item.key), 0, body.quickest, body.took, body.took_ago, body.pressed_for, body.size,
-                                       body.cap, body.accept_below, body.lower_below))
+        exchanges.append(
+            KnownExchange(
+                place(item.key),
+                0,
+                body.quickest,
+                body.took,
+                body.took_ago,
+                body.pressed_for,
+                body.size,
+                body.cap,
+                body.accept_below,
+                body.lower_below,
+            )
+        )
     pairs = []
     for item in items(PAIR):
         try:
--- a/gingergap/store/records.py
+++ b/gingergap/store/records.py
@@ -89,8 +89,15 @@
     started: float
 
 
-FORMS: dict[str, Any] = {EXCHANGE: KeptExchange, PAIR: KeptPair, CALLER: KeptCaller, FIGURES: KeptFigures,
-                         STANDING: KeptStanding, TOKEN: KeptToken, ALIVE: KeptAlive}
+FORMS: dict[str, Any] = {
+    EXCHANGE: KeptExchange,
+    PAIR: KeptPair,
+    CALLER: KeptCaller,
+    FIGURES: KeptFigures,
+    STANDING: KeptStanding,
+    TOKEN: KeptToken,
+    ALIVE: KeptAlive,
+}
 ENCODER = msgspec.msgpack.Encoder()
 DECODERS = {kind: msgspec.msgpack.Decoder(form) for kind, form in FORMS.items()}
 
--- a/gingergap/switches/words.py
+++ b/gingergap/switches/words.py
@@ -109,8 +109,10 @@
 
 
 def _request(method: str, number: str, id: str, cseq: int, fields: str = "", body: bytes = b"") -> bytes:
-    return (f"{method} sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\n"
-            f"CSeq: {cseq} {method}\r\n{fields}Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"{method} sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\n"
+        f"CSeq: {cseq} {method}\r\n{fields}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 def invite(number: str, id: str, leg: int, kind: str, within: int, sdp: str) -> bytes:
@@ -131,5 +133,4 @@
 
 
 def bye_heard(id: str) -> bytes:
-    return (f"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 BYE\r\n"
-            "Content-Length: 0\r\n\r\n").encode()
+    return (f"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n").encode()
--- a/gingergap/trace/anonymise.py
+++ b/gingergap/trace/anonymise.py
@@ -42,8 +42,9 @@
             raise ValueError(f"a key has at least {LEAST_KEY} bytes")
         self.seed = hashlib.blake2s(key, person=b"tracenum").digest()
         drawn = hashlib.blake2s(self.seed + b"cipher").digest()
-        self.ciphers = {alphabet: FF3Cipher.withCustomAlphabet(drawn[:16].hex(), drawn[16:23].hex(), alphabet)
-                        for alphabet in PIECES}
+        self.ciphers = {
+            alphabet: FF3Cipher.withCustomAlphabet(drawn[:16].hex(), drawn[16:23].hex(), alphabet) for alphabet in PIECES
+        }
         self.tables: dict[tuple[str, int], list[int]] = {}
         self.number = lru_cache(100_000)(self._number)
 
@@ -67,15 +68,16 @@
 
     def _replaced(self, text: str, alphabet: str) -> str:
         shortest, longest = PIECES[alphabet]
-        pieces = [text[begun:begun + longest] for begun in range(0, len(text), longest)]
-        return "".join(self.ciphers[alphabet].encrypt(piece) if len(piece) >= shortest else self._short(piece, alphabet)
-                       for piece in pieces)
+        pieces = [text[begun : begun + longest] for begun in range(0, len(text), longest)]
+        return "".join(
+            self.ciphers[alphabet].encrypt(piece) if len(piece) >= shortest else self._short(piece, alphabet) for piece in pieces
+        )
 
     def _short(self, text: str, alphabet: str) -> str:
         base, length = len(alphabet), len(text)
         table = self.tables.get((alphabet, length))
         if table is None:
-            table = self.tables[alphabet, length] = list(range(base ** length))
+            table = self.tables[alphabet, length] = list(range(base**length))
             random.Random(self.seed + f"{base} {length}".encode()).shuffle(table)
         value = 0
         for char in text:
@@ -160,6 +162,7 @@
 def header_without(header: Header, numbers: Numbers) -> Header:
     def clean(one: Header | Source) -> dict[str, Any]:
         return {"instance": numbers.text(one.instance), "figures": _texts(one.figures, numbers)}
+
     sources: list[Source] = [msgspec.structs.replace(source, **clean(source)) for source in header.sources]
     return msgspec.structs.replace(header, sources=sources, format=FORMAT, **clean(header))
 
--- a/gingergap/trace/causes.py
+++ b/gingergap/trace/causes.py
@@ -21,8 +21,14 @@
 from ..host import LegEnd, Rsn
 from .tally import STANDSTILL, Far, Slice
 
-PROCESSOR, ONE_FAR, ALL_FAR, CIRCUITS, LIST, ANSWERS = ("own processor", "one far end", "all far ends", "circuits", "list",
-                                                        "answers lost")
+PROCESSOR, ONE_FAR, ALL_FAR, CIRCUITS, LIST, ANSWERS = (
+    "own processor",
+    "one far end",
+    "all far ends",
+    "circuits",
+    "list",
+    "answers lost",
+)
 SLOW_TIMES = 4  # times the usual set-up
 SLOW_PART = 6  # and no less than this part of the setup objective
 BAD_SHARE = 0.12  # of a slice's dialogs in trouble
@@ -104,8 +110,9 @@
     return found
 
 
-def judged(source: int, begin: int, end: int, inside: list[Slice], after: list[Slice], limit: int,
-           objective: int) -> Stretch | None:
+def judged(
+    source: int, begin: int, end: int, inside: list[Slice], after: list[Slice], limit: int, objective: int
+) -> Stretch | None:
     """What a stretch's troubles speak for; none where there are too few to say."""
     voices = dict.fromkeys((PROCESSOR, ONE_FAR, ALL_FAR, CIRCUITS, LIST, ANSWERS), 0.0)
     late = {}
@@ -136,10 +143,13 @@
             elif many:
                 by_far[number] = by_far.get(number, 0) + many
                 row = kinds.setdefault(number, {})
-                for name, value in (("slow", sum(took > limit for took in far.set_ups)),
-                                    ("silent", sum(far.ends[how] for how in SILENT)),
-                                    ("unreachable", far.ends[LegEnd.UNREACHABLE]),
-                                    ("processor full", far.refused[Rsn.PROCESSOR_FULL]), ("kept back", far.lost_kept)):
+                for name, value in (
+                    ("slow", sum(took > limit for took in far.set_ups)),
+                    ("silent", sum(far.ends[how] for how in SILENT)),
+                    ("unreachable", far.ends[LegEnd.UNREACHABLE]),
+                    ("processor full", far.refused[Rsn.PROCESSOR_FULL]),
+                    ("kept back", far.lost_kept),
+                ):
                     row[name] = row.get(name, 0) + value
         stood_still = stands_still
     for number, legs in overtaken.items():
@@ -162,12 +172,21 @@
         return None
     cause = max(voices, key=lambda name: voices[name])
     evidence = lines(voices, still, turned_away, by_far, kinds, late, limit, sum(overtaken.values()))
-    return Stretch(source, begin, end, sum(one.came for one in inside), round(total), sum(one.lost for one in inside), cause,
-                   voices, evidence)
-
-
-def lines(voices: dict[str, float], still: int, turned_away: int, by_far: dict[int, int], kinds: dict[int, dict[str, int]],
-          late: dict[int, int], limit: int, overtaken: int) -> list[str]:
+    return Stretch(
+        source, begin, end, sum(one.came for one in inside), round(total), sum(one.lost for one in inside), cause, voices, evidence
+    )
+
+
+def lines(
+    voices: dict[str, float],
+    still: int,
+    turned_away: int,
+    by_far: dict[int, int],
+    kinds: dict[int, dict[str, int]],
+    late: dict[int, int],
+    limit: int,
+    overtaken: int,
+) -> list[str]:
     """The evidence in words, the weightiest first."""
     said: dict[str, str] = {}
     if voices[PROCESSOR]:
@@ -178,14 +197,17 @@
         said[CIRCUITS] = f"{voices[CIRCUITS]:.0f} dialogs given up while no circuit of their group was free"
     if voices[LIST]:
         said[LIST] = "trouble at far ends whose start the list told late: " + ", ".join(
-            f"{number} by {by / 10:.0f} ms" for number, by in sorted(late.items()))
+            f"{number} by {by / 10:.0f} ms" for number, by in sorted(late.items())
+        )
     if voices[ANSWERS]:
-        said[ANSWERS] = (f"{overtaken} legs still out when later ones to the same machine had been answered, and what came of "
-                         "it there")
+        said[ANSWERS] = (
+            f"{overtaken} legs still out when later ones to the same machine had been answered, and what came of it there"
+        )
     name = ONE_FAR if voices[ONE_FAR] else ALL_FAR
     if voices[name]:
         said[name] = f"legs slower than {limit / 10:.0f} ms, silent or refused: " + "; ".join(
             f"far end {number}: " + ", ".join(f"{many} {what}" for what, many in kinds[number].items() if many)
-            for number in sorted(by_far, key=lambda number: -by_far[number])[:4])
+            for number in sorted(by_far, key=lambda number: -by_far[number])[:4]
+        )
     ranked = sorted(said, key=lambda cause: -voices[cause])
     return [f"{cause} ({voices[cause]:.0f}): {said[cause]}" for cause in ranked]
--- a/gingergap/trace/clocks.py
+++ b/gingergap/trace/clocks.py
@@ -63,8 +63,9 @@
     return hull
 
 
-def estimate(clocks: int, ways: dict[tuple[int, int], Way], after: list[tuple[int, int, int, int]] = (),
-             begin: int = 0, end: int = 0) -> tuple[list[Estimate], float]:
+def estimate(
+    clocks: int, ways: dict[tuple[int, int], Way], after: list[tuple[int, int, int, int]] = (), begin: int = 0, end: int = 0
+) -> tuple[list[Estimate], float]:
     """Each clock's estimate against the first one, and by how much the worst bound had to be given up (0: none).
 
     `after` are (clock, time, later clock, time): the first is known to lie before the second, as one process's end lies
@@ -109,9 +110,9 @@
     limits += [(0.0, MOST_OFFSET)] * len(both) + [(0.0, 2 * MOST_OFFSET)]
     limits[offset] = limits[drift] = (0.0, 0.0)  # the first clock is the common one
     goal = np.zeros(columns)
-    goal[offset_size:offset_size + clocks] = NEARER
-    goal[drift_size:drift_size + clocks] = DRIFT_COSTS * seconds
-    goal[room:room + len(both)] = -1.0
+    goal[offset_size : offset_size + clocks] = NEARER
+    goal[drift_size : drift_size + clocks] = DRIFT_COSTS * seconds
+    goal[room : room + len(both)] = -1.0
     goal[given_up] = 10.0 * (1 + len(both)) * 2
     found = linprog(goal, A_ub=matrix, b_ub=right, bounds=limits, method="highs")
     if found.x is None:
@@ -127,6 +128,9 @@
         way[offset + clock], way[drift + clock] = 1.0, middle
         ends = [linprog(sign * way, A_ub=matrix, b_ub=right, bounds=limits, method="highs").fun for sign in (1.0, -1.0)]
         width = -1.0 if None in ends else -(ends[0] + ends[1])
-        estimates.append(Estimate(float(found.x[offset + clock]), float(found.x[drift + clock]),
-                                  width / 2 if 0 <= width < MOST_OFFSET / 2 else -1.0))
+        estimates.append(
+            Estimate(
+                float(found.x[offset + clock]), float(found.x[drift + clock]), width / 2 if 0 <= width < MOST_OFFSET / 2 else -1.0
+            )
+        )
     return estimates, lost if lost > 0.5 else 0.0
--- a/gingergap/trace/compare.py
+++ b/gingergap/trace/compare.py
@@ -146,8 +146,7 @@
     return result
 
 
-def _settle(side: Side, source: int, result: Compared,
-            open_differences: dict[tuple[int, int], list[Kind]]) -> None:
+def _settle(side: Side, source: int, result: Compared, open_differences: dict[tuple[int, int], list[Kind]]) -> None:
     """All that the last event brought forth is known."""
     if side.own is None or not (side.noted or side.own_host.done or side.other_host.done):
         return
@@ -157,8 +156,9 @@
     side.other_host.done.clear()
     place, now = side.at
     if own != noted:
-        raise BadTraceError(f"record {place}: this program's module does not decide as was noted; "
-                            "compare with the version that recorded the trace")
+        raise BadTraceError(
+            f"record {place}: this program's module does not decide as was noted; compare with the version that recorded the trace"
+        )
     result.decisions += len(noted)
     if others == noted:
         return
@@ -198,8 +198,7 @@
     return "nothing yet" if action is None else NAMES[action[0]]
 
 
-def _ended(story: Story, sources: list[Source], result: Compared,
-           open_differences: dict[tuple[int, int], list[Kind]]) -> None:
+def _ended(story: Story, sources: list[Source], result: Compared, open_differences: dict[tuple[int, int], list[Kind]]) -> None:
     types = sources[story.source].figures["types"]
     objective, importance = types[story.kind][0], types[story.kind][3]
     in_time = story.final == STOOD and story.took <= objective
@@ -213,6 +212,10 @@
         example = kind.examples[0]
         if in_time and example.asked is not None and example.asked[0] in (DECLINE, ABORT):
             kind.lost += importance
-        elif not in_time and example.noted is not None and example.noted[0] in (DECLINE, ABORT) and (
-                example.asked is None or example.asked[0] == SEND):
+        elif (
+            not in_time
+            and example.noted is not None
+            and example.noted[0] in (DECLINE, ABORT)
+            and (example.asked is None or example.asked[0] == SEND)
+        ):
             kind.at_most_gained += importance
--- a/gingergap/trace/cut.py
+++ b/gingergap/trace/cut.py
@@ -94,8 +94,9 @@
     window = max(span.low, first), min(span.high, last)
     if window[0] > window[1]:
         raise BadTraceError(f"{trace.name}: nothing in that window, it holds {first} to {last}")
-    header = msgspec.structs.replace(trace.header, format=FORMAT, window=window, focus=sorted(span.focus), bare=bare, part=0,
-                                     whole=trace.whole and place is None)
+    header = msgspec.structs.replace(
+        trace.header, format=FORMAT, window=window, focus=sorted(span.focus), bare=bare, part=0, whole=trace.whole and place is None
+    )
     copy = Copy(path, header)
     for entry in selected(trace, span) if bare else trace.entries(place):
         if entry.now > span.high:
--- a/gingergap/trace/difference.py
+++ b/gingergap/trace/difference.py
@@ -23,11 +23,17 @@
 
 def difference(left: Trace, right: Trace, shown: int = 8) -> Parted:
     """Both are read to their ends. Snapshots and other notes are compared only among `counts`: they are no decisions."""
-    headers = [f"{name}: {here!r} and {there!r}" for name in ("module", "instance", "epoch")
-               if (here := getattr(left.header, name)) != (there := getattr(right.header, name))]
+    headers = [
+        f"{name}: {here!r} and {there!r}"
+        for name in ("module", "instance", "epoch")
+        if (here := getattr(left.header, name)) != (there := getattr(right.header, name))
+    ]
     ours, theirs = left.header.figures, right.header.figures
-    headers += [f"figure {name}: {ours.get(name)!r} and {theirs.get(name)!r}" for name in sorted(ours | theirs)
-                if ours.get(name) != theirs.get(name)]
+    headers += [
+        f"figure {name}: {ours.get(name)!r} and {theirs.get(name)!r}"
+        for name in sorted(ours | theirs)
+        if ours.get(name) != theirs.get(name)
+    ]
     counts: tuple[Counter[str], Counter[str]] = Counter(), Counter()
 
     def heard(trace: Trace, count: Counter[str]):
@@ -47,5 +53,6 @@
             before.append(one[1])
         many += 1
     names = sorted(name for name in counts[0] | counts[1] if counts[0][name] != counts[1][name] and name != NAMES[SNAPSHOT])
-    return Parted(headers, place, first[0], first[1], list(before),
-                  [(name, counts[0][name], counts[1][name]) for name in names], many)
+    return Parted(
+        headers, place, first[0], first[1], list(before), [(name, counts[0][name], counts[1][name]) for name in names], many
+    )
--- a/gingergap/trace/format.py
+++ b/gingergap/trace/format.py
@@ -25,14 +25,26 @@
 MAGIC = b"gingergap trace\n"
 FORMAT = 2
 HEAD = struct.Struct(">BII")
-FRAMES = {1: struct.Struct(">qqIqq"),  # first time, last time, records, lowest and highest dialog (-1: none)
-          2: struct.Struct(">qqIqqI")}  # and snapshots
+FRAMES = {
+    1: struct.Struct(">qqIqq"),  # first time, last time, records, lowest and highest dialog (-1: none)
+    2: struct.Struct(">qqIqqI"),
+}  # and snapshots
 HEADER, EVENTS, GAP, INDEX = 1, 2, 3, 4
 MOST_BLOCK = 16 << 20
 MOST_RAW = 256 << 20
 
-EVENT_NAMES = ("begin", "beat", "peer_told", "list_pushed", "list_failed", "group_told", "dialog_came", "dialog_stands",
-               "leg_ended", "dialog_gone")
+EVENT_NAMES = (
+    "begin",
+    "beat",
+    "peer_told",
+    "list_pushed",
+    "list_failed",
+    "group_told",
+    "dialog_came",
+    "dialog_stands",
+    "leg_ended",
+    "dialog_gone",
+)
 ACTION_NAMES = ("send_leg", "cancel_leg", "decline", "abort", "wake_after", "tell_all", "subscribe")
 # What the module does not see: its own state, bytes that left for or came from another proxy under an id that both
 # know, a dialog turned away before it, the process running late, an operator's words.
@@ -44,9 +56,18 @@
 CODES |= {name: FIRST_NOTE + place for place, name in enumerate(NOTE_NAMES)}
 NAMES = {code: name for name, code in CODES.items()}
 SNAPSHOT = CODES["snapshot"]
-DIALOG_AT = {CODES["dialog_came"]: 2, CODES["dialog_stands"]: 2, CODES["leg_ended"]: 2, CODES["dialog_gone"]: 2,
-             CODES["send_leg"]: 1, CODES["cancel_leg"]: 1, CODES["decline"]: 1, CODES["abort"]: 1,
-             CODES["sent"]: 3, CODES["came"]: 3}
+DIALOG_AT = {
+    CODES["dialog_came"]: 2,
+    CODES["dialog_stands"]: 2,
+    CODES["leg_ended"]: 2,
+    CODES["dialog_gone"]: 2,
+    CODES["send_leg"]: 1,
+    CODES["cancel_leg"]: 1,
+    CODES["decline"]: 1,
+    CODES["abort"]: 1,
+    CODES["sent"]: 3,
+    CODES["came"]: 3,
+}
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder()
 
 
@@ -162,7 +183,7 @@
 def records_of(payload: bytes, version: int = FORMAT) -> list[list[Any]]:
     """Raises BadTraceError for a payload that its checksum did not guard."""
     try:
-        raw = zstandard.ZstdDecompressor().decompress(payload[FRAMES[version].size:], max_output_size=MOST_RAW)
+        raw = zstandard.ZstdDecompressor().decompress(payload[FRAMES[version].size :], max_output_size=MOST_RAW)
         return DECODER.decode(raw)
     except (zstandard.ZstdError, msgspec.MsgspecError) as error:
         raise BadTraceError(f"a block can't be unpacked: {error}") from None
@@ -189,8 +210,9 @@
             self.version = version = msgspec.msgpack.decode(first.payload)["format"]
             if version not in FRAMES:
                 self.file.close()
-                raise BadTraceError(f"{path}: format {version} is none of those that this program reads, "
-                                    f"up to {FORMAT}: the file is newer")
+                raise BadTraceError(
+                    f"{path}: format {version} is none of those that this program reads, up to {FORMAT}: the file is newer"
+                )
             self.header = msgspec.msgpack.decode(first.payload, type=Header)
         except (msgspec.MsgspecError, KeyError, TypeError) as error:
             self.file.close()
@@ -294,7 +316,7 @@
         data = events_block(records, sources)
         at = self.size
         self._put(data)
-        self.index.append((at, tuple(stretch_of(data[HEAD.size:]))))
+        self.index.append((at, tuple(stretch_of(data[HEAD.size :]))))
 
     def gap(self, first: int, last: int, lost: int, source: int | None = None) -> None:
         """`lost` events, -1 where nobody counted; of a merged trace, with the source's place."""
--- a/gingergap/trace/merge.py
+++ b/gingergap/trace/merge.py
@@ -83,31 +83,58 @@
     clocks = [Clock(trace.sources[0], base) for trace in traces]
     spans = [_span(trace) for trace in traces]
     # Processes of one instance in the order of their starts: all of one lies before all of the next.
-    before = {later: early for early, later in zip(range(len(traces)), range(1, len(traces)), strict=False)
-              if traces[early].header.instance == traces[later].header.instance}
+    before = {
+        later: early
+        for early, later in zip(range(len(traces)), range(1, len(traces)), strict=False)
+        if traces[early].header.instance == traces[later].header.instance
+    }
     ways: dict[tuple[int, int], Way] = {}
     many = 0
     for _, sender, sent, receiver, received in crossings(clocks, traces):
         many += 1
         ways.setdefault((sender, receiver), Way()).add(clocks[sender].rough(sent), clocks[receiver].rough(received))
-    after = [(early, clocks[early].rough(spans[early][1]), later, clocks[later].rough(spans[later][0]))
-             for later, early in before.items()]
+    after = [
+        (early, clocks[early].rough(spans[early][1]), later, clocks[later].rough(spans[later][0]))
+        for later, early in before.items()
+    ]
     begin = min(clock.rough(span[0]) for clock, span in zip(clocks, spans, strict=True))
     end = max(clock.rough(span[1]) for clock, span in zip(clocks, spans, strict=True))
     found, given_up = estimate(len(clocks), ways, after, 0, end)
     for clock, one in zip(clocks, found, strict=True):
         clock.found = one
-    turned = sum(clocks[sender].common(sent) >= clocks[receiver].common(received)
-                 for _, sender, sent, receiver, received in crossings(clocks, traces))
+    turned = sum(
+        clocks[sender].common(sent) >= clocks[receiver].common(received)
+        for _, sender, sent, receiver, received in crossings(clocks, traces)
+    )
     # Whoever is held back sends what it sends later too: once one crossing must wait, all are watched.
     watched = {crossed for crossed, *_ in crossings(clocks, traces)} if turned else set()
-    sources = [Source(trace.header.module, trace.header.epoch, trace.header.instance, trace.header.wall, trace.header.started,
-                      trace.header.figures, round(clock.shift + clock.found.offset), round(clock.found.drift, 6),
-                      round(clock.found.uncertain, 2)) for trace, clock in zip(traces, clocks, strict=True)]
+    sources = [
+        Source(
+            trace.header.module,
+            trace.header.epoch,
+            trace.header.instance,
+            trace.header.wall,
+            trace.header.started,
+            trace.header.figures,
+            round(clock.shift + clock.found.offset),
+            round(clock.found.drift, 6),
+            round(clock.found.uncertain, 2),
+        )
+        for trace, clock in zip(traces, clocks, strict=True)
+    ]
     modules = {source.module for source in sources}
     epoch = hashlib.blake2s(" ".join(source.epoch for source in sources).encode(), digest_size=4).hexdigest()
-    header = Header(FORMAT, modules.pop() if len(modules) == 1 else "several", epoch, "merged", base, 0, {}, sources=sources,
-                    whole=all(trace.whole for trace in traces))
+    header = Header(
+        FORMAT,
+        modules.pop() if len(modules) == 1 else "several",
+        epoch,
+        "merged",
+        base,
+        0,
+        {},
+        sources=sources,
+        whole=all(trace.whole for trace in traces),
+    )
     copy = Copy(path, header)
     forced = 0
     last = begin
@@ -119,8 +146,7 @@
     return Merged(copy.records, many, turned, forced, given_up, sources)
 
 
-def ordered(clocks: list[Clock], traces: list[Trace], before: dict[int, int], watched: set[bytes]
-            ) -> Iterator[tuple[Entry, bool]]:
+def ordered(clocks: list[Clock], traces: list[Trace], before: dict[int, int], watched: set[bytes]) -> Iterator[tuple[Entry, bool]]:
     """All entries by the common clock, `watched` crossings received only once they are sent; and whether one was let go
     that should have waited."""
     streams = [trace.entries() for trace in traces]
--- a/gingergap/trace/recorder.py
+++ b/gingergap/trace/recorder.py
@@ -25,9 +25,19 @@
     function away from the event loop and returns its result. `clock` gives tenths of a millisecond. `seen` is handed each
     run of written records with its file's name, in order, away from the event loop."""
 
-    def __init__(self, folder: Path, tape: Tape, header: Header, log: Any, *, part: int, lasts: int,
-                 clock: Callable[[], int], apart: Callable[..., Any],
-                 seen: Callable[[list[list[Any]], str], None] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        tape: Tape,
+        header: Header,
+        log: Any,
+        *,
+        part: int,
+        lasts: int,
+        clock: Callable[[], int],
+        apart: Callable[..., Any],
+        seen: Callable[[list[list[Any]], str], None] | None = None,
+    ) -> None:
         self.folder, self.tape, self.header, self.log = folder, tape, header, log
         self.part, self.lasts, self.clock, self.apart, self.seen = part, lasts, clock, apart, seen
         self.parts = 0
@@ -73,9 +83,14 @@
 
     def figures(self) -> dict[str, Any]:
         """For operators."""
-        return {"on": self.tape.on, "part": self.writer.path.name if self.writer is not None else "", "records": self.written,
-                "lost_events": self.lost, "states": self.states,
-                "bytes": self.bytes_before + (self.writer.size if self.writer is not None else 0)}
+        return {
+            "on": self.tape.on,
+            "part": self.writer.path.name if self.writer is not None else "",
+            "records": self.written,
+            "lost_events": self.lost,
+            "states": self.states,
+            "bytes": self.bytes_before + (self.writer.size if self.writer is not None else 0),
+        }
 
     # --- away from the event loop ---
 
--- a/gingergap/trace/replay.py
+++ b/gingergap/trace/replay.py
@@ -50,8 +50,9 @@
     name, fields = NAMES[record[0]], record[1:]
     if name == "list_pushed":
         now, entries, whole = fields
-        controller.list_pushed(now, [ListEntry(gw, number, GwState(state), started)
-                                     for gw, number, state, started in entries], whole)
+        controller.list_pushed(
+            now, [ListEntry(gw, number, GwState(state), started) for gw, number, state, started in entries], whole
+        )
     elif name == "leg_ended":
         now, dialog, gw, how, rsn, over, free, size = fields
         controller.leg_ended(now, dialog, gw, LegEnd(how), rsn, over, free, size)
@@ -65,8 +66,14 @@
 def learned_of(told: list[Any]) -> Learned:
     """What a module was told of another's memory, from plain lists."""
     at, exchanges, pairs, callers, best_rate, pace = told
-    return Learned(at, [KnownExchange(*one) for one in exchanges], [KnownPair(*one) for one in pairs],
-                   [KnownCaller(*one) for one in callers], best_rate, pace)
+    return Learned(
+        at,
+        [KnownExchange(*one) for one in exchanges],
+        [KnownPair(*one) for one in pairs],
+        [KnownCaller(*one) for one in callers],
+        best_rate,
+        pace,
+    )
 
 
 class Replay:
@@ -138,8 +145,9 @@
         return 0 if self.first is None else self.last - self.first
 
 
-def replay(sources: list[Source] | list[Header], entries: Iterable[Entry], whole: bool = True,
-           module: ModuleType = brain) -> list[Replay]:
+def replay(
+    sources: list[Source] | list[Header], entries: Iterable[Entry], whole: bool = True, module: ModuleType = brain
+) -> list[Replay]:
     """Each source's events to a module of its own, to the end or to the first difference of any. `whole`: the entries
     begin where the processes did."""
     replays = [Replay(source, whole, module) for source in sources]
--- a/gingergap/trace/stories.py
+++ b/gingergap/trace/stories.py
@@ -11,8 +11,9 @@
 from .stream import Entry, Trace
 
 (LIST_PUSHED, CAME, STANDS, LEG_ENDED, GONE, SEND, DECLINE, ABORT) = (
-    CODES[name] for name in ("list_pushed", "dialog_came", "dialog_stands", "leg_ended", "dialog_gone", "send_leg", "decline",
-                             "abort"))
+    CODES[name]
+    for name in ("list_pushed", "dialog_came", "dialog_stands", "leg_ended", "dialog_gone", "send_leg", "decline", "abort")
+)
 SENT, CAME_BY = CODES["sent"], CODES["came"]
 STOOD, DECLINED, ABORTED, GIVEN_UP, OPEN = "stood", "declined", "aborted", "given up", "open"
 
@@ -40,12 +41,31 @@
 class Story:
     """One dialog. `place` is where its arrival stands among all records."""
 
-    __slots__ = ("source", "dialog", "kind", "far", "width", "number", "transit", "redialled", "came", "expires", "place",
-                 "legs", "final", "final_at", "ended", "last", "crossing", "hold_off")
+    __slots__ = (
+        "source",
+        "dialog",
+        "kind",
+        "far",
+        "width",
+        "number",
+        "transit",
+        "redialled",
+        "came",
+        "expires",
+        "place",
+        "legs",
+        "final",
+        "final_at",
+        "ended",
+        "last",
+        "crossing",
+        "hold_off",
+    )
 
     def __init__(self, source: int, place: int, record: list[Any]) -> None:
-        (_, self.came, self.dialog, self.kind, self.far, self.width, self.number, expires_in, self.transit, self.redialled,
-         *_) = record
+        (_, self.came, self.dialog, self.kind, self.far, self.width, self.number, expires_in, self.transit, self.redialled, *_) = (
+            record
+        )
         self.source, self.place = source, place
         self.expires = self.came + expires_in
         self.legs: list[Leg] = []
--- a/gingergap/trace/stream.py
+++ b/gingergap/trace/stream.py
@@ -39,8 +39,9 @@
             if reader.header.sources or first.sources:
                 raise BadTraceError(f"{reader.path}: a merged trace is one file")
         self.readers, self.header = readers, first
-        self.sources = first.sources or [Source(first.module, first.epoch, first.instance, first.wall, first.started,
-                                                first.figures)]
+        self.sources = first.sources or [
+            Source(first.module, first.epoch, first.instance, first.wall, first.started, first.figures)
+        ]
         self.merged = bool(first.sources)
         self.whole = first.whole and first.part == 0
 
@@ -54,8 +55,11 @@
 
     def breaks(self) -> list[str]:
         """A line for each file that could not be read to its end, once it has been read."""
-        return [f"{reader.path.name}: readable up to byte {reader.broken.at}: {reader.broken.why}"
-                for reader in self.readers if reader.broken is not None]
+        return [
+            f"{reader.path.name}: readable up to byte {reader.broken.at}: {reader.broken.why}"
+            for reader in self.readers
+            if reader.broken is not None
+        ]
 
     def places(self) -> list[Place]:
         return [Place(part, at, stretch) for part, reader in enumerate(self.readers) for at, stretch in reader.stretches()]
@@ -128,4 +132,3 @@
         groups.setdefault((header.instance, header.epoch, alone), []).append(reader)
     traces = [Trace(readers) for _, readers in sorted(groups.items())]
     return sorted(traces, key=lambda trace: (trace.header.instance, trace.header.wall, trace.header.epoch))
-
--- a/gingergap/trace/tally.py
+++ b/gingergap/trace/tally.py
@@ -14,7 +14,8 @@
 from .stream import Entry
 
 BEAT, LIST_PUSHED, LIST_FAILED, GROUP_TOLD, TURNED_AWAY, RAN_LATE = (
-    CODES[name] for name in ("beat", "list_pushed", "list_failed", "group_told", "turned_away", "ran_late"))
+    CODES[name] for name in ("beat", "list_pushed", "list_failed", "group_told", "turned_away", "ran_late")
+)
 LONGEST = 600_000_000  # microseconds in a histogram
 STANDSTILL = 2_500  # 250 ms in which nothing happened: the module's own beat comes fifty times a second
 AFTER = 10_000  # dialogs that come within a second after a standstill meet what it left behind
@@ -29,8 +30,20 @@
 class Far:
     """What happened with legs to one far end in a span: how they ended, how long they were out."""
 
-    __slots__ = ("legs", "ends", "set_ups", "stood", "refused", "overtaken", "asked", "lost", "lost_full", "lost_kept",
-                 "lost_silent", "listed_late")
+    __slots__ = (
+        "legs",
+        "ends",
+        "set_ups",
+        "stood",
+        "refused",
+        "overtaken",
+        "asked",
+        "lost",
+        "lost_full",
+        "lost_kept",
+        "lost_silent",
+        "listed_late",
+    )
 
     def __init__(self) -> None:
         self.legs = self.stood = 0
@@ -49,9 +62,29 @@
     """One span of one source. Dialogs count in the span of their arrival, legs in that of their start; in transit ones
     are apart: they are another proxy's dialogs too."""
 
-    __slots__ = ("source", "begin", "came", "worth", "earned", "stood", "late", "declined", "aborted", "given_up", "no_leg",
-                 "in_transit", "transit_refused", "turned_away", "standstill", "beats", "lateness", "list_failed", "far",
-                 "causes", "after_standstill")
+    __slots__ = (
+        "source",
+        "begin",
+        "came",
+        "worth",
+        "earned",
+        "stood",
+        "late",
+        "declined",
+        "aborted",
+        "given_up",
+        "no_leg",
+        "in_transit",
+        "transit_refused",
+        "turned_away",
+        "standstill",
+        "beats",
+        "lateness",
+        "list_failed",
+        "far",
+        "causes",
+        "after_standstill",
+    )
 
     def __init__(self, source: int, begin: int) -> None:
         self.source, self.begin = source, begin
--- a/gingergap/trace/tap.py
+++ b/gingergap/trace/tap.py
@@ -68,14 +68,20 @@
         self.tape = Tape(1 << 40)
         self.figures: dict[str, Any] = {}
         self.proxy = Proxy(msg["Proxy"], msg["Prng"], msg["Facts"], now_us, out, self._made)
-        header = Header(FORMAT, module_digest(), f"{life:04d}", msg["Proxy"].replace("_", "-"), now_us / 1_000_000,
-                        now_us // UNIT, self.figures)
+        header = Header(
+            FORMAT, module_digest(), f"{life:04d}", msg["Proxy"].replace("_", "-"), now_us / 1_000_000, now_us // UNIT, self.figures
+        )
         self.copy = Copy(folder / f"{header.instance}-{header.epoch}-000.trace", header)
         self.now = now_us // UNIT
 
     def _made(self, host: Any, seed: int, here: int, proxies: int, types: list[Any], **figures: Any) -> CallController:
-        self.figures.update(figures, seed=seed, here=here, proxies=proxies, types=[
-            [*entry[:5], None if entry.pools is None else sorted(entry.pools)] for entry in types])
+        self.figures.update(
+            figures,
+            seed=seed,
+            here=here,
+            proxies=proxies,
+            types=[[*entry[:5], None if entry.pools is None else sorted(entry.pools)] for entry in types],
+        )
         return recorded(self.tape, host, seed, here, proxies, types, **figures)
 
     def write(self) -> None:
--- a/gingergap/trace/tape.py
+++ b/gingergap/trace/tape.py
@@ -16,7 +16,8 @@
 from .snapshot import freeze
 
 (BEGIN, BEAT, PEER_TOLD, LIST_PUSHED, LIST_FAILED, GROUP_TOLD, DIALOG_CAME, DIALOG_STANDS, LEG_ENDED, DIALOG_GONE) = (
-    CODES[name] for name in EVENT_NAMES)
+    CODES[name] for name in EVENT_NAMES
+)
 RECALL = CODES["recall"]
 SEND_LEG, CANCEL_LEG, DECLINE, ABORT, WAKE_AFTER, TELL_ALL, SUBSCRIBE = (CODES[name] for name in ACTION_NAMES)
 
@@ -172,8 +173,20 @@
         self.tape.event((GROUP_TOLD, now, gw, free, size))
         CallController.group_told(self, now, gw, free, size)
 
-    def dialog_came(self, now: int, dialog: int, kind: int, far: int, width: int, number: str, expires_in: int,
-                    transit: bool, redialled: bool, cut: bool, advised: int = -1) -> None:
+    def dialog_came(
+        self,
+        now: int,
+        dialog: int,
+        kind: int,
+        far: int,
+        width: int,
+        number: str,
+        expires_in: int,
+        transit: bool,
+        redialled: bool,
+        cut: bool,
+        advised: int = -1,
+    ) -> None:
         self.tape.event((DIALOG_CAME, now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised))
         CallController.dialog_came(self, now, dialog, kind, far, width, number, expires_in, transit, redialled, cut, advised)
 
--- a/gingergap/transport/sockets.py
+++ b/gingergap/transport/sockets.py
@@ -83,9 +83,17 @@
 class Sockets:
     """`most_queued` bytes wait for one connection, `most_connections` are open at once; times in seconds."""
 
-    def __init__(self, owner: Owner, address: tuple[str, int], gate: Gate | None = None, *,
-                 connect_timeout: float = 0.5, longest_write: float = 5.0, most_queued: int = 1 << 20,
-                 most_connections: int = 10_000) -> None:
+    def __init__(
+        self,
+        owner: Owner,
+        address: tuple[str, int],
+        gate: Gate | None = None,
+        *,
+        connect_timeout: float = 0.5,
+        longest_write: float = 5.0,
+        most_queued: int = 1 << 20,
+        most_connections: int = 10_000,
+    ) -> None:
         self.owner, self.address, self.gate = owner, address, gate
         self.connect_timeout, self.longest_write = connect_timeout, longest_write
         self.most_queued, self.most_connections = most_queued, most_connections
@@ -225,8 +233,7 @@
             for level, kind, value in extra:
                 if level == socket.IPPROTO_IP and kind == IP_RECVERR and len(value) >= 16:
                     number, origin = struct.unpack_from("=IB", value)
-                    if origin in (1, 2) and number in (errno.ECONNREFUSED, errno.EHOSTUNREACH,
-                                                       errno.ENETUNREACH):
+                    if origin in (1, 2) and number in (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH):
                         gevent.spawn(self.owner.hop_failed, Hop("UDP", address[0], address[1]), False)
 
     def _accept(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -71,16 +71,29 @@
     """Exchange 0 is the own one; 1, 2 and 3 are far ends with groups of 20 circuits, and time is 0."""
     host = NotedHost()
     controller = CallController(
-        host, 7, 0, 4, [VOICE, VIDEO, KEYED], release_guard=2_000, most_legs=4, longest_hold_off=20_000,
-        may_cancel=True, must_ask=False, may_tell=True, centre_advises=False, cold_from=0.4,
-        warm_after=140_000, multiple=2.5, fall_span=20_000)
+        host,
+        7,
+        0,
+        4,
+        [VOICE, VIDEO, KEYED],
+        release_guard=2_000,
+        most_legs=4,
+        longest_hold_off=20_000,
+        may_cancel=True,
+        must_ask=False,
+        may_tell=True,
+        centre_advises=False,
+        cold_from=0.4,
+        warm_after=140_000,
+        multiple=2.5,
+        fall_span=20_000,
+    )
     controller.list_pushed(0, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4)], True)
     for gw in (1, 2, 3):
         controller.group_told(0, gw, 20, 20)
 
     def came(dialog, far=1, now=0, kind=0, width=1, expires_in=30_000, transit=False, number="n"):
-        controller.dialog_came(now, dialog, kind, far, width, f"{number}{dialog}", expires_in, transit,
-                               False, False)
+        controller.dialog_came(now, dialog, kind, far, width, f"{number}{dialog}", expires_in, transit, False, False)
 
     def beats(until, start=0):
         for now in range(start, until, 200):
@@ -98,8 +111,7 @@
         self.now = 0
         serial = itertools.count(1)
         form = parse_form(settings, "test", edge=EdgeForm)
-        self.proxy = proxy_of(form, self, structlog.get_logger(), 0, 1_000_000.0,
-                              lambda size: f"{next(serial):0{size}x}")
+        self.proxy = proxy_of(form, self, structlog.get_logger(), 0, 1_000_000.0, lambda size: f"{next(serial):0{size}x}")
         self.calls = itertools.count(1)
         self.versions = itertools.count(1)
         self.tell_groups({1: 20, 2: 20, 3: 20})
@@ -112,10 +124,15 @@
 
     def new(self, method=None, status=None, port=None, cseq=None):
         """Messages since the last look that fit; all others of that time are forgotten too."""
-        fresh, self.read = self.sent[self.read:], len(self.sent)
-        return [message for message, hop in fresh
-                if (method is None or message.method == method) and (status is None or message.status == status)
-                and (port is None or hop.port == port) and (cseq is None or message.cseq()[1] == cseq)]
+        fresh, self.read = self.sent[self.read :], len(self.sent)
+        return [
+            message
+            for message, hop in fresh
+            if (method is None or message.method == method)
+            and (status is None or message.status == status)
+            and (port is None or hop.port == port)
+            and (cseq is None or message.cseq()[1] == cseq)
+        ]
 
     def all(self, method=None, status=None, port=None):
         self.read = 0
@@ -123,9 +140,11 @@
 
     def finals(self, call):
         """Final answers to a caller's INVITE, in order."""
-        return [message.status for message, hop in self.sent
-                if message.status >= 200 and message.call_id == call and hop == CALLER
-                and message.cseq()[1] == "INVITE"]
+        return [
+            message.status
+            for message, hop in self.sent
+            if message.status >= 200 and message.call_id == call and hop == CALLER and message.cseq()[1] == "INVITE"
+        ]
 
     # --- acting ---
 
@@ -141,10 +160,17 @@
     def invite(self, number="001555", expires=3, fields=(), branch=None, call=None, hop=CALLER):
         call = call or f"call{next(self.calls)}"
         message = Message("INVITE", f"sip:{number}@127.0.0.1:7000")
-        message.fields = [("Via", f"SIP/2.0/{hop.transport} {hop.host}:{hop.port};branch={branch or 'z9hG4bK' + call}"),
-                          ("Max-Forwards", "70"), ("From", "<sip:c@127.0.0.1>;tag=ct"),
-                          ("To", f"<sip:{number}@127.0.0.1>"), ("Call-ID", call), ("CSeq", "1 INVITE"),
-                          ("Contact", f"<sip:c@{hop.host}:{hop.port}>"), ("Expires", str(expires)), *fields]
+        message.fields = [
+            ("Via", f"SIP/2.0/{hop.transport} {hop.host}:{hop.port};branch={branch or 'z9hG4bK' + call}"),
+            ("Max-Forwards", "70"),
+            ("From", "<sip:c@127.0.0.1>;tag=ct"),
+            ("To", f"<sip:{number}@127.0.0.1>"),
+            ("Call-ID", call),
+            ("CSeq", "1 INVITE"),
+            ("Contact", f"<sip:c@{hop.host}:{hop.port}>"),
+            ("Expires", str(expires)),
+            *fields,
+        ]
         self.come(message, hop)
         return message
 
@@ -175,30 +201,57 @@
         ends = [("From", "<sip:c@127.0.0.1>;tag=ct"), ("To", f"<sip:001555@127.0.0.1>;tag={tag}")]
         if not by_caller:
             ends = [("From", ends[1][1]), ("To", ends[0][1])]
-        message.fields = [("Via", f"SIP/2.0/UDP {hop.host}:{hop.port};branch=z9hG4bK{method}{call}{by_caller}{number}"),
-                          ("Route", "<sip:127.0.0.1:7000;lr>"), ("Max-Forwards", "70"), *ends,
-                          ("Call-ID", call), ("CSeq", f"{number} {method}"), *fields]
+        message.fields = [
+            ("Via", f"SIP/2.0/UDP {hop.host}:{hop.port};branch=z9hG4bK{method}{call}{by_caller}{number}"),
+            ("Route", "<sip:127.0.0.1:7000;lr>"),
+            ("Max-Forwards", "70"),
+            *ends,
+            ("Call-ID", call),
+            ("CSeq", f"{number} {method}"),
+            *fields,
+        ]
         self.come(message, hop)
         return message
 
     def notify(self, event, body, state="active"):
         sub = self.proxy.subscribers[event]
         message = Message("NOTIFY", "sip:127.0.0.1:7000", body=msgspec.json.encode(body))
-        message.fields = [("Via", f"SIP/2.0/UDP 127.0.0.1:7300;branch=z9hG4bKn{next(self.calls)}"),
-                          ("From", f"<sip:n@127.0.0.1>;tag={event}"), ("To", f"<sip:p>;tag={sub.tag}"),
-                          ("Call-ID", sub.call_id), ("CSeq", f"{next(self.calls)} NOTIFY"), ("Max-Forwards", "70"),
-                          ("Event", event), ("Subscription-State", state)]
+        message.fields = [
+            ("Via", f"SIP/2.0/UDP 127.0.0.1:7300;branch=z9hG4bKn{next(self.calls)}"),
+            ("From", f"<sip:n@127.0.0.1>;tag={event}"),
+            ("To", f"<sip:p>;tag={sub.tag}"),
+            ("Call-ID", sub.call_id),
+            ("CSeq", f"{next(self.calls)} NOTIFY"),
+            ("Max-Forwards", "70"),
+            ("Event", event),
+            ("Subscription-State", state),
+        ]
         self.come(message, Hop("UDP", "127.0.0.1", 7300))
 
     def tell_groups(self, free, size=20):
-        self.notify("trunk-groups", {
-            "version": next(self.versions), "state": "full", "epoch": "e",
-            "groups": [{"number": number, "free": circuits, "size": size} for number, circuits in free.items()]})
+        self.notify(
+            "trunk-groups",
+            {
+                "version": next(self.versions),
+                "state": "full",
+                "epoch": "e",
+                "groups": [{"number": number, "free": circuits, "size": size} for number, circuits in free.items()],
+            },
+        )
 
     def tell_list(self, version, lines, state="partial", epoch="e"):
-        self.notify("exchange-list", {"version": version, "state": state, "epoch": epoch, "exchanges": [
-            {"id": name, "number": int(name[1]), "state": word, "started": started,
-             "address": f"127.0.0.1:710{name[1]}"} for name, word, started in lines]})
+        self.notify(
+            "exchange-list",
+            {
+                "version": version,
+                "state": state,
+                "epoch": epoch,
+                "exchanges": [
+                    {"id": name, "number": int(name[1]), "state": word, "started": started, "address": f"127.0.0.1:710{name[1]}"}
+                    for name, word, started in lines
+                ],
+            },
+        )
 
     def standing(self, number="001555"):
         """A dialog that stands; its INVITE and its leg."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -33,16 +33,30 @@
 
 def test_a_call_that_stands_already_wants_no_answer_and_needs_no_figures():
     assert told(line(fields={"class": "voice", "key": "7f", "extras": "at:s-1"}, sdp=None)) == [
-        ("stands_at", ID, "voice", "7f", "s-1")]
-
-
-@pytest.mark.parametrize("fields", [
-    {**FIELDS, "left": "-5"}, {**FIELDS, "left": "soon"}, {**FIELDS, "left": 1e300}, {**FIELDS, "left": 10**12},
-    {**FIELDS, "left": 0}, {**FIELDS, "key": "7f@evil SIP/2.0\r\nX: y"}, {**FIELDS, "key": ""},
-    {**FIELDS, "class": "voice\r\nX: y"}, {**FIELDS, "extras": "dest:-1;width:1"}, {**FIELDS, "extras": "dest:2"},
-    {**FIELDS, "extras": "dest:2;width:0"}, {**FIELDS, "extras": "dest:2;dest:3;width:1"}, {**FIELDS, "extras": ""},
-    {**FIELDS, "extras": "at:x\r\ny"}, {"class": "voice"},
-])
+        ("stands_at", ID, "voice", "7f", "s-1")
+    ]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {**FIELDS, "left": "-5"},
+        {**FIELDS, "left": "soon"},
+        {**FIELDS, "left": 1e300},
+        {**FIELDS, "left": 10**12},
+        {**FIELDS, "left": 0},
+        {**FIELDS, "key": "7f@evil SIP/2.0\r\nX: y"},
+        {**FIELDS, "key": ""},
+        {**FIELDS, "class": "voice\r\nX: y"},
+        {**FIELDS, "extras": "dest:-1;width:1"},
+        {**FIELDS, "extras": "dest:2"},
+        {**FIELDS, "extras": "dest:2;width:0"},
+        {**FIELDS, "extras": "dest:2;dest:3;width:1"},
+        {**FIELDS, "extras": ""},
+        {**FIELDS, "extras": "at:x\r\ny"},
+        {"class": "voice"},
+    ],
+)
 def test_a_figure_that_makes_no_sense_is_refused_under_its_id(fields):
     assert [(name, id) for name, id, *_ in told(line(fields=fields))] == [("unusable", ID)]
 
@@ -52,10 +66,24 @@
     assert told(line(sdp=sdp))[0][:2] == ("unusable", ID)
 
 
-@pytest.mark.parametrize("data", [
-    b"\xff\xfe\n", b"{\n", b"[]\n", b"5\n", b"{}\n", line(id="short"), line(id=ID.upper()), line(id=7), line(type="dance"),
-    line(fields=[]), line(fields={"class": {}}), b"[" * 9000 + b"\n", b"x" * (MOST_LINE + 1),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xfe\n",
+        b"{\n",
+        b"[]\n",
+        b"5\n",
+        b"{}\n",
+        line(id="short"),
+        line(id=ID.upper()),
+        line(id=7),
+        line(type="dance"),
+        line(fields=[]),
+        line(fields={"class": {}}),
+        b"[" * 9000 + b"\n",
+        b"x" * (MOST_LINE + 1),
+    ],
+)
 def test_what_is_no_line_of_a_caller_ends_the_connection(data):
     with pytest.raises(BadCallerError):
         told(data)
@@ -68,8 +96,13 @@
     assert len(noted.done) == 1
 
 
-@given(st.lists(st.sampled_from([line(), line(type="release", cause=16), line(type="ping"), b"\r\n",
-                                 line(fields={"class": "x"})]), max_size=6), st.data())
+@given(
+    st.lists(
+        st.sampled_from([line(), line(type="release", cause=16), line(type="ping"), b"\r\n", line(fields={"class": "x"})]),
+        max_size=6,
+    ),
+    st.data(),
+)
 @settings(max_examples=150, deadline=None)
 def test_any_cut_of_the_bytes_gives_the_same(parts, data):
     noted = NotedHost()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -55,16 +55,31 @@
     for number in range(2):
         path = tmp_path / f"edge-{number}.sexp"
         paths.append(str(tmp_path / f"{number}.sock"))
-        path.write_text(form(
-            "edge", name=f"p{number}", listen=at[number], here=number, control=paths[-1], drain_limit_s=2,
-            exchange=[{"number": other, "id": f"x{other}", "address": at[2 + other], "prefix": [f"00{other}"]}
-                      for other in range(2)],
-            traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}],
-            coordination={"key": "a key of sixteen or more", "period_ms": 100, "lease_ms": 500, "probe_every_ms": 300,
-                          "probe_limit_ms": 2000,
-                          "member": [{"name": f"p{other}", "address": at[4 + other]} for other in range(2)]}))
-        processes.append(subprocess.Popen([sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)],
-                                          stderr=subprocess.DEVNULL))
+        path.write_text(
+            form(
+                "edge",
+                name=f"p{number}",
+                listen=at[number],
+                here=number,
+                control=paths[-1],
+                drain_limit_s=2,
+                exchange=[
+                    {"number": other, "id": f"x{other}", "address": at[2 + other], "prefix": [f"00{other}"]} for other in range(2)
+                ],
+                traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}],
+                coordination={
+                    "key": "a key of sixteen or more",
+                    "period_ms": 100,
+                    "lease_ms": 500,
+                    "probe_every_ms": 300,
+                    "probe_limit_ms": 2000,
+                    "member": [{"name": f"p{other}", "address": at[4 + other]} for other in range(2)],
+                },
+            )
+        )
+        processes.append(
+            subprocess.Popen([sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)], stderr=subprocess.DEVNULL)
+        )
     yield processes, paths
     for process in processes:
         process.kill()
@@ -136,15 +151,24 @@
     assert result.exit_code == 2 and len(result.stderr.splitlines()) == 1
 
 
-@pytest.mark.parametrize(("part", "word"), [
-    ('(coordination (key "short") (member (name "p") (address "127.0.0.1:9")))', "coordination.key"),
-    ('(coordination (key "long enough, long") (member (name "q") (address "127.0.0.1:9")))', "'p' is not among the members"),
-    ('(coordination (key "long enough, long") (member (name "p") (address "127.0.0.1:9")) '
-     '(member (name "p") (address "127.0.0.1:8")))', "stands twice"),
-    ('(coordination (key "long enough, long") (member (name "p") (address "here")))', "coordination.member[0].address")])
+@pytest.mark.parametrize(
+    ("part", "word"),
+    [
+        ('(coordination (key "short") (member (name "p") (address "127.0.0.1:9")))', "coordination.key"),
+        ('(coordination (key "long enough, long") (member (name "q") (address "127.0.0.1:9")))', "'p' is not among the members"),
+        (
+            '(coordination (key "long enough, long") (member (name "p") (address "127.0.0.1:9")) '
+            '(member (name "p") (address "127.0.0.1:8")))',
+            "stands twice",
+        ),
+        ('(coordination (key "long enough, long") (member (name "p") (address "here")))', "coordination.member[0].address"),
+    ],
+)
 def test_faults_in_the_settings_of_coordination_are_named(part, word):
-    text = ('(edge (name "p") (listen "127.0.0.1:1") (here 0) (exchange (number 0) (id "x") (address "127.0.0.1:2")) '
-            f'(traffic-type (name "v") (setup-objective-ms 1) (no-answer-time-ms 1)) {part})')
+    text = (
+        '(edge (name "p") (listen "127.0.0.1:1") (here 0) (exchange (number 0) (id "x") (address "127.0.0.1:2")) '
+        f'(traffic-type (name "v") (setup-objective-ms 1) (no-answer-time-ms 1)) {part})'
+    )
     with pytest.raises(BadSettingsError) as bad:
         parse(text, "f", edge=EdgeForm)
     assert word in str(bad.value)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -31,17 +31,33 @@
     return parse(DAY % (seconds, text), "day", day=DayForm)
 
 
-@pytest.mark.parametrize(("text", "places"), [
-    ("(edge", ["no S-expression"]), ("(day)", ["named 'day'"]), ("", ["one form"]), ("edge", ["one form"]),
-    ('(edge (nome "a"))', ["edge: nome: no such part"]), ("(edge stray)", ["'stray' is no part"]),
-    ('(edge (name "a") (name "b"))', ["name: stands twice"]), ('(edge (name "a" "b"))', ["one value"]),
-    ('(edge (name "p") (listen "nowhere") (here 5) (exchange (number -1) (id a) (address "1.2.3.4:99999")))',
-     ["edge.listen", "edge.exchange[0].number", "edge.exchange[0].address", "edge.traffic-type: field required"]),
-    ('(edge (name "p") (listen "127.0.0.1:1") (here 5) (exchange (number 1) (id a) (address "127.0.0.1:2")) (traffic-type '
-     '(name v) (setup-objective-ms 1) (no-answer-time-ms 1)))', ["here: no exchange has number 5"]),
-    ('(edge (name "p") (listen "127.0.0.1:1") (here 1) (exchange (number 1) (id a) (address "127.0.0.1:2")) (traffic-type '
-     '(name v) (setup-objective-ms soon) (no-answer-time-ms 1)))', ["edge.traffic-type[0].setup-objective-ms"]),
-])
+@pytest.mark.parametrize(
+    ("text", "places"),
+    [
+        ("(edge", ["no S-expression"]),
+        ("(day)", ["named 'day'"]),
+        ("", ["one form"]),
+        ("edge", ["one form"]),
+        ('(edge (nome "a"))', ["edge: nome: no such part"]),
+        ("(edge stray)", ["'stray' is no part"]),
+        ('(edge (name "a") (name "b"))', ["name: stands twice"]),
+        ('(edge (name "a" "b"))', ["one value"]),
+        (
+            '(edge (name "p") (listen "nowhere") (here 5) (exchange (number -1) (id a) (address "1.2.3.4:99999")))',
+            ["edge.listen", "edge.exchange[0].number", "edge.exchange[0].address", "edge.traffic-type: field required"],
+        ),
+        (
+            '(edge (name "p") (listen "127.0.0.1:1") (here 5) (exchange (number 1) (id a) (address "127.0.0.1:2")) (traffic-type '
+            "(name v) (setup-objective-ms 1) (no-answer-time-ms 1)))",
+            ["here: no exchange has number 5"],
+        ),
+        (
+            '(edge (name "p") (listen "127.0.0.1:1") (here 1) (exchange (number 1) (id a) (address "127.0.0.1:2")) (traffic-type '
+            "(name v) (setup-objective-ms soon) (no-answer-time-ms 1)))",
+            ["edge.traffic-type[0].setup-objective-ms"],
+        ),
+    ],
+)
 def test_each_fault_in_settings_is_named_with_its_place(tmp_path, text, places):
     path = tmp_path / "edge.sexp"
     path.write_text(text)
@@ -53,9 +69,15 @@
 
 
 def test_settings_written_are_settings_read(tmp_path):
-    text = form("edge", name="p", listen="127.0.0.1:1", here=0, tell_peers=False,
-                exchange=[{"number": 0, "id": "x", "address": "127.0.0.1:2", "prefix": ["01", "02"]}],
-                traffic_type=[{"name": "v", "setup_objective_ms": 1, "no_answer_time_ms": 2, "resource_priority": []}])
+    text = form(
+        "edge",
+        name="p",
+        listen="127.0.0.1:1",
+        here=0,
+        tell_peers=False,
+        exchange=[{"number": 0, "id": "x", "address": "127.0.0.1:2", "prefix": ["01", "02"]}],
+        traffic_type=[{"name": "v", "setup_objective_ms": 1, "no_answer_time_ms": 2, "resource_priority": []}],
+    )
     read = parse(text, "f", edge=EdgeForm)
     assert read.exchange[0].prefix == ["01", "02"] and read.tell_peers is False
     path = tmp_path / "f.sexp"
@@ -64,11 +86,19 @@
     assert CliRunner().invoke(main, ["settings", "check", str(tmp_path / "none")]).exit_code == 2
 
 
-@pytest.mark.parametrize(("text", "word"), [
-    ("(fault (kind storm) (at 1))", "fault[0].kind"), ("(fault (kind slow) (at 9) (lasts 3))", "ends after the day"),
-    ("(fault (kind loss) (at 1) (lasts 1) (factor 3))", "1 at most"), ("(fault (kind slow) (at 1))", "lasts is missing"),
-    ('(traffic-type (name "more") (share 0.5) (setup-objective-ms 1) (no-answer-time-ms 1) (resource-priority "a"))',
-     "add up to 1.5")])
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("(fault (kind storm) (at 1))", "fault[0].kind"),
+        ("(fault (kind slow) (at 9) (lasts 3))", "ends after the day"),
+        ("(fault (kind loss) (at 1) (lasts 1) (factor 3))", "1 at most"),
+        ("(fault (kind slow) (at 1))", "lasts is missing"),
+        (
+            '(traffic-type (name "more") (share 0.5) (setup-objective-ms 1) (no-answer-time-ms 1) (resource-priority "a"))',
+            "add up to 1.5",
+        ),
+    ],
+)
 def test_each_fault_of_a_day_is_named(text, word):
     with pytest.raises(BadSettingsError, match=word.replace("[", r"\[")):
         day_of(text)
@@ -86,7 +116,7 @@
     plan = Plan(day, 1)
     gone = [life for life in plan.lives if life.dies == 2]
     assert len(gone) == 1 and not gone[0].orderly
-    back, = [life for life in plan.lives if life.born == 3]
+    (back,) = [life for life in plan.lives if life.born == 3]
     assert back.id == gone[0].id
     drained = [life for life in plan.lives if life.drains < NEVER]
     assert len(drained) == 3 and all(life.dies > life.drains and life.orderly for life in drained)
@@ -98,10 +128,15 @@
 
 
 def test_faults_strike_when_and_whom_the_script_says():
-    plan = Plan(day_of("(fault (kind district-cut) (at 1) (lasts 2) (share 0.34)) "
-                       "(fault (kind groups-shrink) (at 5) (lasts 1) (share 1) (factor 2)) "
-                       "(fault (kind pauses) (at 7) (lasts 2) (share 1) (ms 500) (every-ms 1000))"), 3)
-    member, = plan.strikes[0].members
+    plan = Plan(
+        day_of(
+            "(fault (kind district-cut) (at 1) (lasts 2) (share 0.34)) "
+            "(fault (kind groups-shrink) (at 5) (lasts 1) (share 1) (factor 2)) "
+            "(fault (kind pauses) (at 7) (lasts 2) (share 1) (ms 500) (every-ms 1000))"
+        ),
+        3,
+    )
+    (member,) = plan.strikes[0].members
     others = [number for number in range(3) if number != member]
     assert plan.cut_off(member, others[0], 1.5) and not plan.cut_off(others[0], others[1], 1.5)
     assert not plan.cut_off(member, others[0], 3.5)
@@ -146,18 +181,29 @@
 def test_a_proxy_drains_on_sigterm_and_ends_with_0(tmp_path):
     port, exchange = free_ports(2)
     path = tmp_path / "edge.sexp"
-    path.write_text(form("edge", name="p", listen=f"127.0.0.1:{port}", here=0, drain_limit_s=5,
-                         exchange=[{"number": 0, "id": "x0", "address": f"127.0.0.1:{exchange}", "prefix": ["0"]}],
-                         traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}]))
-    process = subprocess.Popen([sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)],
-                               stderr=subprocess.PIPE, text=True)
+    path.write_text(
+        form(
+            "edge",
+            name="p",
+            listen=f"127.0.0.1:{port}",
+            here=0,
+            drain_limit_s=5,
+            exchange=[{"number": 0, "id": "x0", "address": f"127.0.0.1:{exchange}", "prefix": ["0"]}],
+            traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}],
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)], stderr=subprocess.PIPE, text=True
+    )
     try:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
             peer.bind(("127.0.0.1", 0))
             peer.settimeout(0.2)
             own = f"127.0.0.1:{peer.getsockname()[1]}"
-            options = (f"OPTIONS sip:127.0.0.1:{port} SIP/2.0\r\nVia: SIP/2.0/UDP {own};branch=z9hG4bKo\r\n"
-                       "From: <sip:a>;tag=1\r\nTo: <sip:b>\r\nCall-ID: o\r\nCSeq: 1 OPTIONS\r\n\r\n").encode()
+            options = (
+                f"OPTIONS sip:127.0.0.1:{port} SIP/2.0\r\nVia: SIP/2.0/UDP {own};branch=z9hG4bKo\r\n"
+                "From: <sip:a>;tag=1\r\nTo: <sip:b>\r\nCall-ID: o\r\nCSeq: 1 OPTIONS\r\n\r\n"
+            ).encode()
             for _ in range(200):
                 peer.sendto(options, ("127.0.0.1", port))
                 try:
@@ -181,9 +227,17 @@
         taken.bind(("127.0.0.1", 0))
         taken.listen()
         path = tmp_path / "edge.sexp"
-        path.write_text(form("edge", name="p", listen=f"127.0.0.1:{taken.getsockname()[1]}", here=0,
-                             exchange=[{"number": 0, "id": "x0", "address": "127.0.0.1:9"}],
-                             traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}]))
-        done = subprocess.run([sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)],
-                              capture_output=True, text=True, timeout=60)
+        path.write_text(
+            form(
+                "edge",
+                name="p",
+                listen=f"127.0.0.1:{taken.getsockname()[1]}",
+                here=0,
+                exchange=[{"number": 0, "id": "x0", "address": "127.0.0.1:9"}],
+                traffic_type=[{"name": "v", "setup_objective_ms": 1000, "no_answer_time_ms": 5000}],
+            )
+        )
+        done = subprocess.run(
+            [sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)], capture_output=True, text=True, timeout=60
+        )
     assert done.returncode == 2 and "address-taken" in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -30,8 +30,17 @@
         self.running = True
         self.inbox, self.began = [], {}
         self.acts = Counter()
-        self.keeper = Keeper(self, Random(f"{name}{life}{world.seed}"), self.clock(), name, life, frozenset(world.names), duties,
-                             lasts=LASTS, error=ERROR)
+        self.keeper = Keeper(
+            self,
+            Random(f"{name}{life}{world.seed}"),
+            self.clock(),
+            name,
+            life,
+            frozenset(world.names),
+            duties,
+            lasts=LASTS,
+            error=ERROR,
+        )
 
     def clock(self):
         return int(self.world.now * self.rate) + self.offset
@@ -44,8 +53,9 @@
     def vote(self, asker, duty, token, lasts, done_ago):
         granted, newest = self.keeper.asked(self.clock(), duty, token, lasts, done_ago)
         me = self.name
-        self.world.send(me, asker, lambda one: one.keeper.voted(
-            one.clock(), me, duty, token.counter, granted, newest, one.world.present(one)))
+        self.world.send(
+            me, asker, lambda one: one.keeper.voted(one.clock(), me, duty, token.counter, granted, newest, one.world.present(one))
+        )
 
     def release(self, duty, token):
         for other in self.world.names:
@@ -66,8 +76,10 @@
                 self.began[name] = now + self.keeper.held[name].duty.period
                 token = self.keeper.token_of(name)
                 # Between the look at the lease and the effect anything may happen, a long standstill too.
-                self.world.at(self.world.now + self.world.effect_delay(self),
-                              lambda name=name, token=token: self.world.effect(self, name, token))
+                self.world.at(
+                    self.world.now + self.world.effect_delay(self),
+                    lambda name=name, token=token: self.world.effect(self, name, token),
+                )
 
 
 class World:
@@ -125,8 +137,11 @@
 
     def present(self, one):
         """What membership would say, some seconds late."""
-        there = {name: 1 for name in self.names if name in self.instances and not self.cut(one.name, name)
-                 and (self.now < self.instances[name].paused_until) < 1}
+        there = {
+            name: 1
+            for name in self.names
+            if name in self.instances and not self.cut(one.name, name) and (self.now < self.instances[name].paused_until) < 1
+        }
         there[one.name] = 1
         late = self.seen.setdefault(one.name, [])
         late.append((self.now, there))
@@ -240,6 +255,7 @@
 def test_without_the_fence_the_model_finds_the_fault():
     def change(world):
         world.fence.admit = lambda *args: world.fence.newest.update({args[1]: (args[2], args[0])}) or True
+
     assert broken_worlds(change) > 0
 
 
@@ -274,6 +290,7 @@
     def forgetful(self, now, longest, error):
         start(self, now, longest, error)
         self.mute_until = now
+
     monkeypatch.setattr(Voter, "__init__", forgetful)
     found = 0
     for seed in range(10):
@@ -358,6 +375,7 @@
 
 # --- parts ---
 
+
 @given(st.sets(st.text("abcdefgh", min_size=1, max_size=4), min_size=2, max_size=12), st.integers(0, 999))
 @settings(derandomize=True, deadline=None)
 def test_a_member_that_goes_moves_only_what_it_had(names, number):
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -17,6 +17,7 @@
 
 # --- subscriptions ---
 
+
 def test_a_subscription_that_falls_silent_fails_and_is_asked_for_anew():
     watching = Watching(20 * SECOND, 2 * SECOND)
     assert watching.want(0) == Ask.FIRST
@@ -52,8 +53,10 @@
     assert 18 <= refreshes <= 21
 
 
-@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(["pass", "lose", "late", "twice", "restart"])),
-                min_size=1, max_size=40), st.randoms(use_true_random=False))
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.sampled_from(["pass", "lose", "late", "twice", "restart"])), min_size=1, max_size=40),
+    st.randoms(use_true_random=False),
+)
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_whatever_is_lost_or_late_the_state_ends_up_right(changes, draw):
     """A notifier of six values over a network that loses, repeats and reorders; the subscriber asks for the full
@@ -123,9 +126,18 @@
 
 def test_a_machine_that_takes_a_number_over_has_its_group(peers):
     peers.tell_list(1, [("x1", "ready", 0), ("x2", "ready", 0), ("x0", "ready", 0)], "full")
-    peers.notify("exchange-list", {"version": 2, "state": "partial", "epoch": "e", "exchanges": [
-        {"id": "x1", "number": 1, "state": "draining", "started": 0, "address": "127.0.0.1:7101"},
-        {"id": "new", "number": 1, "state": "ready", "started": 0, "address": "127.0.0.1:7201"}]})
+    peers.notify(
+        "exchange-list",
+        {
+            "version": 2,
+            "state": "partial",
+            "epoch": "e",
+            "exchanges": [
+                {"id": "x1", "number": 1, "state": "draining", "started": 0, "address": "127.0.0.1:7101"},
+                {"id": "new", "number": 1, "state": "ready", "started": 0, "address": "127.0.0.1:7201"},
+            ],
+        },
+    )
     ex = peers.proxy.controller.by_number[1]
     assert peers.proxy.ids[ex.gw] == "new" and (ex.group.free, ex.group.size) == (20, 20)
     invite = peers.invite()
@@ -139,15 +151,22 @@
     assert [m.get("Event") for m in peers.new("SUBSCRIBE")] == ["trunk-groups"]
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"version":"x"}', b'{"version":1,"state":"full","epoch":"e"}',
-                                  b"\xff\xfe", b"[" * 5000])
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"version":"x"}', b'{"version":1,"state":"full","epoch":"e"}', b"\xff\xfe", b"[" * 5000]
+)
 def test_a_notification_that_is_no_list_is_refused_and_the_old_one_kept(peers, body):
     before = dict(peers.proxy.controller.by_number)
     sub = peers.proxy.subscribers["exchange-list"]
     message = Message("NOTIFY", "sip:127.0.0.1:7000", body=body)
-    message.fields = [("Via", "SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKbody"), ("From", "<sip:n>;tag=n"),
-                      ("To", f"<sip:p>;tag={sub.tag}"), ("Call-ID", sub.call_id), ("CSeq", "1 NOTIFY"),
-                      ("Event", "exchange-list"), ("Subscription-State", "active")]
+    message.fields = [
+        ("Via", "SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKbody"),
+        ("From", "<sip:n>;tag=n"),
+        ("To", f"<sip:p>;tag={sub.tag}"),
+        ("Call-ID", sub.call_id),
+        ("CSeq", "1 NOTIFY"),
+        ("Event", "exchange-list"),
+        ("Subscription-State", "active"),
+    ]
     peers.come(message)
     assert [m.status for m in peers.new(port=9000)] == [400 if body else 200]
     assert peers.proxy.controller.by_number == before
@@ -163,6 +182,7 @@
 
 # --- circuits, door, numbers, words ---
 
+
 def test_a_leg_that_the_exchange_has_not_seen_is_not_free():
     circuits = Circuits()
     assert circuits.count(1) == (-1, -1)
@@ -183,8 +203,7 @@
     assert circuits.told(1, 4, 10) == (4, 10)
 
 
-@given(st.lists(st.tuples(st.sampled_from(["told", "sent", "over", "back"]), st.integers(0, 4), st.integers(0, 12)),
-                max_size=40))
+@given(st.lists(st.tuples(st.sampled_from(["told", "sent", "over", "back"]), st.integers(0, 4), st.integers(0, 12)), max_size=40))
 @settings(derandomize=True, deadline=None)
 def test_a_count_is_never_under_nothing_nor_over_the_size(events):
     circuits = Circuits()
@@ -224,23 +243,32 @@
     assert door.shut(0, 0) > 0
 
 
-@pytest.mark.parametrize(("number", "exchange"), [
-    ("0115550100", 1), ("0125550100", 2), ("+0115550100", 1), ("0", -1), ("", -1), ("0119", 3), ("01-15", 1)])
+@pytest.mark.parametrize(
+    ("number", "exchange"),
+    [("0115550100", 1), ("0125550100", 2), ("+0115550100", 1), ("0", -1), ("", -1), ("0119", 3), ("01-15", 1)],
+)
 def test_the_longest_prefix_leads(number, exchange):
     assert Numbering({"011": 1, "012": 2, "0119": 3}).exchange(number) == exchange
 
 
-@pytest.mark.parametrize(("status", "fields", "over_tandem", "end"), [
-    (486, [], False, (LegEnd.BUSY, Rsn.LINES_BUSY)), (600, [], False, (LegEnd.BUSY, Rsn.LINES_BUSY)),
-    (503, [words.q850(34)], False, (LegEnd.FULL, Rsn.NO_CIRCUIT)),
-    (503, [words.q850(42)], False, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
-    (503, [], True, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
-    (503, [words.q850(42, "RLN")], True, (LegEnd.FULL, Rsn.BEYOND_TANDEM_FULL)),
-    (503, [words.q850(42, "RLN")], False, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
-    (503, [words.q850(21, "TN")], True, (LegEnd.FULL, Rsn.TANDEM_DECLINED)),
-    (408, [], False, (LegEnd.NO_ANSWER, Rsn.NONE)), (487, [], False, (LegEnd.NO_ANSWER, Rsn.NONE)),
-    (404, [], False, (LegEnd.BUSY, Rsn.NO_WAY)), (302, [], False, (LegEnd.BUSY, Rsn.NO_WAY)),
-    (500, [], False, (LegEnd.BUSY, Rsn.NONE))])
+@pytest.mark.parametrize(
+    ("status", "fields", "over_tandem", "end"),
+    [
+        (486, [], False, (LegEnd.BUSY, Rsn.LINES_BUSY)),
+        (600, [], False, (LegEnd.BUSY, Rsn.LINES_BUSY)),
+        (503, [words.q850(34)], False, (LegEnd.FULL, Rsn.NO_CIRCUIT)),
+        (503, [words.q850(42)], False, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
+        (503, [], True, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
+        (503, [words.q850(42, "RLN")], True, (LegEnd.FULL, Rsn.BEYOND_TANDEM_FULL)),
+        (503, [words.q850(42, "RLN")], False, (LegEnd.FULL, Rsn.PROCESSOR_FULL)),
+        (503, [words.q850(21, "TN")], True, (LegEnd.FULL, Rsn.TANDEM_DECLINED)),
+        (408, [], False, (LegEnd.NO_ANSWER, Rsn.NONE)),
+        (487, [], False, (LegEnd.NO_ANSWER, Rsn.NONE)),
+        (404, [], False, (LegEnd.BUSY, Rsn.NO_WAY)),
+        (302, [], False, (LegEnd.BUSY, Rsn.NO_WAY)),
+        (500, [], False, (LegEnd.BUSY, Rsn.NONE)),
+    ],
+)
 def test_what_an_answer_means(status, fields, over_tandem, end):
     assert words.leg_end(Message(status=status, fields=fields), over_tandem) == end
 
@@ -268,14 +296,20 @@
 
 def test_short_messages_reach_those_that_are_ready_and_no_others(peers_of):
     from conftest import EDGE
+
     peers = peers_of(EDGE.replace("(tell-peers false)", ""))
     peers.tell_list(1, [("x0", "ready", 0), ("x1", "gone", 0), ("x2", "ready", 0), ("x3", "ready", 0)], "full")
     peers.read = len(peers.sent)
     peers.pass_time(20_000)
-    assert {hop.port for m, hop in peers.sent[peers.read:] if m.method == "MESSAGE"} == {7102, 7103}
+    assert {hop.port for m, hop in peers.sent[peers.read :] if m.method == "MESSAGE"} == {7102, 7103}
     peers.new()
     told = Message("MESSAGE", "sip:proxy@127.0.0.1:7000", body=b"\0\2\x0e\x0e")
-    told.fields = [("Via", "SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKm"), ("From", "<sip:x>;tag=1"), ("To", "<sip:p>"),
-                   ("Call-ID", "m"), ("CSeq", "1 MESSAGE")]
+    told.fields = [
+        ("Via", "SIP/2.0/UDP 127.0.0.1:9000;branch=z9hG4bKm"),
+        ("From", "<sip:x>;tag=1"),
+        ("To", "<sip:p>"),
+        ("Call-ID", "m"),
+        ("CSeq", "1 MESSAGE"),
+    ]
     peers.come(told)
-    assert peers.proxy.controller.by_number[2].reach == (0x0e, 0x0e)
+    assert peers.proxy.controller.by_number[2].reach == (0x0E, 0x0E)
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -28,14 +28,26 @@
 
     def start(self):
         path = self.folder / "edge.sexp"
-        path.write_text(form(
-            "edge", name="p0", listen=f"127.0.0.1:{self.port}", here=0, drain_limit_s=1, control=str(self.folder / "p0.sock"),
-            exchange=[{"number": 0, "id": "x0", "address": self.own, "prefix": ["000"]},
-                      {"number": 1, "id": "x1", "address": self.own, "prefix": ["001"]}],
-            traffic_type=[{"name": "v", "setup_objective_ms": 1500, "no_answer_time_ms": 5000}], **self.more))
+        path.write_text(
+            form(
+                "edge",
+                name="p0",
+                listen=f"127.0.0.1:{self.port}",
+                here=0,
+                drain_limit_s=1,
+                control=str(self.folder / "p0.sock"),
+                exchange=[
+                    {"number": 0, "id": "x0", "address": self.own, "prefix": ["000"]},
+                    {"number": 1, "id": "x1", "address": self.own, "prefix": ["001"]},
+                ],
+                traffic_type=[{"name": "v", "setup_objective_ms": 1500, "no_answer_time_ms": 5000}],
+                **self.more,
+            )
+        )
         self.log = (self.folder / "log").open("a")
-        self.process = subprocess.Popen([sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)],
-                                        stderr=self.log, stdout=self.log)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gingergap", "edge", "run", "--settings", str(path)], stderr=self.log, stdout=self.log
+        )
         while not self.ask("OPTIONS", f"sip:127.0.0.1:{self.port}", "200"):
             assert self.process.poll() is None, (self.folder / "log").read_text()
         return self
@@ -47,9 +59,14 @@
         return self.wait(lambda text: text.startswith(f"SIP/2.0 {expected}"), 1) is not None
 
     def send(self, method, uri, call, branch, to, more=""):
-        self.peer.sendto((f"{method} {uri} SIP/2.0\r\nVia: SIP/2.0/UDP {self.own};branch={branch}\r\nFrom: <sip:a@b>;tag=a\r\n"
-                          f"To: {to}\r\nCall-ID: {call}\r\nCSeq: 1 {method}\r\nMax-Forwards: 70\r\nContact: <sip:a@{self.own}>\r\n"
-                          f"{more}Content-Length: 0\r\n\r\n").encode(), ("127.0.0.1", self.port))
+        self.peer.sendto(
+            (
+                f"{method} {uri} SIP/2.0\r\nVia: SIP/2.0/UDP {self.own};branch={branch}\r\nFrom: <sip:a@b>;tag=a\r\n"
+                f"To: {to}\r\nCall-ID: {call}\r\nCSeq: 1 {method}\r\nMax-Forwards: 70\r\nContact: <sip:a@{self.own}>\r\n"
+                f"{more}Content-Length: 0\r\n\r\n"
+            ).encode(),
+            ("127.0.0.1", self.port),
+        )
 
     def wait(self, wanted, tries=40):
         for _ in range(tries):
@@ -80,6 +97,7 @@
 
     def counts(self):
         from gingergap.control.client import ask
+
         return ask(str(self.folder / "p0.sock"), "counts")["counts"]
 
     def until(self, true):
@@ -108,6 +126,7 @@
     def make(**more):
         made.append(Edge(tmp_path, **more))
         return made[-1]
+
     yield make
     for one in made:
         one.stop()
@@ -126,7 +145,7 @@
     assert one.run("trace", "on")[0] == 0
     one.standing()
     one.stop()
-    trace, = opened([tmp_path / "t"])
+    (trace,) = opened([tmp_path / "t"])
     records = [entry.record for entry in trace.entries()]
     assert sum(record[0] == CODES["dialog_came"] for record in records) == 2
     assert sum(record[0] == SNAPSHOT for record in records) == 2 and [r[0] for r in records if r[0] == "gap"][:1] == ["gap"]
@@ -155,8 +174,9 @@
     assert CliRunner().invoke(main, ["store", "verify", str(tmp_path / "s")]).exit_code == 0
     one.start()
     assert one.counts()["remembered"] == 3
-    one.send("BYE", f"sip:f@{one.own}", calls[0], "z9hG4bKbye", "<sip:001555@b>;tag=far",
-             f"Route: <sip:127.0.0.1:{one.port};lr>\r\n")
+    one.send(
+        "BYE", f"sip:f@{one.own}", calls[0], "z9hG4bKbye", "<sip:001555@b>;tag=far", f"Route: <sip:127.0.0.1:{one.port};lr>\r\n"
+    )
     assert one.wait(lambda text: text.startswith("BYE") and calls[0] in text)
     one.until(lambda: one.counts().get("legs ended ended") == 1)
     one.stop()
@@ -169,12 +189,14 @@
 def _written(one):
     """How many dialogs and signs of life are on the disk, as the proxy tells."""
     from gingergap.control.client import ask
+
     state = ask(str(one.folder / "p0.sock"), "store")
     return 0 if state["waiting"] else min(state["batches"], state["records"] - state["batches"] + 1)
 
 
 def test_a_folder_that_another_process_holds_costs_memory_and_not_calls(edge, tmp_path):
     from gingergap.store.book import Book
+
     held = Book(tmp_path / "s")
     one = edge(store={"folder": str(tmp_path / "s")}).start()
     one.standing()
--- a/tests/test_edge_proxy.py
+++ b/tests/test_edge_proxy.py
@@ -11,18 +11,18 @@
 def test_a_call_from_invite_to_bye(peers):
     invite = peers.invite()
     assert [m.status for m, hop in peers.sent if hop.port == 9000] == [100]
-    (leg, hop), = peers.legs(invite.call_id)
+    ((leg, hop),) = peers.legs(invite.call_id)
     assert hop == Hop("UDP", "127.0.0.1", 7101)
     assert leg.uri.startswith("sip:001555;tgrp=g0-1;trunk-context=")
     assert leg.get("Record-Route") == "<sip:127.0.0.1:7000;lr>" and leg.get("Max-Forwards") == "69"
     peers.answer((leg, hop), 200)
     assert peers.finals(invite.call_id) == [200]
-    call, = peers.proxy.calls.values()
+    (call,) = peers.proxy.calls.values()
     assert call.stands and peers.proxy.open_dialogs == 0
     peers.within("ACK", invite.call_id, number=1)
     assert peers.all("ACK", port=7101)
     bye = peers.within("BYE", invite.call_id)
-    passed, = peers.all("BYE", port=7101)
+    (passed,) = peers.all("BYE", port=7101)
     assert passed.call_id == bye.call_id and not passed.has("Route")
     peers.answer((passed, Hop("UDP", "127.0.0.1", 7101)), 200, contact=False)
     assert [m.cseq()[1] for m, hop in peers.sent if m.status == 200 and hop.port == 9000] == ["INVITE", "BYE"]
@@ -71,7 +71,7 @@
         peers.answer(leg, 200)
     assert peers.finals(invite.call_id) == [487]
     assert len(peers.all("ACK", port=7101)) == 3
-    bye, = peers.all("BYE", port=7101)
+    (bye,) = peers.all("BYE", port=7101)
     assert bye.get("To").endswith("tag=far") and bye.get("From") == invite.get("From")
     assert bye.cseq() == (2, "BYE")
     assert not peers.proxy.calls
@@ -129,7 +129,7 @@
     invite, leg = peers.standing()
     peers.answer(leg, 200, tag="other")
     assert peers.finals(invite.call_id) == [200]
-    bye, = peers.all("BYE", port=7101)
+    (bye,) = peers.all("BYE", port=7101)
     assert bye.get("To").endswith("tag=other")
     assert len(peers.proxy.calls) == 1
 
@@ -159,8 +159,9 @@
     assert len(peers.all("BYE", port=7101)) == 1
 
 
-@pytest.mark.parametrize(("status", "fields", "final"), [
-    (486, [("Reason", "Q.850;cause=17")], 486), (302, [], 480), (404, [], 480)])
+@pytest.mark.parametrize(
+    ("status", "fields", "final"), [(486, [("Reason", "Q.850;cause=17")], 486), (302, [], 480), (404, [], 480)]
+)
 def test_a_leg_to_a_busy_or_unknown_number_ends_the_dialog(peers, status, fields, final):
     invite = peers.invite()
     peers.answer(peers.legs(invite.call_id)[0], status, fields=fields)
@@ -180,11 +181,27 @@
 
 def test_the_release_guard_passes_before_a_dialog_is_sent_again(peers):
     tcp = [("x1", "ready", 0.0)]
-    peers.notify("exchange-list", {"version": 1, "state": "full", "epoch": "e", "exchanges": [
-        {"id": name, "number": int(name[1]), "state": word, "started": started, "transport": "TCP",
-         "address": f"127.0.0.1:710{name[1]}"} for name, word, started in tcp]})
+    peers.notify(
+        "exchange-list",
+        {
+            "version": 1,
+            "state": "full",
+            "epoch": "e",
+            "exchanges": [
+                {
+                    "id": name,
+                    "number": int(name[1]),
+                    "state": word,
+                    "started": started,
+                    "transport": "TCP",
+                    "address": f"127.0.0.1:710{name[1]}",
+                }
+                for name, word, started in tcp
+            ],
+        },
+    )
     invite = peers.invite()
-    (leg, hop), = peers.legs(invite.call_id)
+    ((leg, hop),) = peers.legs(invite.call_id)
     assert hop.transport == "TCP"
     peers.answer((leg, hop), 100)
     peers.proxy.hop_failed(peers.now, Hop("TCP", "127.0.0.1", 7101, 5), True)
@@ -205,21 +222,21 @@
 
 def test_a_dialog_in_transit_goes_to_its_destination_or_back(peers):
     invite = peers.invite(fields=[("Gingergap-Dialog", "transit;time-left=1500")])
-    (leg, hop), = peers.legs(invite.call_id)
+    ((leg, hop),) = peers.legs(invite.call_id)
     assert hop.port == 7101 and "transit" not in leg.get("Gingergap-Dialog")
     peers.answer((leg, hop), 503, fields=[("Reason", "Q.850;cause=42")])
     while len(peers.finals(invite.call_id)) == 0 and peers.now < 20_000:
         peers.pass_time(peers.now + 500)
         for again in peers.legs(invite.call_id)[1:]:
             peers.answer(again, 503, fields=[("Reason", "Q.850;cause=42")])
-    final, = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
+    (final,) = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
     assert reason_of(final) == (42, "RLN")
 
 
 def test_a_transit_dialog_judged_too_much_is_turned_back_as_such(peers):
     peers.tell_groups({1: 0, 2: 20, 3: 20})
     peers.invite(fields=[("Gingergap-Dialog", "transit;time-left=1500")])
-    final, = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
+    (final,) = [m for m, h in peers.sent if m.status == 503 and h.port == 9000]
     assert reason_of(final) == (21, "TN") and not final.has("Retry-After")
 
 
@@ -228,14 +245,14 @@
     peers.answer(peers.legs(own.call_id)[0], 503, fields=[("Reason", "Q.850;cause=34")])
     tandem, hop = peers.legs(own.call_id)[1]
     far = 4 - (hop.port - 7100)  # neither the tandem nor the full group
-    transit = peers.invite(f"00{far}777", fields=[("Gingergap-Dialog", "transit;time-left=2000")], call="theirs",
-                           hop=Hop("UDP", "127.0.0.1", hop.port))
+    transit = peers.invite(
+        f"00{far}777", fields=[("Gingergap-Dialog", "transit;time-left=2000")], call="theirs", hop=Hop("UDP", "127.0.0.1", hop.port)
+    )
     assert [h.port for _, h in peers.legs(transit.call_id)] == [7100 + far]
     peers.answer((tandem, hop), 200)
     peers.answer(peers.legs("theirs")[0], 200)
     assert peers.finals(own.call_id) == [200]
-    assert [m.status for m, h in peers.sent if m.call_id == "theirs" and h.port == hop.port
-            and m.status >= 200] == [200]
+    assert [m.status for m, h in peers.sent if m.call_id == "theirs" and h.port == hop.port and m.status >= 200] == [200]
 
 
 def test_a_request_that_came_round_is_refused(peers):
@@ -249,13 +266,22 @@
     assert len(peers.all(status=482)) == 1 and len(peers.legs(first.call_id)) == 1
 
 
-@pytest.mark.parametrize(("change", "status"), [
-    (lambda m: m.put("Max-Forwards", "0"), 483), (lambda m: m.put("Max-Forwards", "many"), 400),
-    (lambda m: m.drop("CSeq"), 400), (lambda m: m.drop("Call-ID"), 400), (lambda m: m.drop("Contact"), 400),
-    (lambda m: m.put("Expires", "soon"), 400), (lambda m: m.put("Gingergap-Dialog", "time-left=-4"), 400),
-    (lambda m: m.put("Proxy-Require", "magic"), 420), (lambda m: m.put("CSeq", "1 BYE"), 400),
-    (lambda m: setattr(m, "uri", "http://x"), 416), (lambda m: setattr(m, "uri", "sip:999@127.0.0.1:7000"), 404),
-])
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        (lambda m: m.put("Max-Forwards", "0"), 483),
+        (lambda m: m.put("Max-Forwards", "many"), 400),
+        (lambda m: m.drop("CSeq"), 400),
+        (lambda m: m.drop("Call-ID"), 400),
+        (lambda m: m.drop("Contact"), 400),
+        (lambda m: m.put("Expires", "soon"), 400),
+        (lambda m: m.put("Gingergap-Dialog", "time-left=-4"), 400),
+        (lambda m: m.put("Proxy-Require", "magic"), 420),
+        (lambda m: m.put("CSeq", "1 BYE"), 400),
+        (lambda m: setattr(m, "uri", "http://x"), 416),
+        (lambda m: setattr(m, "uri", "sip:999@127.0.0.1:7000"), 404),
+    ],
+)
 def test_a_bad_invite_is_answered_and_leaves_nothing(peers, change, status):
     message = peers.invite()
     good = len(peers.proxy.calls)
@@ -290,6 +316,7 @@
 
 def test_over_the_bound_of_transactions_answers_keep_nothing(peers_of):
     from conftest import EDGE
+
     peers = peers_of(EDGE.replace("(transactions 500)", "(transactions 5)"))
     for _ in range(20):
         peers.invite()
@@ -330,8 +357,14 @@
 def test_a_way_on_that_is_not_served_is_refused_and_an_ack_dropped(peers, target):
     for method in ("BYE", "ACK"):
         message = Message(method, target)
-        message.fields = [("Via", f"SIP/2.0/SCTP 127.0.0.1:9000;branch=z9hG4bK{method}"), ("Max-Forwards", "70"),
-                          ("From", "<sip:c>;tag=ct"), ("To", "<sip:f>;tag=far"), ("Call-ID", "odd"), ("CSeq", f"2 {method}")]
+        message.fields = [
+            ("Via", f"SIP/2.0/SCTP 127.0.0.1:9000;branch=z9hG4bK{method}"),
+            ("Max-Forwards", "70"),
+            ("From", "<sip:c>;tag=ct"),
+            ("To", "<sip:f>;tag=far"),
+            ("Call-ID", "odd"),
+            ("CSeq", f"2 {method}"),
+        ]
         peers.come(message)
     assert [m.status for m in peers.new()] == [400]
     assert not [key for key in peers.proxy.transactions.clients if key[1] == "BYE"]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -117,12 +117,31 @@
 
 # --- rules ---
 
-MIXED = "\n".join(f"(fault (kind {kind}) (at {at}) (lasts 4) (share 0.4) {more})" for kind, at, more in (
-    ("slow", 1, "(factor 5)"), ("silence", 3, ""), ("vanish", 5, ""), ("rolling", 4, ""), ("stale-list", 4, "(ms 1500)"),
-    ("kill-proxy", 6, ""), ("pause-proxy", 8, ""), ("answers-lost", 2, "(factor 0.5)"), ("loss", 7, "(factor 0.1)"),
-    ("groups-shrink", 9, "(factor 3)"), ("pauses", 10, ""), ("district-cut", 11, ""), ("mass-restart", 12, ""),
-    ("burst", 2, "(factor 2)"), ("messages-lost", 1, "(factor 0.5)"), ("cut", 13, ""), ("list-silent", 12, ""),
-    ("ageing", 8, "(factor 4)"), ("delay", 5, "(ms 30)")) if kind in KINDS)
+MIXED = "\n".join(
+    f"(fault (kind {kind}) (at {at}) (lasts 4) (share 0.4) {more})"
+    for kind, at, more in (
+        ("slow", 1, "(factor 5)"),
+        ("silence", 3, ""),
+        ("vanish", 5, ""),
+        ("rolling", 4, ""),
+        ("stale-list", 4, "(ms 1500)"),
+        ("kill-proxy", 6, ""),
+        ("pause-proxy", 8, ""),
+        ("answers-lost", 2, "(factor 0.5)"),
+        ("loss", 7, "(factor 0.1)"),
+        ("groups-shrink", 9, "(factor 3)"),
+        ("pauses", 10, ""),
+        ("district-cut", 11, ""),
+        ("mass-restart", 12, ""),
+        ("burst", 2, "(factor 2)"),
+        ("messages-lost", 1, "(factor 0.5)"),
+        ("cut", 13, ""),
+        ("list-silent", 12, ""),
+        ("ageing", 8, "(factor 4)"),
+        ("delay", 5, "(ms 30)"),
+    )
+    if kind in KINDS
+)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -135,8 +154,19 @@
 
 
 def test_circuits_are_all_free_when_everybody_has_hung_up():
-    day = Day(day_of(12, 5, 9, 1, 8, 12, "(fault (kind slow) (at 2) (lasts 4) (factor 6)) (fault (kind answers-lost) (at 2) "
-                                         "(lasts 4) (factor 0.4)) (fault (kind cut) (at 8) (share 0.5))"), 4).run()
+    day = Day(
+        day_of(
+            12,
+            5,
+            9,
+            1,
+            8,
+            12,
+            "(fault (kind slow) (at 2) (lasts 4) (factor 6)) (fault (kind answers-lost) (at 2) "
+            "(lasts 4) (factor 0.4)) (fault (kind cut) (at 8) (share 0.5))",
+        ),
+        4,
+    ).run()
     day.engine.run(day.engine.now + 60 * SECOND)
     assert {pair: held for pair, held in day.groups.held.items() if held} == {}
 
@@ -182,14 +212,17 @@
 
 def test_the_module_carries_more_than_the_baselines_where_groups_are_short():
     form = day_of(60, 6, 12, 2, 8, 3)
-    service = {name: Day(form, 3, make).run().figures()["service"] for name, make in (
-        ("module", None), ("direct", baseline("direct", 3)), ("random tandem", baseline("random tandem", 3)))}
+    service = {
+        name: Day(form, 3, make).run().figures()["service"]
+        for name, make in (("module", None), ("direct", baseline("direct", 3)), ("random tandem", baseline("random tandem", 3)))
+    }
     assert service["module"] > service["direct"]
 
 
 def test_a_machine_serves_at_the_speed_that_it_has():
-    form = day_of(more="(fault (kind slow) (at 5) (lasts 5) (share 1) (factor 4)) "
-                       "(fault (kind vanish) (at 12) (lasts 1) (share 1))")
+    form = day_of(
+        more="(fault (kind slow) (at 5) (lasts 5) (share 1) (factor 4)) (fault (kind vanish) (at 12) (lasts 1) (share 1))"
+    )
     plan = Plan(form, 1)
     old = next(life for life in plan.lives if life.number == 0 and life.born < 0)
     new = next(life for life in plan.lives if life.number == 0 and life.born > 0)
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -43,7 +43,7 @@
         work = [one for key in runner.cells for one in runner.missing(key)]
         if not work or done >= most:
             break
-        for one in work[:most - done]:
+        for one in work[: most - done]:
             runner.results.put(run_one(runner.cells[one.cell].day, runner.policies[one.policy], one))
             done += 1
     runner.results.flush()
@@ -59,17 +59,32 @@
     assert next(cells(large, parse(DAY, "d", day=DayForm))).day.exchanges == 1_000
 
 
-@pytest.mark.parametrize(("field", "level", "words"), [
-    ("nothing", 1, "no 'nothing'"), ("fault.7.share", 1, "no '7'"), ("groups.odd", 1, "no 'odd'"), ("rate", -1, "rate"),
-    ("exchanges", 1, "exchanges")])
+@pytest.mark.parametrize(
+    ("field", "level", "words"),
+    [
+        ("nothing", 1, "no 'nothing'"),
+        ("fault.7.share", 1, "no '7'"),
+        ("groups.odd", 1, "no 'odd'"),
+        ("rate", -1, "rate"),
+        ("exchanges", 1, "exchanges"),
+    ],
+)
 def test_a_factor_that_is_none_is_a_line(field, level, words):
     form = parse(EXPERIMENT.replace('"fault.0.factor") (level 2)', f'"{field}") (level {level})'), "e", experiment=ExperimentForm)
     with pytest.raises(BadExperimentError, match=words):
         list(cells(form, parse(DAY, "d", day=DayForm)))
 
 
-@pytest.mark.parametrize("change", [('(name "the same")', '(name "module")'), ("(level 3 5)", ""), ("(round 3)", "(round 2)"),
-                                    ("(most-seeds 9)", "(most-seeds 0)"), ("(tolerance 0.02)", "(odd 1)")])
+@pytest.mark.parametrize(
+    "change",
+    [
+        ('(name "the same")', '(name "module")'),
+        ("(level 3 5)", ""),
+        ("(round 3)", "(round 2)"),
+        ("(most-seeds 9)", "(most-seeds 0)"),
+        ("(tolerance 0.02)", "(odd 1)"),
+    ],
+)
 def test_settings_that_make_no_sense_are_refused(change):
     with pytest.raises(BadSettingsError):
         parse(EXPERIMENT.replace(*change), "e", experiment=ExperimentForm)
@@ -183,8 +198,11 @@
     assert row["policy"] == "timid" and 0 < row["service"] <= 1 and row["broken"] == 0
     assert 0 < row["p50"] <= row["p90"] <= row["p99"] and 0 < row["service_at_end"] <= 1 and set(row) >= set(MEASURES)
     for bad in ("not there at all", "self"):
-        form = parse(EXPERIMENT.replace('(policy (name "the same"))', changed.replace("patience: int = 5", bad)), "e",
-                     experiment=ExperimentForm)
+        form = parse(
+            EXPERIMENT.replace('(policy (name "the same"))', changed.replace("patience: int = 5", bad)),
+            "e",
+            experiment=ExperimentForm,
+        )
         with pytest.raises(BadExperimentError, match="times in the module"):
             policy_file(form.policy[2], files)
 
@@ -204,11 +222,17 @@
     assert run(main, ["emulate", str(files / "d.sexp"), "--policy", "reservation", "--json"]).exit_code == 0
 
 
-@pytest.mark.parametrize("words", [["emulate", "d.sexp", "--policy", "odd"], ["emulate", "d.sexp", "--policy", "none.py"],
-                                   ["experiment", "run", "d.sexp", "--results", "r"],
-                                   ["experiment", "run", "bad.sexp", "--results", "r"],
-                                   ["experiment", "run", "e.sexp", "--results", "d.sexp"],
-                                   ["experiment", "run", "lost.sexp", "--results", "r"]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["emulate", "d.sexp", "--policy", "odd"],
+        ["emulate", "d.sexp", "--policy", "none.py"],
+        ["experiment", "run", "d.sexp", "--results", "r"],
+        ["experiment", "run", "bad.sexp", "--results", "r"],
+        ["experiment", "run", "e.sexp", "--results", "d.sexp"],
+        ["experiment", "run", "lost.sexp", "--results", "r"],
+    ],
+)
 def test_what_cannot_be_run_is_a_line_and_exit_2(files, monkeypatch, words):
     monkeypatch.chdir(files)
     (files / "bad.sexp").write_text(EXPERIMENT.replace("exchanges", "nothing"))
