--- a/tests/test_from_bench.py
+++ b/tests/test_from_bench.py
@@ -11,9 +11,22 @@
 from gingergap.standins.from_bench import BadDayFileError, scripted
 from gingergap.standins.player import form
 
-KINDS = {"burst": "burst", "hot_caller": "flood", "slow": "slow", "shared_slow": "all-slow", "ageing": "ageing",
-         "pauses": "pauses", "vanish": "vanish", "mass_restart": "mass-restart", "deploy": "rolling", "zone_cut": "district-cut",
-         "origin_slow": "groups-shrink", "discovery_stale": "stale-list", "reconnect": "cut", "peer_down": "messages-lost"}
+KINDS = {
+    "burst": "burst",
+    "hot_caller": "flood",
+    "slow": "slow",
+    "shared_slow": "all-slow",
+    "ageing": "ageing",
+    "pauses": "pauses",
+    "vanish": "vanish",
+    "mass_restart": "mass-restart",
+    "deploy": "rolling",
+    "zone_cut": "district-cut",
+    "origin_slow": "groups-shrink",
+    "discovery_stale": "stale-list",
+    "reconnect": "cut",
+    "peer_down": "messages-lost",
+}
 
 
 def trouble(kind, size=0.4, **more):
@@ -24,17 +37,40 @@
     """A day of four exchanges as the bench writes it, with what the conversion reads."""
     entry = {"share": 3.0, "worth": 1.0, "aim": 1_500_000, "deadline": 9_000_000, "late_worth": 0.1, "effect": "safe"}
     return {
-        "family": "trunks", "kind": "trouble/twin", "length": 50_000_000, "servers": [{}] * 4,
+        "family": "trunks",
+        "kind": "trouble/twin",
+        "length": 50_000_000,
+        "servers": [{}] * 4,
         "classes": [{**entry, "name": "narrow"}, {**entry, "name": "wide", "share": 1.0, "worth": 3.0}],
-        "fam": {"pools": False, "hold": [12e6, 12e6], "width": [1, 2], "n": 4,
-                "size": [0, 30, 30, 0] + [0] * 2 + [30, 30] + [0] * 8,
-                "erl": [0, 20, 20, 5] + [0] * 2 + [20, 20] + [0] * 8, "queue": 2e6, "release": 200_000, "advice": 1},
-        "clients": {"try_share": 0.35, "retries": 2.7, "backoff_us": 500_000, "honour": 0.5, "impatient": 0.01,
-                    "marks_retry": True, "max_retry_after": 2_000_000},
-        "discovery": {"notice": 3e6, "silent_notice": 9e6, "add": 4e5}, "traffic": {"load": 0.9},
-        "tiers": [{"kinds": [{"cold_from": 0.35, "cold": 1e7}], "report_how": "answers"}], "fall_multiple": 3.0,
-        "fall_for": 2_000_000, "drain_grace": 2_000_000, "allow": {"max_attempts": 6, "peers": True},
-        "troubles": list(troubles)}
+        "fam": {
+            "pools": False,
+            "hold": [12e6, 12e6],
+            "width": [1, 2],
+            "n": 4,
+            "size": [0, 30, 30, 0] + [0] * 2 + [30, 30] + [0] * 8,
+            "erl": [0, 20, 20, 5] + [0] * 2 + [20, 20] + [0] * 8,
+            "queue": 2e6,
+            "release": 200_000,
+            "advice": 1,
+        },
+        "clients": {
+            "try_share": 0.35,
+            "retries": 2.7,
+            "backoff_us": 500_000,
+            "honour": 0.5,
+            "impatient": 0.01,
+            "marks_retry": True,
+            "max_retry_after": 2_000_000,
+        },
+        "discovery": {"notice": 3e6, "silent_notice": 9e6, "add": 4e5},
+        "traffic": {"load": 0.9},
+        "tiers": [{"kinds": [{"cold_from": 0.35, "cold": 1e7}], "report_how": "answers"}],
+        "fall_multiple": 3.0,
+        "fall_for": 2_000_000,
+        "drain_grace": 2_000_000,
+        "allow": {"max_attempts": 6, "peers": True},
+        "troubles": list(troubles),
+    }
 
 
 def day_of(parts):
@@ -42,8 +78,12 @@
 
 
 def test_every_kind_of_trouble_has_its_fault():
-    parts, left = scripted(bench(*(trouble(kind, 2.0 if kind in ("burst", "slow", "shared_slow", "ageing", "origin_slow") else 0.4)
-                                   for kind in KINDS)), 25)
+    parts, left = scripted(
+        bench(
+            *(trouble(kind, 2.0 if kind in ("burst", "slow", "shared_slow", "ageing", "origin_slow") else 0.4) for kind in KINDS)
+        ),
+        25,
+    )
     day = day_of(parts)
     assert [fault.kind for fault in day.fault] == list(KINDS.values())
     assert all(fault.at == 10 for fault in day.fault)
@@ -70,9 +110,17 @@
     assert sum(entry.share for entry in day.traffic_type) == pytest.approx(1)
 
 
-@pytest.mark.parametrize("change", [
-    lambda day: day.pop("fam"), lambda day: day["fam"].pop("size"), lambda day: day.update(family="proxy"),
-    lambda day: day.update(length="long"), lambda day: day["fam"].update(width=[1]), lambda day: day.update(length=0)])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda day: day.pop("fam"),
+        lambda day: day["fam"].pop("size"),
+        lambda day: day.update(family="proxy"),
+        lambda day: day.update(length="long"),
+        lambda day: day["fam"].update(width=[1]),
+        lambda day: day.update(length=0),
+    ],
+)
 def test_a_file_that_is_no_such_day_is_refused_in_a_line(tmp_path, change):
     day = bench()
     change(day)
--- a/tests/test_listfeed.py
+++ b/tests/test_listfeed.py
@@ -29,7 +29,9 @@
     assert poll.ask(3, 1000).startswith(b"GET /bus/read?from=3&hold=1000 HTTP/1.1\r\n")
     found = events_after(0, poll.feed(http(BATCH)))
     assert [(number, whole, lines[0].state) for number, whole, lines in found] == [
-        (1, True, "in_service"), (2, False, "terminating")]
+        (1, True, "in_service"),
+        (2, False, "terminating"),
+    ]
     assert b"from=2" in poll.ask(2, 1000)
     assert events_after(2, poll.feed(http(BATCH))) == []
 
@@ -44,13 +46,20 @@
     for start, end in zip([0, *cuts[:-1]], cuts, strict=False):
         if end > start:
             assert poll.feed(whole[start:end]) is None
-    assert poll.feed(whole[cuts[-1] if cuts else 0:]).offset == 2
-
-
-@pytest.mark.parametrize("answer", [
-    http(BATCH, 500), b"noise\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", http({"offset": "x", "batch": []}),
-    http([]), b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
-])
+    assert poll.feed(whole[cuts[-1] if cuts else 0 :]).offset == 2
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        http(BATCH, 500),
+        b"noise\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        http({"offset": "x", "batch": []}),
+        http([]),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
+    ],
+)
 def test_an_answer_that_can_not_be_used_is_told_as_such(answer):
     poll = Poll("h:1")
     poll.ask(0, 1)
@@ -66,9 +75,16 @@
         poll.feed(b"")
 
 
-@pytest.mark.parametrize("changes", [
-    {"state": "asleep"}, {"endpoint": "nowhere"}, {"endpoint": "h:99999"}, {"boot_ms": -1}, {"pod_group": -7},
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"endpoint": "nowhere"},
+        {"endpoint": "h:99999"},
+        {"boot_ms": -1},
+        {"pod_group": -7},
+    ],
+)
 def test_a_line_that_makes_no_sense_is_not_taken(changes):
     with pytest.raises(BadFeedError):
         events_after(0, msgspec.convert({"offset": 1, "batch": [event(1, **changes)]}, Batch))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -138,6 +138,7 @@
             nonlocal largest
             largest = max(largest, len(msgspec.msgpack.encode(message)))
             send(to, address, message)
+
         node.send = watched
     net.stop(nodes[3])
     net.stop(nodes[4])
@@ -154,9 +155,16 @@
     assert member.standing == Standing.ALIVE and member.address == "at-m1"
 
 
-UPDATES = st.builds(Update, name=st.sampled_from(["m0", "m1", "m2", "x"]), address=st.sampled_from(["at-m1", "at-x", ""]),
-                    life=st.integers(0, 3), incarnation=st.integers(0, 5), standing=st.integers(-1, 6), weight=st.integers(0, 3),
-                    by=st.sampled_from(["", "m1", "m2"]))
+UPDATES = st.builds(
+    Update,
+    name=st.sampled_from(["m0", "m1", "m2", "x"]),
+    address=st.sampled_from(["at-m1", "at-x", ""]),
+    life=st.integers(0, 3),
+    incarnation=st.integers(0, 5),
+    standing=st.integers(-1, 6),
+    weight=st.integers(0, 3),
+    by=st.sampled_from(["", "m1", "m2"]),
+)
 
 
 @given(st.lists(UPDATES, max_size=30))
@@ -180,6 +188,7 @@
 
 # --- bytes ---
 
+
 def pair():
     return Sealer(b"k" * 32, "a", 1), Sealer(b"k" * 32, "b", 2)
 
@@ -202,18 +211,28 @@
         b.open(bytes(data))
 
 
-@pytest.mark.parametrize(("make", "why"), [
-    (lambda: Sealer(b"x" * 32, "a", 1).seal("b", 0, b""), "tag"), (lambda: Sealer(b"k" * 32, "a", 1).seal("c", 0, b""), "address"),
-    (lambda: Sealer(b"k" * 32, "b", 2).seal("b", 0, b""), "address"), (lambda: b"short", "form"), (lambda: b"x" * 70_000, "form")])
+@pytest.mark.parametrize(
+    ("make", "why"),
+    [
+        (lambda: Sealer(b"x" * 32, "a", 1).seal("b", 0, b""), "tag"),
+        (lambda: Sealer(b"k" * 32, "a", 1).seal("c", 0, b""), "address"),
+        (lambda: Sealer(b"k" * 32, "b", 2).seal("b", 0, b""), "address"),
+        (lambda: b"short", "form"),
+        (lambda: b"x" * 70_000, "form"),
+    ],
+)
 def test_what_is_not_for_us_is_refused(make, why):
     with pytest.raises(Refused, match=why):
         pair()[1].open(make())
 
 
-@pytest.mark.parametrize(("body", "why"), [
-    (b"\x97\x02" + b"\xa0" * 6, "version"), (b"\x97\x01\x01", "form"), (b"\xc0", "version"), (b"", "form"), (b"\x97\x01", "form")])
+@pytest.mark.parametrize(
+    ("body", "why"),
+    [(b"\x97\x02" + b"\xa0" * 6, "version"), (b"\x97\x01\x01", "form"), (b"\xc0", "version"), (b"", "form"), (b"\x97\x01", "form")],
+)
 def test_a_right_tag_on_another_form_is_refused(body, why):
     import hmac
+
     with pytest.raises(Refused, match=why):
         pair()[1].open(body + hmac.digest(b"k" * 32, body, "sha256")[:TAG])
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,9 +22,24 @@
 
 def controller(now=0, listed=True, sizes=(20, 20, 20)):
     host = NotedHost()
-    made = CallController(host, 7, 0, 4, [VOICE, VIDEO], release_guard=2_000, most_legs=4, longest_hold_off=20_000,
-                          may_cancel=True, must_ask=False, may_tell=False, centre_advises=False, cold_from=0.4,
-                          warm_after=140_000, multiple=2.5, fall_span=20_000)
+    made = CallController(
+        host,
+        7,
+        0,
+        4,
+        [VOICE, VIDEO],
+        release_guard=2_000,
+        most_legs=4,
+        longest_hold_off=20_000,
+        may_cancel=True,
+        must_ask=False,
+        may_tell=False,
+        centre_advises=False,
+        cold_from=0.4,
+        warm_after=140_000,
+        multiple=2.5,
+        fall_span=20_000,
+    )
     if listed:
         made.list_pushed(now, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4)], True)
     return made, host
@@ -65,7 +80,10 @@
         assert ours.quickest == min(theirs.quickest, SECOND // 10) and abs(ours.expected(now) - theirs.expected(now)) <= 10
         assert ours.pressed_until == min(theirs.pressed_until, now + 2 * SECOND) or theirs.pressed_until <= now
         assert (ours.group.cap, ours.group.accept_below, ours.group.lower_below) == (
-            theirs.group.cap, theirs.group.accept_below, theirs.group.lower_below)
+            theirs.group.cap,
+            theirs.group.accept_below,
+            theirs.group.lower_below,
+        )
     assert new.turned_back == {(3, 1): (160_000, 60_000)} and new.carried[2] == [new.gws[1]]
     assert new.first_tried == old.first_tried != {}
     assert new.best_rate == old.best_rate and new.pace == old.pace
@@ -150,8 +168,9 @@
     new, host = controller(now, listed=False)
     new.list_pushed(now, [ListEntry(0, 0, GwState.READY, 0), ListEntry(1, 1, GwState.READY, now - 10_000)], True)
     known = old.learned(now, 0)
-    new.recall(now, known._replace(exchanges=[one._replace(started=now - 10_000) for one in known.exchanges if one.gw == 1],
-                                   pairs=[]), 100)
+    new.recall(
+        now, known._replace(exchanges=[one._replace(started=now - 10_000) for one in known.exchanges if one.gw == 1], pairs=[]), 100
+    )
     new.group_told(now, 1, 20, 20)
     new.dialog_came(now + 1, 1, 0, 1, 1, "a", 90_000, False, False, False)
     assert host.asked("send_leg") == []
@@ -163,8 +182,22 @@
 
 RATES = st.floats(0, 1e4, allow_nan=False)
 SPANS = st.integers(0, 10**9)
-EXCHANGES = st.lists(st.builds(KnownExchange, st.integers(0, 3), st.sampled_from([0, 5]), st.integers(1, 10**6), SPANS, SPANS,
-                               SPANS, st.integers(0, 60), RATES, RATES, RATES), max_size=6)
+EXCHANGES = st.lists(
+    st.builds(
+        KnownExchange,
+        st.integers(0, 3),
+        st.sampled_from([0, 5]),
+        st.integers(1, 10**6),
+        SPANS,
+        SPANS,
+        SPANS,
+        st.integers(0, 60),
+        RATES,
+        RATES,
+        RATES,
+    ),
+    max_size=6,
+)
 PAIRS = st.lists(st.builds(KnownPair, st.integers(0, 3), st.integers(0, 3), SPANS, SPANS), max_size=6)
 CALLERS = st.lists(st.builds(KnownCaller, st.text(max_size=5), st.integers(0, 1), st.integers(0, 3), SPANS), max_size=6)
 
@@ -271,10 +304,18 @@
     assert [(change.key, change.body) for change in memory.batch(alive()) if change.kind == EXCHANGE] == [("x1r2", None)]
 
 
-@pytest.mark.parametrize(("wall", "monotonic", "boot", "age"), [
-    (1_000.5, 50.5, "b", 5_000), (900.0, 52.0, "b", 20_000),  # the wall clock was set: the boot's own counts
-    (1_060.0, 3.0, "other", 600_000), (990.0, 3.0, "other", -1), (1_000.0 + 500 * 86_400, 3.0, "other", -1),
-    (1_010.0, 40.0, "b", 100_000), (1_010.0, 60.0, "", 100_000)])
+@pytest.mark.parametrize(
+    ("wall", "monotonic", "boot", "age"),
+    [
+        (1_000.5, 50.5, "b", 5_000),
+        (900.0, 52.0, "b", 20_000),  # the wall clock was set: the boot's own counts
+        (1_060.0, 3.0, "other", 600_000),
+        (990.0, 3.0, "other", -1),
+        (1_000.0 + 500 * 86_400, 3.0, "other", -1),
+        (1_010.0, 40.0, "b", 100_000),
+        (1_010.0, 60.0, "", 100_000),
+    ],
+)
 def test_how_long_ago_follows_from_the_clock_that_can_tell(wall, monotonic, boot, age):
     assert age_of(alive(), wall, monotonic, boot) == age
     assert age_of(None, wall, monotonic, boot) == -1
@@ -300,7 +341,7 @@
         assert (kept.quickest, kept.took, kept.size, kept.cap) == (known.quickest, known.took, known.size, known.cap)
         assert 0 <= known.took_ago - kept.took_ago < 1_000
     assert {(found.ids[pair.gw], pair.destination) for pair in found.learned.pairs} == {("x3", 1), ("x1", 2)}
-    caller, = found.learned.callers
+    (caller,) = found.learned.callers
     assert (caller.number, caller.kind, caller.far) == ("b", 0, 2) and abs(caller.ago - told_now.callers[0].ago) <= 1
     assert read(book, 1_030.0, 80.0).learned.callers == []  # gave up long ago
     assert read(book, 9_000.0, 8_050.0).words == {}  # words hold for an hour
@@ -312,9 +353,16 @@
 
 def test_records_that_make_no_sense_are_passed_over_and_told(tmp_path):
     from gingergap.store.records import Change, KeptPair
-    book = filled(tmp_path, [Change(STANDING, "no key", KeptStanding(0, 1, 1, "x", 1, 5.0, False, "t")),
-                             Change(PAIR, parts("x1", "odd"), KeptPair(1, 2)), Change(PAIR, "[1]", KeptPair(1, 2)),
-                             Change(ALIVE, "", alive())])
+
+    book = filled(
+        tmp_path,
+        [
+            Change(STANDING, "no key", KeptStanding(0, 1, 1, "x", 1, 5.0, False, "t")),
+            Change(PAIR, parts("x1", "odd"), KeptPair(1, 2)),
+            Change(PAIR, "[1]", KeptPair(1, 2)),
+            Change(ALIVE, "", alive()),
+        ],
+    )
     damage = []
     found = read(book, 1_001.0, 51.0, damage=damage)
     assert found.standing == {} and found.learned.pairs == [] and len(damage) == 3
@@ -359,6 +407,7 @@
 
     def __init__(self, folder, found=None, now=0, wall=1_000_000.0):
         import conftest
+
         self.memory = Memory(3_600, 100, [1.0, 3.0])
         self.folder = folder
         made = []
@@ -366,6 +415,7 @@
         def with_memory(form, wire, log, _now, _wall, fresh):
             made.append(proxy_of(form, wire, log, now, wall, fresh, None, self.memory, found))
             return made[0]
+
         patch = pytest.MonkeyPatch()
         patch.setattr(conftest, "proxy_of", with_memory)
         try:
@@ -442,8 +492,15 @@
 def test_a_machine_that_took_a_number_over_has_it_after_a_restart(tmp_path):
     peers = Restarted(tmp_path)
     peers.tell_list(1, [("x0", "ready", 0), ("x1", "gone", 0), ("x2", "ready", 0), ("x3", "ready", 0)], "full")
-    peers.notify("exchange-list", {"version": 2, "state": "partial", "epoch": "e", "exchanges": [
-        {"id": "x1r2", "number": 1, "state": "ready", "started": 1_000_000.0 - 90, "address": "127.0.0.1:7999"}]})
+    peers.notify(
+        "exchange-list",
+        {
+            "version": 2,
+            "state": "partial",
+            "epoch": "e",
+            "exchanges": [{"id": "x1r2", "number": 1, "state": "ready", "started": 1_000_000.0 - 90, "address": "127.0.0.1:7999"}],
+        },
+    )
     again = peers.killed(after=20)
     again.tell_groups({1: 20, 2: 20, 3: 20})
     invite = again.invite("001555")
@@ -488,6 +545,7 @@
 
     from gingergap.duties.keeper import Duty, Keeper
     from gingergap.duties.leases import Token
+
     keeper = Keeper(NotedHost(), Random(1), 0, "p0", 1, frozenset({"p1"}), [Duty("probe x1", 100, 1_000)])
     keeper.recall("probe x1", 17)
     assert keeper.counters() == {"probe x1": 17} and keeper.held["probe x1"].claim.ask(0) == 18
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -74,8 +74,9 @@
     assert len(mesh.host.asked("send_leg")) == 1
 
 
-@pytest.mark.parametrize(("how", "rsn"), [
-    (LegEnd.FULL, Rsn.PROCESSOR_FULL), (LegEnd.NOT_SENT, Rsn.PROCESSOR_FULL), (LegEnd.UNREACHABLE, Rsn.NONE)])
+@pytest.mark.parametrize(
+    ("how", "rsn"), [(LegEnd.FULL, Rsn.PROCESSOR_FULL), (LegEnd.NOT_SENT, Rsn.PROCESSOR_FULL), (LegEnd.UNREACHABLE, Rsn.NONE)]
+)
 def test_who_can_take_nothing_is_not_asked_again_at_once(mesh, how, rsn):
     mesh.came(0)
     ended(mesh, 0, 1, how, 100, rsn=rsn)
@@ -122,8 +123,7 @@
     for gw in (1, 2, 3):
         mesh.gws[gw].group.told(0, 20)
     mesh.came(0)
-    mesh.controller.list_pushed(100, [ListEntry(1, 1, GwState.DRAINING, 0),
-                                      ListEntry(9, 1, GwState.READY, 0)], False)
+    mesh.controller.list_pushed(100, [ListEntry(1, 1, GwState.DRAINING, 0), ListEntry(9, 1, GwState.READY, 0)], False)
     mesh.controller.group_told(100, 9, 1, 20)
     mesh.beats(600, 200)
     assert [leg[:2] for leg in mesh.host.asked("send_leg")] == [(0, 9)]
@@ -288,8 +288,9 @@
     would get six times its load."""
     for dialog in range(20):
         mesh.came(dialog)
-        while len(mesh.host.asked("send_leg")) > sum(len(mesh.host.asked(end)) for end in ("decline", "abort")) \
-                and not any(entry[0] == dialog for entry in mesh.host.asked("decline")):
+        while len(mesh.host.asked("send_leg")) > sum(len(mesh.host.asked(end)) for end in ("decline", "abort")) and not any(
+            entry[0] == dialog for entry in mesh.host.asked("decline")
+        ):
             ended(mesh, dialog, 1, LegEnd.BUSY, 100)
     before = len(mesh.host.asked("send_leg"))
     mesh.came(20)
@@ -315,8 +316,23 @@
     assert mesh.controller.ease == 10_000
     mesh.controller.types = [kind._replace(setup_objective=kind.setup_objective // 4) for kind in mesh.controller.types]
     quick = type(mesh.controller)(
-        mesh.host, 7, 0, 4, mesh.controller.types, release_guard=1_000, most_legs=4, longest_hold_off=0, may_cancel=True,
-        must_ask=False, may_tell=False, centre_advises=False, cold_from=0.4, warm_after=140_000, multiple=2.5, fall_span=1)
+        mesh.host,
+        7,
+        0,
+        4,
+        mesh.controller.types,
+        release_guard=1_000,
+        most_legs=4,
+        longest_hold_off=0,
+        may_cancel=True,
+        must_ask=False,
+        may_tell=False,
+        centre_advises=False,
+        cold_from=0.4,
+        warm_after=140_000,
+        multiple=2.5,
+        fall_span=1,
+    )
     quick.list_pushed(0, [ListEntry(gw, gw, GwState.READY, 0) for gw in range(4)], True)
     for controller, later in ((mesh.controller, 10_000), (quick, 2_500)):
         controller.group_told(0, 1, 20, 20)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -102,8 +102,11 @@
     assert back.next(10, 0) is not None and not back.cancel("nobody")
 
 
-@given(st.lists(st.tuples(st.sampled_from(["next", "finish", "cancel", "add", "pass"]), st.integers(0, 4), st.floats(0, 1)),
-                max_size=80))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["next", "finish", "cancel", "add", "pass"]), st.integers(0, 4), st.floats(0, 1)), max_size=80
+    )
+)
 @settings(derandomize=True, deadline=None)
 def test_never_more_at_once_than_allowed_and_never_one_twice(events):
     back, now, running = plan(most_at_once=2), 0, set()
@@ -140,6 +143,7 @@
 def test_a_run_that_raises_is_told_and_the_next_comes(runner):
     def run():
         raise ValueError("no")
+
     runner.add("a", "duty", run, period=SECOND, limit=SECOND)
     runner.step()
     gevent.sleep(0)
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -35,6 +35,7 @@
         asked.append(day)
         kinds = [fault.kind for fault in day.fault]
         return (1.0 if "vanish" in kinds and "pauses" in kinds else 0.0), "direct"
+
     least = shrunk(found, 0.9, judge)
     assert [fault.kind for fault in least.day.fault] == ["vanish", "pauses"]
     assert least.day.exchanges == 4 and least.day.seconds < 9 and all(fault.lasts <= 0.5 for fault in least.day.fault)
@@ -52,6 +53,7 @@
 
     def judge(day, seed):
         return (BROKEN, "") if any(fault.kind == "slow" for fault in day.fault) else (5.0, "direct")
+
     assert [fault.kind for fault in shrunk(found, 0.5, judge).day.fault] == ["slow"]
 
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -15,9 +15,12 @@
 
 SETTINGS = {
     "Ceilings": {"Cancelling": True, "MaxRetryAfter": 2_000_000, "MostTries": 6, "RetryAfter": True},
-    "Lanes": [{"Name": "voice", "Deadline": 3_000_000, "OnTime": 380_000, "Value": 1.0},
-              {"Name": "video", "Deadline": 3_000_000, "OnTime": 630_000, "Value": 3.0}],
-    "NInstances": 3, "MembershipMode": "push",
+    "Lanes": [
+        {"Name": "voice", "Deadline": 3_000_000, "OnTime": 380_000, "Value": 1.0},
+        {"Name": "video", "Deadline": 3_000_000, "OnTime": 630_000, "Value": 3.0},
+    ],
+    "NInstances": 3,
+    "MembershipMode": "push",
     "Rules": {"ColdFrom": 0.34, "Fall": 3_000_000, "OverloadFactor": 3.0, "WarmAfter": 14_000_000},
     "Specifics": {"Guard": 100_000, "Here": 0, "ClassWidth": [1, 2]},
 }
@@ -276,7 +279,7 @@
 
     def look(self):
         """Follow what was sent: what goes out and is called off."""
-        for link, message in self.wire.to_switches[self.read:]:
+        for link, message in self.wire.to_switches[self.read :]:
             id = message.call_id
             if message.method == "INVITE":
                 assert self.now >= self.doubt_until[id], "within the guard"
@@ -290,8 +293,13 @@
                 self.doubt_until[id] = self.now + GUARD
         self.read = len(self.wire.to_switches)
 
-    @rule(target=ids, conn=st.sampled_from(["c1", "c2"]), far=st.integers(0, 4), kind=st.sampled_from(["voice", "video"]),
-          left=st.integers(1, 3000))
+    @rule(
+        target=ids,
+        conn=st.sampled_from(["c1", "c2"]),
+        far=st.integers(0, 4),
+        kind=st.sampled_from(["voice", "video"]),
+        left=st.integers(1, 3000),
+    )
     def set_up(self, conn, far, kind, left):
         self.count += 1
         id = f"{self.count:016x}"
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -53,8 +53,9 @@
 
 
 def sip(first, id, cseq, extra="", body=""):
-    return (f"{first}\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {cseq}\r\n{extra}"
-            f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
+    return (
+        f"{first}\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {cseq}\r\n{extra}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
 
 
 def answer(id):
@@ -99,8 +100,9 @@
 
     def tell(self, *lines, number=None, whole=False):
         with self.more:
-            self.events.append({"offset": number or 2 + len(self.events),
-                                "topology": {"rev": 1, "all": whole, "targets": list(lines)}})
+            self.events.append(
+                {"offset": number or 2 + len(self.events), "topology": {"rev": 1, "all": whole, "targets": list(lines)}}
+            )
             self.more.notify_all()
 
     def serve(self, conn):
@@ -131,8 +133,9 @@
         self.sock.sendall(json.dumps({"type": type, "id": id, "fields": {}, **more}).encode() + b"\n")
 
     def set_up(self, id, far=1, left=2900):
-        self.send("setup", id, sdp=SDP, fields={"class": "voice", "left": str(left), "key": "7f",
-                                                "extras": f"dest:{far};width:1;via:-1"})
+        self.send(
+            "setup", id, sdp=SDP, fields={"class": "voice", "left": str(left), "key": "7f", "extras": f"dest:{far};width:1;via:-1"}
+        )
 
     def next(self):
         """What comes next, None when the connection is closed."""
@@ -153,16 +156,38 @@
         sock, self.address = listener()
         sock.close()
         self.config = {
-            "name": "n0", "listen": self.address, "seed": "8c1f30d27a5be964", "bus": self.bus.address,
-            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 64}, "settings": SETTINGS,
-            "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"rev": 1, "all": True, "targets": [
-                line("s0", 0, "127.0.0.1:9"), *(line(uid, int(uid[1:]), switch.address)
-                                                for uid, switch in self.switches.items())]}}]}}
+            "name": "n0",
+            "listen": self.address,
+            "seed": "8c1f30d27a5be964",
+            "bus": self.bus.address,
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 64},
+            "settings": SETTINGS,
+            "known": {
+                "offset": 1,
+                "batch": [
+                    {
+                        "offset": 1,
+                        "topology": {
+                            "rev": 1,
+                            "all": True,
+                            "targets": [
+                                line("s0", 0, "127.0.0.1:9"),
+                                *(line(uid, int(uid[1:]), switch.address) for uid, switch in self.switches.items()),
+                            ],
+                        },
+                    }
+                ],
+            },
+        }
         self.path = folder / "config.json"
         self.write()
         self.log = (folder / "log").open("w")
-        self.process = subprocess.Popen([sys.executable, "-m", "gingergap", "serve"], stderr=self.log, stdout=self.log,
-                                        env={**os.environ, "LB_CONFIG": str(self.path), "LB_NAME": "n0"})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gingergap", "serve"],
+            stderr=self.log,
+            stdout=self.log,
+            env={**os.environ, "LB_CONFIG": str(self.path), "LB_NAME": "n0"},
+        )
         while True:
             assert self.process.poll() is None, (folder / "log").read_text()
             try:
@@ -208,8 +233,12 @@
     first, second = service.caller(), service.caller()
     first.set_up(A)
     second.set_up(B)
-    assert first.next() == {"type": "answer", "id": A, "fields": {},
-                            "sdp": f"of {A}\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"}
+    assert first.next() == {
+        "type": "answer",
+        "id": A,
+        "fields": {},
+        "sdp": f"of {A}\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n",
+    }
     assert second.next()["type"] == "answer"
     switch = service.switches["s1"]
     conn, invite = switch.next("INVITE")
@@ -221,10 +250,17 @@
     assert second.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
 
 
-@pytest.mark.parametrize("spoilt", [
-    lambda id: answer(id)[:40], lambda id: b"\x00\xff noise\r\n\r\n",
-    lambda id: answer(id).replace(b"Content-Length: ", b"Content-Length: 3000000"),
-    lambda id: answer(id)[:-4], lambda id: answer(B) + answer(id)[:30], lambda id: None])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        lambda id: answer(id)[:40],
+        lambda id: b"\x00\xff noise\r\n\r\n",
+        lambda id: answer(id).replace(b"Content-Length: ", b"Content-Length: 3000000"),
+        lambda id: answer(id)[:-4],
+        lambda id: answer(B) + answer(id)[:30],
+        lambda id: None,
+    ],
+)
 def test_a_spoilt_answer_costs_its_connection_and_the_next_leg_is_answered(start, spoilt):
     service = start(s1=Switch(spoilt, answer))
     caller = service.caller()
@@ -253,8 +289,9 @@
     assert caller.next()["type"] == "pong"
 
 
-@pytest.mark.parametrize("data", [b"\xff\xfe\x00\n", b"x" * 40_000, b'{"type":"setup","id":"zz"}\n', b"[" * 9_000 + b"\n", b'{"ty',
-                                  b""])
+@pytest.mark.parametrize(
+    "data", [b"\xff\xfe\x00\n", b"x" * 40_000, b'{"type":"setup","id":"zz"}\n', b"[" * 9_000 + b"\n", b'{"ty', b""]
+)
 def test_a_bad_caller_is_closed_and_the_others_notice_nothing(start, data):
     service = start()
     bad, good = service.caller(), service.caller()
@@ -332,31 +369,66 @@
     assert service.process.wait(WAIT) == 0
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    ({"listen": "nowhere"}, "field config.listen"), ({"bus": 5}, "field config.bus"), ({"seed": "x"}, "field config.seed"),
-    ({"settings": {"Lanes": 3}}, "settings.Ceilings"), ({"known": {"offset": "x"}}, "field known"),
-    ({"limits": {"sockets": 3}}, "config.limits.sockets"), ({"settings": None}, "field config.settings")])
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"listen": "nowhere"}, "field config.listen"),
+        ({"bus": 5}, "field config.bus"),
+        ({"seed": "x"}, "field config.seed"),
+        ({"settings": {"Lanes": 3}}, "settings.Ceilings"),
+        ({"known": {"offset": "x"}}, "field known"),
+        ({"limits": {"sockets": 3}}, "config.limits.sockets"),
+        ({"settings": None}, "field config.settings"),
+    ],
+)
 def test_a_wrong_configuration_is_told_in_one_line(tmp_path, change, words):
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "seed": "1", "settings": SETTINGS,
-                                "limits": {"sockets": 64}, **change}))
-    done = subprocess.run([sys.executable, "-m", "gingergap", "serve"], env={**os.environ, "LB_CONFIG": str(path)},
-                          capture_output=True, text=True, timeout=60)
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n",
+                "listen": "127.0.0.1:1",
+                "bus": "127.0.0.1:2",
+                "seed": "1",
+                "settings": SETTINGS,
+                "limits": {"sockets": 64},
+                **change,
+            }
+        )
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "gingergap", "serve"],
+        env={**os.environ, "LB_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
 
 
 def test_a_missing_variable_or_file_is_told_in_one_line(tmp_path):
     for value in ("", str(tmp_path / "none")):
-        done = subprocess.run([sys.executable, "-m", "gingergap", "serve"], env={**os.environ, "LB_CONFIG": value},
-                              capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "gingergap", "serve"],
+            env={**os.environ, "LB_CONFIG": value},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert done.returncode == 2 and done.stderr.count("\n") == 1
 
 
 def test_the_service_loads_only_what_it_needs():
     """Memory is scarce there and a restart should be ready at once."""
-    code = ("import gingergap.service.process, sys; "
-            "print(sorted(m for m in sys.modules if m.startswith('gingergap.') or '.' not in m))")
+    code = (
+        "import gingergap.service.process, sys; print(sorted(m for m in sys.modules if m.startswith('gingergap.') or '.' not in m))"
+    )
     loaded = set(eval(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout))
     assert not loaded & {"structlog", "pydantic", "click", "numpy", "pyarrow", "sexpdata", "rich", "opentelemetry", "apsw"}
-    assert not {m for m in loaded if m.split(".")[1:2] and m.split(".")[1] in
-                ("store", "trace", "settings", "cli", "edge", "standins", "emulator", "duties", "membership", "benchlink")}
+    assert not {
+        m
+        for m in loaded
+        if m.split(".")[1:2]
+        and m.split(".")[1]
+        in ("store", "trace", "settings", "cli", "edge", "standins", "emulator", "duties", "membership", "benchlink")
+    }
--- a/tests/test_sip_message.py
+++ b/tests/test_sip_message.py
@@ -9,15 +9,17 @@
 from gingergap.sip.framing import Framer
 from gingergap.sip.message import BadMessageError, Message, check_request, parse, response, split_list
 
-INVITE = (b"INVITE sip:vivek@wine.example SIP/2.0\r\n"
-          b"TO :\r\n sip:vivek@wine.example ;   tag    = 1918181833n\r\n"
-          b"f   : \"J Rosenberg \\\\\\\"\" <sip:jdrosen@wine.example>\r\n  ;\r\n  tag = 98asjd8\r\n"
-          b"Max-Forwards: 0068\r\nCall-ID: wsinv.ndaksdj@192.0.2.1\r\nContent-Length   : 4\r\n"
-          b"cseq: 0009\r\n  INVITE\r\nV  : SIP  /   2.0\r\n /UDP\r\n    192.0.2.2;branch=390skdjuw\r\n"
-          b"s :\r\nNewFangledHeader:   newfangled value\r\n continued newfangled value\r\n"
-          b"Via: SIP/2.0/TCP a.example;branch = z9hG4bK9ikj8 , SIP  /    2.0   / UDP  192.168.255.111   ; "
-          b"branch=z9hG4bK30239\r\nm:\"Quoted, string <\\\"\\\">\" <sip:jdrosen@wine.example> ; newparam =\r\n "
-          b"newvalue ;\r\n  secondparam ; q = 0.33\r\n\r\nbody")
+INVITE = (
+    b"INVITE sip:vivek@wine.example SIP/2.0\r\n"
+    b"TO :\r\n sip:vivek@wine.example ;   tag    = 1918181833n\r\n"
+    b'f   : "J Rosenberg \\\\\\"" <sip:jdrosen@wine.example>\r\n  ;\r\n  tag = 98asjd8\r\n'
+    b"Max-Forwards: 0068\r\nCall-ID: wsinv.ndaksdj@192.0.2.1\r\nContent-Length   : 4\r\n"
+    b"cseq: 0009\r\n  INVITE\r\nV  : SIP  /   2.0\r\n /UDP\r\n    192.0.2.2;branch=390skdjuw\r\n"
+    b"s :\r\nNewFangledHeader:   newfangled value\r\n continued newfangled value\r\n"
+    b"Via: SIP/2.0/TCP a.example;branch = z9hG4bK9ikj8 , SIP  /    2.0   / UDP  192.168.255.111   ; "
+    b'branch=z9hG4bK30239\r\nm:"Quoted, string <\\"\\">" <sip:jdrosen@wine.example> ; newparam =\r\n '
+    b"newvalue ;\r\n  secondparam ; q = 0.33\r\n\r\nbody"
+)
 
 
 def test_a_tortuous_but_lawful_invite():
@@ -27,40 +29,70 @@
     assert tag_of(message.get("From")) == "98asjd8" and tag_of(message.get("To")) == "1918181833n"
     vias = [via_of(value) for value in message.all("Via")]
     assert [(via.transport, via.host, via.branch) for via in vias] == [
-        ("UDP", "192.0.2.2", "390skdjuw"), ("TCP", "a.example", "z9hG4bK9ikj8"),
-        ("UDP", "192.168.255.111", "z9hG4bK30239")]
+        ("UDP", "192.0.2.2", "390skdjuw"),
+        ("TCP", "a.example", "z9hG4bK9ikj8"),
+        ("UDP", "192.168.255.111", "z9hG4bK30239"),
+    ]
     assert len(message.all("Contact")) == 1
     uri, params = address_of(message.all("Contact")[0])
     assert uri == "sip:jdrosen@wine.example" and params["q"] == "0.33"
     assert message.body == b"body"
 
 
-OK = (b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/UDP h;branch=z9hG4bK1\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
-      b"Call-ID: c\r\nCSeq: 1 OPTIONS\r\n")
-
-
-@pytest.mark.parametrize(("data", "status"), [
-    (b"", 0), (b"\r\n\r\n", 0), (b"INVITE", 0), (b"hello there\r\n\r\n", 0), (b"INVITE sip:a SIP/2.0\r\n", 0),
-    (OK.replace(b"SIP/2.0\r\n", b"SIP/7.0\r\n", 1) + b"\r\n", 505),
-    (OK.replace(b"sip:a@b", b"sip:a@b and more") + b"\r\n", 400),
-    (OK.replace(b"OPTIONS sip", b"OPT<ONS sip", 1) + b"\r\n", 400),
-    (OK + b"Content-Length: 9\r\n\r\nshort", 400), (OK + b"Content-Length: -1\r\n\r\n", 400),
-    (OK + b"Content-Length: x\r\n\r\n", 400), (OK + b"no colon here\r\n\r\n", 400), (OK + b"bad name: x\r\n\r\n", 400),
-    (OK + b"X: a\0b\r\n\r\n", 0), (OK + b"X: " + b"a" * 20_000 + b"\r\n\r\n", 513), (OK + b"X: y\r\n" * 300 + b"\r\n", 513),
-    (b"SIP/2.0 99 Low\r\n\r\n", 0), (b"SIP/2.0 abc Word\r\n\r\n", 0), (b"SIP/3.0 200 OK\r\n\r\n", 0),
-    (b"SIP/2.0 700 High\r\n\r\n", 0), (OK.replace(b"OPTIONS sip", b"OPTIONS\rsip", 1) + b"\r\n", 0)])
+OK = (
+    b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/UDP h;branch=z9hG4bK1\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
+    b"Call-ID: c\r\nCSeq: 1 OPTIONS\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"", 0),
+        (b"\r\n\r\n", 0),
+        (b"INVITE", 0),
+        (b"hello there\r\n\r\n", 0),
+        (b"INVITE sip:a SIP/2.0\r\n", 0),
+        (OK.replace(b"SIP/2.0\r\n", b"SIP/7.0\r\n", 1) + b"\r\n", 505),
+        (OK.replace(b"sip:a@b", b"sip:a@b and more") + b"\r\n", 400),
+        (OK.replace(b"OPTIONS sip", b"OPT<ONS sip", 1) + b"\r\n", 400),
+        (OK + b"Content-Length: 9\r\n\r\nshort", 400),
+        (OK + b"Content-Length: -1\r\n\r\n", 400),
+        (OK + b"Content-Length: x\r\n\r\n", 400),
+        (OK + b"no colon here\r\n\r\n", 400),
+        (OK + b"bad name: x\r\n\r\n", 400),
+        (OK + b"X: a\0b\r\n\r\n", 0),
+        (OK + b"X: " + b"a" * 20_000 + b"\r\n\r\n", 513),
+        (OK + b"X: y\r\n" * 300 + b"\r\n", 513),
+        (b"SIP/2.0 99 Low\r\n\r\n", 0),
+        (b"SIP/2.0 abc Word\r\n\r\n", 0),
+        (b"SIP/3.0 200 OK\r\n\r\n", 0),
+        (b"SIP/2.0 700 High\r\n\r\n", 0),
+        (OK.replace(b"OPTIONS sip", b"OPTIONS\rsip", 1) + b"\r\n", 0),
+    ],
+)
 def test_what_is_no_message_is_refused(data, status):
     with pytest.raises(BadMessageError) as bad:
         parse(data)
     assert bad.value.status == status
 
 
-@pytest.mark.parametrize(("old", "new", "status"), [
-    (b"CSeq: 1 OPTIONS\r\n", b"", 400), (b"CSeq: 1 OPTIONS", b"CSeq: 1 INVITE", 400),
-    (b"CSeq: 1 OPTIONS", b"CSeq: 99999999999 OPTIONS", 400), (b"CSeq: 1 OPTIONS", b"CSeq: one OPTIONS", 400),
-    (b"Call-ID: c\r\n", b"", 400), (b"Call-ID: c\r\n", b"Call-ID: c\r\ni: d\r\n", 400), (b"From: <sip:a>;tag=1\r\n", b"", 400),
-    (b"Via: SIP/2.0/UDP h;branch=z9hG4bK1\r\n", b"", 0), (b"sip:a@b", b"http:a@b", 416), (b"sip:a@b", b"<sip:a@b>", 416),
-    (b"sip:a@b", b"sip:", 400)])
+@pytest.mark.parametrize(
+    ("old", "new", "status"),
+    [
+        (b"CSeq: 1 OPTIONS\r\n", b"", 400),
+        (b"CSeq: 1 OPTIONS", b"CSeq: 1 INVITE", 400),
+        (b"CSeq: 1 OPTIONS", b"CSeq: 99999999999 OPTIONS", 400),
+        (b"CSeq: 1 OPTIONS", b"CSeq: one OPTIONS", 400),
+        (b"Call-ID: c\r\n", b"", 400),
+        (b"Call-ID: c\r\n", b"Call-ID: c\r\ni: d\r\n", 400),
+        (b"From: <sip:a>;tag=1\r\n", b"", 400),
+        (b"Via: SIP/2.0/UDP h;branch=z9hG4bK1\r\n", b"", 0),
+        (b"sip:a@b", b"http:a@b", 416),
+        (b"sip:a@b", b"<sip:a@b>", 416),
+        (b"sip:a@b", b"sip:", 400),
+    ],
+)
 def test_what_is_no_request_is_refused(old, new, status):
     with pytest.raises(BadMessageError) as bad:
         check_request(parse(OK.replace(old, new, 1) + b"\r\n"))
@@ -82,8 +114,10 @@
     assert [message.pop_first("Route") for _ in range(4)] == ["<sip:a;lr>", '"x, y" <sip:b;lr>', "<sip:c;lr>", ""]
 
 
-@pytest.mark.parametrize("text", ["SIP/2.0/UDP", "SIP/1.0/UDP h", "x", "", "SIP/2.0/UDP h:0", "SIP/2.0/UDP h:99999",
-                                  "SIP/2.0/UDP h:1x", "HTTP/2.0/TCP h"])
+@pytest.mark.parametrize(
+    "text",
+    ["SIP/2.0/UDP", "SIP/1.0/UDP h", "x", "", "SIP/2.0/UDP h:0", "SIP/2.0/UDP h:99999", "SIP/2.0/UDP h:1x", "HTTP/2.0/TCP h"],
+)
 def test_a_bad_via_is_refused(text):
     with pytest.raises(BadMessageError):
         via_of(text)
@@ -109,22 +143,28 @@
 
 
 NAME = st.sampled_from(["X-One", "Subject", "Warning", "P-Thing"])
-VALUE = st.text(st.characters(codec="utf-8", exclude_characters="\r\n\0", exclude_categories=["Cs", "Zs", "Cc"]),
-                max_size=30)
+VALUE = st.text(st.characters(codec="utf-8", exclude_characters="\r\n\0", exclude_categories=["Cs", "Zs", "Cc"]), max_size=30)
 WORD = st.text("abcdefghijklmnopqrstuvwxyz0123456789", min_size=1, max_size=12)
 
 
 @st.composite
 def requests(draw):
-    message = Message(draw(st.sampled_from(["INVITE", "BYE", "OPTIONS"])), f"sip:{draw(WORD)}@h{draw(WORD)}.example",
-                      body=draw(st.binary(max_size=40)))
+    message = Message(
+        draw(st.sampled_from(["INVITE", "BYE", "OPTIONS"])),
+        f"sip:{draw(WORD)}@h{draw(WORD)}.example",
+        body=draw(st.binary(max_size=40)),
+    )
     for _ in range(draw(st.integers(1, 3))):
-        message.fields.append(("Via",
-                                       f"SIP/2.0/UDP h{draw(WORD)}.example:{draw(st.integers(1, 65535))}"
-                                       f";branch=z9hG4bK{draw(WORD)}"))
-    message.fields += [("From", f"<sip:{draw(WORD)}@a.example>;tag={draw(WORD)}"), ("To", f"<sip:{draw(WORD)}@b.example>"),
-                       ("Call-ID", draw(WORD)), ("CSeq", f"{draw(st.integers(0, 2**31))} {message.method}"),
-                       ("Max-Forwards", str(draw(st.integers(0, 255))))]
+        message.fields.append(
+            ("Via", f"SIP/2.0/UDP h{draw(WORD)}.example:{draw(st.integers(1, 65535))};branch=z9hG4bK{draw(WORD)}")
+        )
+    message.fields += [
+        ("From", f"<sip:{draw(WORD)}@a.example>;tag={draw(WORD)}"),
+        ("To", f"<sip:{draw(WORD)}@b.example>"),
+        ("Call-ID", draw(WORD)),
+        ("CSeq", f"{draw(st.integers(0, 2**31))} {message.method}"),
+        ("Max-Forwards", str(draw(st.integers(0, 255)))),
+    ]
     message.fields += draw(st.lists(st.tuples(NAME, VALUE), max_size=4))
     return message
 
@@ -141,7 +181,8 @@
     assert other.call_id == again.call_id
     assert (other.cseq.sequence, other.cseq.method) == again.cseq()
     assert [(via.host, via.port, via.parameters["branch"]) for via in other.via] == [
-        (via.host, via.port, via.branch) for via in map(via_of, again.all("Via"))]
+        (via.host, via.port, via.branch) for via in map(via_of, again.all("Via"))
+    ]
     assert other.from_address.parameters["tag"] == tag_of(again.get("From"))
 
 
@@ -151,16 +192,23 @@
     stream = b"".join((b"\r\n\r\n" if blanks else b"") + bytes(message) for message in messages)
     framer, found, at = Framer(), [], 0
     for size in [*cuts, len(stream)]:
-        found += framer.feed(stream[at:at + size])
+        found += framer.feed(stream[at : at + size])
         at += size
     found += framer.feed(stream[at:])
     assert [bytes(message) for message in found] == [bytes(message) for message in messages]
     assert not framer.held.strip(b"\r\n")
 
 
-@pytest.mark.parametrize("data", [
-    OK + b"\r\n", OK + b"Content-Length: x\r\n\r\n", OK + b"Content-Length: 1\r\nl: 2\r\n\r\n",
-    OK + b"Content-Length: 99999999\r\n\r\n", b"a" * 20_000])
+@pytest.mark.parametrize(
+    "data",
+    [
+        OK + b"\r\n",
+        OK + b"Content-Length: x\r\n\r\n",
+        OK + b"Content-Length: 1\r\nl: 2\r\n\r\n",
+        OK + b"Content-Length: 99999999\r\n\r\n",
+        b"a" * 20_000,
+    ],
+)
 def test_a_stream_that_lost_its_frames_is_given_up(data):
     with pytest.raises(BadMessageError):
         Framer().feed(data)
--- a/tests/test_sip_transactions.py
+++ b/tests/test_sip_transactions.py
@@ -53,8 +53,13 @@
 
 def request(method="INVITE", branch="z9hG4bKx", to="<sip:b@h>"):
     message = Message(method, "sip:b@h.example")
-    message.fields = [("From", "<sip:a@h>;tag=a"), ("To", to), ("Call-ID", "c"),
-                      ("CSeq", f"1 {method if method != 'CANCEL' else 'CANCEL'}"), ("Max-Forwards", "70")]
+    message.fields = [
+        ("From", "<sip:a@h>;tag=a"),
+        ("To", to),
+        ("Call-ID", "c"),
+        ("CSeq", f"1 {method if method != 'CANCEL' else 'CANCEL'}"),
+        ("Max-Forwards", "70"),
+    ]
     return message
 
 
@@ -69,13 +74,18 @@
 
 
 def answer(noted, now, client, status, tag="t"):
-    noted.transactions.received(now, parse(bytes(response(client.request, status, tag,
-                                                         [("Contact", "<sip:f@127.0.0.1:6000>")]))), PEER)
-
-
-@pytest.mark.parametrize(("method", "gaps"), [
-    ("INVITE", [5_000, 15_000, 35_000, 75_000, 155_000, 315_000]),
-    ("OPTIONS", [5_000, 15_000, 35_000, 75_000, 115_000, 155_000, 195_000, 235_000, 275_000, 315_000])])
+    noted.transactions.received(
+        now, parse(bytes(response(client.request, status, tag, [("Contact", "<sip:f@127.0.0.1:6000>")]))), PEER
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "gaps"),
+    [
+        ("INVITE", [5_000, 15_000, 35_000, 75_000, 155_000, 315_000]),
+        ("OPTIONS", [5_000, 15_000, 35_000, 75_000, 115_000, 155_000, 195_000, 235_000, 275_000, 315_000]),
+    ],
+)
 def test_requests_over_datagrams_are_sent_again_and_given_up(method, gaps):
     noted = Noted()
     client_of(noted, method)
@@ -230,8 +240,7 @@
     message.replace_first("Via", "SIP/2.0/UDP inside.example:5060;rport;branch=z9hG4bKr")
     noted.transactions.received(0, message, Hop("UDP", "127.0.0.1", 6123))
     server = noted.told[0][1]
-    assert server.request.all("Via") == ["SIP/2.0/UDP inside.example:5060;branch=z9hG4bKr;rport=6123;"
-                                         "received=127.0.0.1"]
+    assert server.request.all("Via") == ["SIP/2.0/UDP inside.example:5060;branch=z9hG4bKr;rport=6123;received=127.0.0.1"]
     assert server.hop == Hop("UDP", "127.0.0.1", 6123)
 
 
@@ -297,11 +306,15 @@
             return
         told = {status for status, _ in self.near.told if type(status) is int and status >= 200}
         assert len(told) <= 1 and told <= set(self.finals_sent)
-        ends = [kind for kind, what in self.near.told if what is self.client
-                and (type(kind) is Lost or type(kind) is int and kind >= 300)]
+        ends = [
+            kind
+            for kind, what in self.near.told
+            if what is self.client and (type(kind) is Lost or type(kind) is int and kind >= 300)
+        ]
         assert len(ends) <= 1
-        assert len([1 for kind, what in self.far.told if kind == "request" and what.method == "INVITE"]) <= 1 \
-            or self.now > 64 * T1  # a copy may come after all was forgotten
+        assert (
+            len([1 for kind, what in self.far.told if kind == "request" and what.method == "INVITE"]) <= 1 or self.now > 64 * T1
+        )  # a copy may come after all was forgotten
 
     def teardown(self):
         if not hasattr(self, "far"):
@@ -321,9 +334,18 @@
 
 
 def test_a_dialog_keeps_route_target_and_numbers():
-    answer = Message(status=200, fields=[
-        ("Record-Route", "<sip:p2:1;lr>, <sip:x:2;lr>"), ("Record-Route", "<sip:p1:3;lr>"), ("From", "<sip:a>;tag=a"),
-        ("To", "<sip:b>;tag=b"), ("Call-ID", "c"), ("CSeq", "7 INVITE"), ("Contact", "<sip:b@127.0.0.1:9;transport=tcp>")])
+    answer = Message(
+        status=200,
+        fields=[
+            ("Record-Route", "<sip:p2:1;lr>, <sip:x:2;lr>"),
+            ("Record-Route", "<sip:p1:3;lr>"),
+            ("From", "<sip:a>;tag=a"),
+            ("To", "<sip:b>;tag=b"),
+            ("Call-ID", "c"),
+            ("CSeq", "7 INVITE"),
+            ("Contact", "<sip:b@127.0.0.1:9;transport=tcp>"),
+        ],
+    )
     dialog = SipDialog.of_uac(answer)
     ack, bye = dialog.request("ACK"), dialog.request("BYE")
     assert ack.cseq() == (7, "ACK") and bye.cseq() == (8, "BYE")
--- a/tests/test_spans.py
+++ b/tests/test_spans.py
@@ -29,7 +29,7 @@
 
 def test_every_dialog_is_a_tree_whose_places_lead_to_its_records(busy, tmp_path):  # noqa: F811
     tape, header = busy
-    trace, = opened([written(tmp_path, header, tape.records, each=150)])
+    (trace,) = opened([written(tmp_path, header, tape.records, each=150)])
     records = [entry.record for entry in trace.entries()]
     found = list(trees(trace))
     arrivals = [record for record in records if record[0] == CODES["dialog_came"]]
@@ -50,11 +50,14 @@
 
 def test_waits_are_what_no_leg_and_no_answer_covers(busy, tmp_path):  # noqa: F811
     tape, header = busy
-    trace, = opened([written(tmp_path, header, tape.records)])
+    (trace,) = opened([written(tmp_path, header, tape.records)])
     for story in stories_of(trace):
         covered = sum(over - begun for begun, over in story.waits())
-        covered += sum(min(leg.stood if leg.stood >= 0 else leg.ended, story.final_at) - leg.sent
-                       for leg in story.legs if leg.sent < story.final_at)
+        covered += sum(
+            min(leg.stood if leg.stood >= 0 else leg.ended, story.final_at) - leg.sent
+            for leg in story.legs
+            if leg.sent < story.final_at
+        )
         if story.final_at >= 0:
             assert covered == story.took
 
@@ -81,16 +84,26 @@
 def over_a_tandem(folder):
     """Traces of a proxy that sends a dialog over a tandem, and of the tandem's."""
     crossed = crossing("z9hG4bKone")
-    rows = {"p0": [[CODES["list_pushed"], 1, [[1, 1, 2, 0], [2, 2, 2, 0]], True],
-                   [CODES["dialog_came"], 10, 0, 0, 1, 1, "n", 30_000, False, False, False, -1],
-                   [CODES["send_leg"], 0, 2, 900], [CODES["sent"], 10, crossed, 0],
-                   [CODES["came"], 300, answer_to(crossed), 0], [CODES["dialog_stands"], 300, 0, 290],
-                   [CODES["leg_ended"], 900, 0, 2, 0, 0, True, 5, 9]],
-            "p2": [[CODES["list_pushed"], 1, [[1, 1, 2, 0]], True],
-                   [CODES["came"], 60, crossed, 7],
-                   [CODES["dialog_came"], 60, 7, 0, 1, 1, "n", 30_000, True, False, False, -1],
-                   [CODES["send_leg"], 7, 1, 800], [CODES["sent"], 250, answer_to(crossed), 7],
-                   [CODES["dialog_stands"], 250, 7, 190], [CODES["leg_ended"], 880, 7, 1, 0, 0, True, 5, 9]]}
+    rows = {
+        "p0": [
+            [CODES["list_pushed"], 1, [[1, 1, 2, 0], [2, 2, 2, 0]], True],
+            [CODES["dialog_came"], 10, 0, 0, 1, 1, "n", 30_000, False, False, False, -1],
+            [CODES["send_leg"], 0, 2, 900],
+            [CODES["sent"], 10, crossed, 0],
+            [CODES["came"], 300, answer_to(crossed), 0],
+            [CODES["dialog_stands"], 300, 0, 290],
+            [CODES["leg_ended"], 900, 0, 2, 0, 0, True, 5, 9],
+        ],
+        "p2": [
+            [CODES["list_pushed"], 1, [[1, 1, 2, 0]], True],
+            [CODES["came"], 60, crossed, 7],
+            [CODES["dialog_came"], 60, 7, 0, 1, 1, "n", 30_000, True, False, False, -1],
+            [CODES["send_leg"], 7, 1, 800],
+            [CODES["sent"], 250, answer_to(crossed), 7],
+            [CODES["dialog_stands"], 250, 7, 190],
+            [CODES["leg_ended"], 880, 7, 1, 0, 0, True, 5, 9],
+        ],
+    }
     for name, records in rows.items():
         written(folder, Header(FORMAT, "m", "e", name, 0.0, 0, FIGURES), records, name=f"{name}.trace")
     return crossed
@@ -99,11 +112,11 @@
 def test_in_a_merged_trace_the_tandems_dialog_hangs_from_the_leg_that_it_is(tmp_path):
     crossed = over_a_tandem(tmp_path)
     merge(opened([tmp_path / "p0.trace", tmp_path / "p2.trace"]), tmp_path / "m.trace")
-    merged, = opened([tmp_path / "m.trace"])
+    (merged,) = opened([tmp_path / "m.trace"])
     mine, theirs = sorted(trees(merged), key=lambda tree: tree.instance)
     assert mine.trace_id == theirs.trace_id and mine.spans[1].id == crossed == theirs.spans[0].parent
     assert theirs.spans[0].name == "transit" and "crossing" not in theirs.spans[0].fields
-    alone, = trees(opened([tmp_path / "p2.trace"])[0])
+    (alone,) = trees(opened([tmp_path / "p2.trace"])[0])
     assert alone.spans[0].parent == b"" and alone.spans[0].fields["crossing"] == crossed.hex()
 
 
@@ -119,7 +132,7 @@
         stories.take(records)
     live.close()
     lines = [json.loads(line) for path in sorted(tmp_path.glob("*.spans")) for line in path.read_text().splitlines()]
-    trace, = opened([written(tmp_path, header, tape.records)])
+    (trace,) = opened([written(tmp_path, header, tape.records)])
     kept = [tree for tree in trees(trace) if worth_keeping(tree, 100) and tree.spans[0].fields["final"] != "open"]
     assert sum(line["name"] == "dialog" for line in lines) == len(kept) > 10
     places = {line["attributes"]["gingergap.position"] for line in lines if line["name"] == "dialog"}
@@ -131,7 +144,8 @@
     text = figures.text()
     counted = sum(float(line.rpartition(" ")[2]) for line in text.splitlines() if line.startswith("gingergap_dialogs_total{"))
     ended = sum(story.final != "open" for story in stories_of(trace)) - sum(
-        1 for story in stories_of(trace) if story.final != "open" and any(leg.how is None for leg in story.legs))
+        1 for story in stories_of(trace) if story.final != "open" and any(leg.how is None for leg in story.legs)
+    )
     assert counted == ended
     assert 'gingergap_set_up_seconds_count{type="voice",way="direct"}' in text
 
@@ -139,21 +153,28 @@
 def test_what_fails_in_a_span_stays_there_and_is_told_once():
     def bad(story):
         raise RuntimeError("no")
+
     counted = []
     source = Source("m", "e", "p", 0.0, 0, FIGURES)
     with structlog.testing.capture_logs() as logs:
         stories = LiveStories(source, structlog.get_logger(), [bad, counted.append])
         for dialog in range(3):
-            stories.take([[CODES["dialog_came"], 10, dialog, 0, 1, 1, "n", 30_000, False, False, False, -1],
-                          [CODES["decline"], dialog, 0], ["gap", 1, 2, 3]])
+            stories.take(
+                [
+                    [CODES["dialog_came"], 10, dialog, 0, 1, 1, "n", 30_000, False, False, False, -1],
+                    [CODES["decline"], dialog, 0],
+                    ["gap", 1, 2, 3],
+                ]
+            )
     assert len(counted) == 3 and len(logs) == 1 and logs[0]["event"] == "span-not-written"
 
 
 def test_a_gap_ends_the_stories_before_it():
     counted = []
     stories = LiveStories(Source("m", "e", "p", 0.0, 0, FIGURES), structlog.get_logger(), [counted.append])
-    stories.take([[CODES["dialog_came"], 10, 1, 0, 1, 1, "n", 30_000, False, False, False, -1], ["gap", 11, 20, 3],
-                  [CODES["decline"], 1, 0]])
+    stories.take(
+        [[CODES["dialog_came"], 10, 1, 0, 1, 1, "n", 30_000, False, False, False, -1], ["gap", 11, 20, 3], [CODES["decline"], 1, 0]]
+    )
     assert [story.final for story in counted] == ["open"] and stories.stories.held == {}
 
 
@@ -172,6 +193,7 @@
 def taped(peers_of, monkeypatch):
     """Peers whose proxy is on tape."""
     import conftest
+
     tape = Tape()
     monkeypatch.setattr(conftest, "proxy_of", lambda *args: proxy_of(*args, tape))
     return peers_of(), tape
@@ -185,7 +207,7 @@
     peers, tape = taped
     peers.tell_groups({1: 0, 2: 20, 3: 20})
     invite = peers.invite("001555")
-    leg, = peers.legs(invite.call_id)
+    (leg,) = peers.legs(invite.call_id)
     crossed = crossing(top_via(leg[0]).branch)
     assert leg[1].port != 7101 and notes(tape, "sent") == [[0, crossed, 0]]
     peers.now += 70
@@ -218,8 +240,14 @@
 def test_words_between_proxies_are_noted_under_their_call_id(taped, peers_of):
     peers, tape = taped
     message = Message("MESSAGE", "sip:proxy@127.0.0.1:7000", body=b"\0\1\2\3")
-    message.fields = [("Via", "SIP/2.0/UDP 127.0.0.1:7100;branch=z9hG4bKm"), ("From", "<sip:a>;tag=1"), ("To", "<sip:b>"),
-                      ("Call-ID", "word1"), ("CSeq", "1 MESSAGE"), ("Max-Forwards", "9")]
+    message.fields = [
+        ("Via", "SIP/2.0/UDP 127.0.0.1:7100;branch=z9hG4bKm"),
+        ("From", "<sip:a>;tag=1"),
+        ("To", "<sip:b>"),
+        ("Call-ID", "word1"),
+        ("CSeq", "1 MESSAGE"),
+        ("Max-Forwards", "9"),
+    ]
     peers.come(message, Hop("UDP", "127.0.0.1", 7100))
     assert notes(tape, "came") == [[0, crossing("word1"), -1]]
     peers.proxy.tell_all(b"\0\1\2\3")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -108,7 +108,7 @@
     acknowledged = sum(op.what == "mark" and op.name == "acknowledged" for op in ops[:crash])
     book = Book(folder)
     assert book.damage == [] and book.verify() == []
-    assert held(book) in states[acknowledged:begun + 1]  # every acknowledged batch, and none in part
+    assert held(book) in states[acknowledged : begun + 1]  # every acknowledged batch, and none in part
     book.commit([Change(TOKEN, "after", KeptToken(1))])
     book.close()
 
@@ -122,7 +122,7 @@
         begun = sum(op.what == "mark" and op.name == "begin" for op in ops[:crash])
         acknowledged = sum(op.what == "mark" and op.name == "acknowledged" for op in ops[:crash])
         book = Book(folder)
-        assert held(book) in states[acknowledged:begun + 1], crash
+        assert held(book) in states[acknowledged : begun + 1], crash
         book.close()
 
 
@@ -170,11 +170,14 @@
     """A store as the first schema wrote it: without the leg's number, without times."""
     folder.mkdir(exist_ok=True)
     db = apsw.Connection(str(folder / FILE))
-    db.execute("CREATE TABLE item (kind TEXT NOT NULL, key TEXT NOT NULL, body BLOB NOT NULL, checksum INTEGER NOT NULL, "
-               f"PRIMARY KEY (kind, key)) WITHOUT ROWID; PRAGMA application_id={APPLICATION}; PRAGMA user_version={schema}")
+    db.execute(
+        "CREATE TABLE item (kind TEXT NOT NULL, key TEXT NOT NULL, body BLOB NOT NULL, checksum INTEGER NOT NULL, "
+        f"PRIMARY KEY (kind, key)) WITHOUT ROWID; PRAGMA application_id={APPLICATION}; PRAGMA user_version={schema}"
+    )
     for number in range(50):
-        body = ENCODER.encode({"kind": 0, "width": 1, "far": number, "leg": "x1", "since": 5.0, "transit": False,
-                               "to_tag": f"t{number}"})
+        body = ENCODER.encode(
+            {"kind": 0, "width": 1, "far": number, "leg": "x1", "since": 5.0, "transit": False, "to_tag": f"t{number}"}
+        )
         key = parts(f"call{number}", "ct")
         check = checksum(STANDING, key, body) + (number == 7)
         db.execute("INSERT INTO item VALUES (?, ?, ?, ?)", (STANDING, key, body, check))
@@ -201,6 +204,7 @@
     def broken(rows):
         yield from list(rows)[:10]
         raise apsw.FullError("no room")
+
     monkeypatch.setitem(MIGRATIONS, 1, broken)
     with pytest.raises(BadStoreError, match="can't be upgraded"):
         Book(tmp_path)
@@ -214,9 +218,13 @@
     assert before
 
 
-@pytest.mark.parametrize(("pragma", "words"), [
-    (f"PRAGMA application_id={APPLICATION}; PRAGMA user_version={SCHEMA + 1}", "newer"),
-    ("PRAGMA application_id=77", "no store of this program")])
+@pytest.mark.parametrize(
+    ("pragma", "words"),
+    [
+        (f"PRAGMA application_id={APPLICATION}; PRAGMA user_version={SCHEMA + 1}", "newer"),
+        ("PRAGMA application_id=77", "no store of this program"),
+    ],
+)
 def test_a_newer_or_foreign_file_is_left_alone_and_named(tmp_path, pragma, words):
     db = apsw.Connection(str(tmp_path / FILE))
     db.execute(f"CREATE TABLE item (kind, key); INSERT INTO item VALUES ('a', 'b'); {pragma}")
@@ -255,7 +263,7 @@
     data, draw = bytearray(path.read_bytes()), random.Random(seed)
     for _ in range(3):
         page = draw.randrange(3, len(data) // 4096)
-        data[page * 4096:(page + 1) * 4096] = draw.randbytes(4096)
+        data[page * 4096 : (page + 1) * 4096] = draw.randbytes(4096)
     path.write_bytes(data)
     book = Book(tmp_path)
     found = held(book)
@@ -312,8 +320,9 @@
 
 def test_the_oldest_go_first_and_compacting_gives_their_room_back(tmp_path):
     book = Book(tmp_path)
-    book.commit([Change(CALLER, parts(str(number), 0, 1), KeptCaller(float(number), 1.0), float(number))
-                 for number in range(5_000)])
+    book.commit(
+        [Change(CALLER, parts(str(number), 0, 1), KeptCaller(float(number), 1.0), float(number)) for number in range(5_000)]
+    )
     assert book.evict(CALLER, 5_000) == 0 and book.evict(CALLER, 100) == 4_900
     left = sorted(float(fields_of(item.key, 3)[0]) for item in book.items(CALLER))
     assert left == [float(number) for number in range(4_900, 5_000)]
@@ -328,14 +337,19 @@
         assert kind and form
     data, check = packed(TOKEN, "a", KeptToken(5))
     assert unpacked(TOKEN, "a", data, check) == KeptToken(5)
-    for wrong in ((TOKEN, "b", data, check), (STANDING, "a", data, check), (TOKEN, "a", data + b"x", check),
-                  (TOKEN, "a", "text", check), ("other", "a", data, check)):
+    for wrong in (
+        (TOKEN, "b", data, check),
+        (STANDING, "a", data, check),
+        (TOKEN, "a", data + b"x", check),
+        (TOKEN, "a", "text", check),
+        ("other", "a", data, check),
+    ):
         with pytest.raises(BadRecordError):
             unpacked(*wrong)
     junk = b"\xff\xff"
     with pytest.raises(BadRecordError):
         unpacked(TOKEN, "a", junk, checksum(TOKEN, "a", junk))
-    assert fields_of(parts("a\"b", 1), 2) == ["a\"b", 1]
+    assert fields_of(parts('a"b', 1), 2) == ['a"b', 1]
     with pytest.raises(BadRecordError):
         fields_of("[1", 1)
 
@@ -368,17 +382,33 @@
     assert done.exit_code == 1 and "call5" in done.output and "1 faults" in done.output
 
 
-@pytest.mark.parametrize("text", ["", "{}", '{"gingergap store": 99}', '{"gingergap store": 2}\nnot JSON',
-                                  '{"gingergap store": 2}\n{"kind": "odd", "key": "a", "seen": 1, "body": {}}',
-                                  '{"gingergap store": 2}\n{"kind": "token", "key": "a", "seen": 1, "body": {"counter": "x"}}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{}",
+        '{"gingergap store": 99}',
+        '{"gingergap store": 2}\nnot JSON',
+        '{"gingergap store": 2}\n{"kind": "odd", "key": "a", "seen": 1, "body": {}}',
+        '{"gingergap store": 2}\n{"kind": "token", "key": "a", "seen": 1, "body": {"counter": "x"}}',
+    ],
+)
 def test_what_cannot_be_imported_is_a_line_and_leaves_no_store(tmp_path, text):
     (tmp_path / "in").write_text(text)
     done = CliRunner().invoke(main, ["store", "import", str(tmp_path / "s"), "--from", str(tmp_path / "in")])
     assert done.exit_code == 2 and len(done.stderr.strip().splitlines()) == 1 and not (tmp_path / "s").exists()
 
 
-@pytest.mark.parametrize("words", [["info", "none"], ["verify", "none"], ["export", "here", "--out", "there"],
-                                   ["import", "here", "--from", "none"], ["state", "--control", "none.sock"]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["info", "none"],
+        ["verify", "none"],
+        ["export", "here", "--out", "there"],
+        ["import", "here", "--from", "none"],
+        ["state", "--control", "none.sock"],
+    ],
+)
 def test_what_is_not_there_is_a_line(tmp_path, monkeypatch, words):
     monkeypatch.chdir(tmp_path)
     filled(tmp_path / "here", 3)
@@ -390,9 +420,11 @@
 
 def test_the_file_layer_of_the_tests_knows_what_a_crash_may_leave():
     from gingergap.standins.disk import Op
+
     ops = [Op("write", "a", 0, b"x" * 600), Op("sync", "a"), Op("write", "a", 0, b"y" * 2000), Op("truncate", "a", 100)]
     seen = set()
     for seed in range(200):
+
         class Folder(dict):
             def __truediv__(self, name):
                 self.name = name
@@ -400,6 +432,7 @@
 
             def write_bytes(self, data):
                 self[self.name] = bytes(data)
+
         folder = Folder()
         image(ops, 4, random.Random(seed), folder)
         seen.add(folder["a"])
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -15,17 +15,20 @@
 
 def response(status, method="INVITE", extra="", body=SDP, length=None, id=ID):
     body = body if status == 200 and method == "INVITE" else ""
-    return (f"SIP/2.0 {status} Word\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {method}\r\n{extra}"
-            f"Content-Length: {len(body) if length is None else length}\r\n\r\n{body}").encode()
+    return (
+        f"SIP/2.0 {status} Word\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {method}\r\n{extra}"
+        f"Content-Length: {len(body) if length is None else length}\r\n\r\n{body}"
+    ).encode()
 
 
 def notify(free):
-    return (f"NOTIFY sip:exchange@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 0000000000000000\r\n"
-            f"CSeq: 1 NOTIFY\r\nLink-State: idle:{free};circuits:71;queue:-1\r\nContent-Length: 0\r\n\r\n").encode()
+    return (
+        f"NOTIFY sip:exchange@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 0000000000000000\r\n"
+        f"CSeq: 1 NOTIFY\r\nLink-State: idle:{free};circuits:71;queue:-1\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
 
 
-BYE = (f"BYE sip:x@net SIP/2.0\r\nCall-ID: {ID}\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=41\r\n"
-       "Content-Length: 0\r\n\r\n").encode()
+BYE = (f"BYE sip:x@net SIP/2.0\r\nCall-ID: {ID}\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=41\r\nContent-Length: 0\r\n\r\n").encode()
 REPORT = "Fail-Word: no_path\r\nLink-State: idle:0;circuits:71\r\n"
 
 
@@ -51,14 +54,25 @@
     assert report_of("idle:3;circuits:x;:;a:1e99;b:nan") == {"idle": 3}
 
 
-@pytest.mark.parametrize("damaged", [
-    response(200, length=len(SDP) - 5), response(200, length=0), response(200, body="\xff" * 30),
-    response(200, length="-4"), response(200, length="x"), response(200, length=3 << 30), b"\x00\x01\x02 noise",
-    response(200).replace(b"SIP/2.0 200", b"SIP/2.0 2000"), response(200).replace(b"Call-ID: 9b", b"Call-ID: "),
-    response(200).replace(b"CSeq", b"CSeq no colon here"), b"A" * (MOST_MESSAGE + 10),
-    response(200).replace(b"Content-Length", b"Content-Lenght"), response(200) + b"noise after it",
-    b"REGISTER sip:a@b SIP/2.0\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 REGISTER\r\nContent-Length: 0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "damaged",
+    [
+        response(200, length=len(SDP) - 5),
+        response(200, length=0),
+        response(200, body="\xff" * 30),
+        response(200, length="-4"),
+        response(200, length="x"),
+        response(200, length=3 << 30),
+        b"\x00\x01\x02 noise",
+        response(200).replace(b"SIP/2.0 200", b"SIP/2.0 2000"),
+        response(200).replace(b"Call-ID: 9b", b"Call-ID: "),
+        response(200).replace(b"CSeq", b"CSeq no colon here"),
+        b"A" * (MOST_MESSAGE + 10),
+        response(200).replace(b"Content-Length", b"Content-Lenght"),
+        response(200) + b"noise after it",
+        b"REGISTER sip:a@b SIP/2.0\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 REGISTER\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
 def test_what_can_not_be_read_ends_the_connection(damaged):
     with pytest.raises(BadMessageError):
         told(damaged)
@@ -71,8 +85,7 @@
     assert [entry[0] for entry in noted.done] == ["released", "answered"]
 
 
-@given(st.lists(st.sampled_from([response(200), response(503, extra=REPORT), BYE, notify(5), notify(6)]), max_size=6),
-       st.data())
+@given(st.lists(st.sampled_from([response(200), response(503, extra=REPORT), BYE, notify(5), notify(6)]), max_size=6), st.data())
 @settings(max_examples=150, deadline=None)
 def test_any_cut_of_the_bytes_gives_the_same(parts, data):
     noted = NotedHost()
@@ -93,7 +106,10 @@
     message = parse(words.invite("7f3a", ID, 2, "voice", 1500, SDP), stream=True)
     assert (message.method, message.uri, message.call_id, message.cseq()) == ("INVITE", "sip:7f3a@net", ID, (2, "INVITE"))
     assert (message.get("Call-Kind"), message.get("Answer-Within"), message.body.decode()) == ("voice", "1500", SDP)
-    for data, method in ((words.ack("7f", ID, 2), "ACK"), (words.cancel("7f", ID, 2), "CANCEL"),
-                         (words.bye("7f", ID, 2, 16), "BYE")):
+    for data, method in (
+        (words.ack("7f", ID, 2), "ACK"),
+        (words.cancel("7f", ID, 2), "CANCEL"),
+        (words.bye("7f", ID, 2, 16), "BYE"),
+    ):
         assert parse(data, stream=True).method == method
     assert parse(words.bye_heard(ID), stream=True).status == 200
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -32,6 +32,7 @@
 def busy(peers_of, monkeypatch):
     """A proxy on a tape that has served some calls of all kinds; its tape and header."""
     import conftest
+
     tape = Tape()
     monkeypatch.setattr(conftest, "proxy_of", lambda *args: proxy_of(*args, tape))
     peers = peers_of()
@@ -83,7 +84,7 @@
 def test_a_replay_asks_for_the_same_at_every_event(busy, tmp_path):
     tape, header = busy
     trace = opened([written(tmp_path, header, tape.records)])[0]
-    done, = replay(trace.sources, trace.entries(), trace.whole)
+    (done,) = replay(trace.sources, trace.entries(), trace.whole)
     assert done.difference is None and done.gaps == 0 and trace.breaks() == []
     assert done.events > 400 and done.actions > 200
     assert done.events + done.actions == decisions(tape.records)
@@ -110,15 +111,16 @@
         records = list(tape.records)
         records[place] = [*records[place][:2], 9, records[place][3]]
         assert replayed(header, records).difference.place == place
-        assert replayed(header, records[:place] + records[place + 1:]).difference is not None
+        assert replayed(header, records[:place] + records[place + 1 :]).difference is not None
 
 
 @given(st.integers(0, 10**9), st.booleans(), st.integers(0, 7))
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_a_file_cut_or_changed_anywhere_is_read_up_to_the_break(tmp_path_factory, place, cut, bit):
     folder = tmp_path_factory.mktemp("cut")
-    records = list(itertools.chain.from_iterable(
-        ([CODES["beat"], 200 * number], [CODES["wake_after"], 200]) for number in range(300)))
+    records = list(
+        itertools.chain.from_iterable(([CODES["beat"], 200 * number], [CODES["wake_after"], 200]) for number in range(300))
+    )
     header = Header(FORMAT, "m", "e", "i", 0.0, 0, {})
     path = written(folder, header, records, each=50)
     data = bytearray(path.read_bytes())
@@ -136,7 +138,7 @@
         return
     found = list(reader.records())
     reader.close()
-    assert found == records[:len(found)]  # whole blocks, nothing made up
+    assert found == records[: len(found)]  # whole blocks, nothing made up
     assert len(found) >= 100 * (place * 6 // whole - 1)
     if reader.broken is not None:
         assert reader.broken.at <= place
@@ -169,8 +171,11 @@
     found = [entry.record for entry in select(trace, dialog=5)]
     assert found[0][0] == CODES["dialog_came"] and found[0][2] == 5
     assert 0 < len(unpacked) < len(trace.places())
-    everything = [list(record) for record in tape.records if record[0] in trace_format.DIALOG_AT
-                  and record[trace_format.DIALOG_AT[record[0]]] == 5]
+    everything = [
+        list(record)
+        for record in tape.records
+        if record[0] in trace_format.DIALOG_AT and record[trace_format.DIALOG_AT[record[0]]] == 5
+    ]
     assert found == everything
     middle = tape.records[len(tape.records) // 2]
     inside = list(select(trace, 1_000, 5_000))
@@ -217,9 +222,9 @@
 
 def test_parts_go_on_from_one_another_and_replay_as_one(busy, tmp_path):
     one, records = in_parts(tmp_path, busy)
-    trace, = opened([one.folder])
+    (trace,) = opened([one.folder])
     assert len(trace.readers) > 2 and one.states == len(trace.readers) - 1
-    done, = replay(trace.sources, trace.entries(), trace.whole)
+    (done,) = replay(trace.sources, trace.entries(), trace.whole)
     assert done.difference is None and done.events + done.actions == decisions(records) and done.resumed == 0
 
 
@@ -229,8 +234,8 @@
     for path in paths[:2]:
         path.unlink()
     paths[4].unlink()
-    trace, = opened([one.folder])
-    done, = replay(trace.sources, trace.entries(), trace.whole)
+    (trace,) = opened([one.folder])
+    (done,) = replay(trace.sources, trace.entries(), trace.whole)
     assert done.difference is None and done.gaps == 2 and done.resumed == 2 and done.passed_over == 0
     assert 0 < done.events + done.actions < decisions(records)
 
@@ -279,9 +284,10 @@
 
         def write(self, data):
             if full[0]:
-                write(data[:len(data) // 2])  # a part of it still fits
+                write(data[: len(data) // 2])  # a part of it still fits
                 raise OSError(errno.ENOSPC, "No space left on device")
             return write(data)
+
     inner, one.writer.file = one.writer.file, Disk()
     for now in range(6):
         full[0] = 2 <= now < 4
@@ -304,6 +310,7 @@
 
     def no_room(self, data):
         raise OSError(errno.ENOSPC, "No space left on device")
+
     path, header = tmp_path / "a.trace", Header(FORMAT, "m", "e", "i", 0.0, 0, {})
     monkeypatch.setattr(Writer, "_put", no_room)
     with pytest.raises(OSError, match="No space"):
@@ -319,10 +326,11 @@
     first, second = events[100], events[200]
     behind = replayed(header, tape.records[:second])
     state = [SNAPSHOT, tape.records[second][1], freeze(behind.controller)]
-    done = replayed(header, [*tape.records[:first], ["gap", 1, 2, 3], *tape.records[first + 30:second], state,
-                             *tape.records[second:]])
+    done = replayed(
+        header, [*tape.records[:first], ["gap", 1, 2, 3], *tape.records[first + 30 : second], state, *tape.records[second:]]
+    )
     assert done.difference is None and done.gaps == 1 and done.resumed == 1 and done.passed_over > 0
-    lost = [*tape.records[:first], ["gap", 1, 2, 3], *tape.records[first + 30:]]
+    lost = [*tape.records[:first], ["gap", 1, 2, 3], *tape.records[first + 30 :]]
     assert replayed(header, lost).resumed == 0 and replayed(header, lost).events == 100
 
 
@@ -345,8 +353,9 @@
         return (print, ("this must not run",))
 
 
-@pytest.mark.parametrize("bad", [b"", b"junk", pickle.dumps([1]), pickle.dumps({"due": Trap()}),
-                                 pickle.dumps({"due": OSError("x")})])
+@pytest.mark.parametrize(
+    "bad", [b"", b"junk", pickle.dumps([1]), pickle.dumps({"due": Trap()}), pickle.dumps({"due": OSError("x")})]
+)
 def test_a_state_that_is_none_of_the_modules_is_refused_and_runs_nothing(bad, capsys):
     with pytest.raises(BadSnapshotError):
         thaw(bad, None)
@@ -364,13 +373,14 @@
         @staticmethod
         def pack(*fields):
             return frame.pack(*fields[:5])
+
     with monkeypatch.context() as old:
         old.setitem(trace_format.FRAMES, 2, First)
         old.setattr(trace_format, "stretch_of", lambda payload: frame.unpack_from(payload))
         path = written(tmp_path, Header(1, header.module, "e1", "p0", 0.0, 0, header.figures), plain)
-    trace, = opened([path])
+    (trace,) = opened([path])
     assert trace.readers[0].version == 1 and all(place.stretch.snapshots == 0 for place in trace.places())
-    done, = replay(trace.sources, trace.entries(), trace.whole)
+    (done,) = replay(trace.sources, trace.entries(), trace.whole)
     assert done.difference is None and done.events + done.actions == len(plain)
 
 
@@ -414,6 +424,7 @@
 
 def test_settings_name_the_folder():
     from conftest import EDGE
+
     form = parse_form(EDGE.strip()[:-1] + ' (trace (folder "t") (part-mb 1)))', "f", edge=EdgeForm)
     assert form.trace.folder == "t" and form.trace.budget_mb == 256 and form.trace.recording
     with pytest.raises(BadSettingsError) as bad:
--- a/tests/test_trace_causes.py
+++ b/tests/test_trace_causes.py
@@ -60,7 +60,7 @@
 def test_one_slow_far_end_is_told_from_all_of_them():
     held = slices()
     slow(held, [2])
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert (stretch.cause, stretch.begin, stretch.end) == (ONE_FAR, 10 * SPAN, 14 * SPAN)
     assert "far end 2: 12 slow" in stretch.evidence[0]
     held = slices()
@@ -75,7 +75,7 @@
     held = slices()
     for one in held[5:9]:
         one.at(3).lost_kept, one.at(3).lost, one.stood = 3, 3, 6
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert stretch.cause == ONE_FAR and stretch.lost == 12 and "kept back" in stretch.evidence[0]
 
 
@@ -85,7 +85,7 @@
     for one in held[10:14]:
         one.at(1).overtaken = one.at(2).overtaken = 1
         one.at(2).lost_kept = 1
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert stretch.cause == ANSWERS and stretch.voices[ONE_FAR] == stretch.voices[ALL_FAR] == 0
     held[10].at(1).overtaken = 0
     for one in held[10:14]:
@@ -98,7 +98,7 @@
     for one in held[10:15]:
         one.at(1).lost_full = one.at(2).lost_full = 2
     slow(held, [3], 10, 12, many=1)
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert stretch.cause == CIRCUITS and stretch.voices[CIRCUITS] == 20
 
 
@@ -108,7 +108,7 @@
         one.at(1).ends[LegEnd.UNREACHABLE] = 4
     assert judge(held)[0].cause == ONE_FAR
     held[15].at(1).listed_late = OBJECTIVE + 1
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert stretch.cause == LIST and "1 by 1500 ms" in stretch.evidence[0]
     held[15].at(1).listed_late = OBJECTIVE
     assert judge(held)[0].cause == ONE_FAR
@@ -121,7 +121,7 @@
         one.came = one.stood = 0
     held[12].turned_away = 20
     slow(held, [1, 2, 3], 12, 14)
-    stretch, = judge(held)
+    (stretch,) = judge(held)
     assert stretch.cause == PROCESSOR and "2500 ms" in stretch.evidence[0] and "20 dialogs" in stretch.evidence[0]
     quiet = slices()
     quiet[10].standstill = 2_000
@@ -248,7 +248,7 @@
         told.call(1)
         told.beats(told.now + 5_000)
         told.stands(lost)
-    stretch, = causes_of(told)
+    (stretch,) = causes_of(told)
     assert stretch.cause == ANSWERS and stretch.voices[ANSWERS] >= 5
 
 
@@ -281,7 +281,7 @@
         told.call(1)
     for dialog in waiting:
         told.stands(dialog)
-    stretch, = causes_of(told)
+    (stretch,) = causes_of(told)
     assert stretch.cause == ONE_FAR and stretch.voices[ANSWERS] == 0
 
 
@@ -292,7 +292,7 @@
     for _ in range(12):
         told.put("decline", told.came(1), 0)
         told.beats(told.now + 2_000)
-    stretch, = causes_of(told)
+    (stretch,) = causes_of(told)
     assert stretch.cause == CIRCUITS
     told = Told()
     told.calm(4)
@@ -300,7 +300,7 @@
         told.put("decline", told.came(1), 0)
         told.put("decline", told.came(2, redialled=True), 0)  # judged whatever is free: it tells nothing of the far end
         told.beats(told.now + 2_000)
-    stretch, = causes_of(told)
+    (stretch,) = causes_of(told)
     assert stretch.cause == ONE_FAR and 8 <= stretch.voices[ONE_FAR] <= 12
 
 
@@ -329,7 +329,7 @@
         told.beats(told.now + 3_000)
     told.put("list_pushed", told.now, [[2, 2, int(GwState.READY), begun]], False)
     told.calm(3)
-    stretch, = causes_of(told)
+    (stretch,) = causes_of(told)
     assert stretch.cause == LIST
 
 
@@ -341,7 +341,7 @@
         told.put("turned_away", told.now, 0, 900, 3)
     told.calm(3)
     tally = told.done()
-    stretch, = bad_stretches(tally.all_slices(), SPAN, tally.usual(), tally.objective())
+    (stretch,) = bad_stretches(tally.all_slices(), SPAN, tally.usual(), tally.objective())
     assert stretch.cause == PROCESSOR and "20" in stretch.evidence[0]
     assert max(one.standstill for one in tally.all_slices()) >= 20_000
 
--- a/tests/test_trace_tap.py
+++ b/tests/test_trace_tap.py
@@ -31,6 +31,7 @@
             out.truncate()
             lines.append(f"<< process 0, {len(text)} bytes")
             lines.extend(text.splitlines())
+
     serve(asked(), out)
     path.write_text("\n".join(lines) + "\n")
     return path
@@ -42,8 +43,7 @@
         at = TICK["Time"] + number * 30_000
         events = [{**KNOCK, "Rid": 100 + number}, {"t": "Elapsed", "Proxy": "proxy_0", "Cookie": "beat"}]
         if number % 3 == 1:
-            events.append({"t": "Headers", "Proxy": "proxy_0", "Rid": 100 + number, "Switch": "switch.a",
-                           "TimeTaken": 15_000})
+            events.append({"t": "Headers", "Proxy": "proxy_0", "Rid": 100 + number, "Switch": "switch.a", "TimeTaken": 15_000})
         if number == 10 and restart:
             events = [{"t": "Stop", "Proxy": "proxy_0"}, SPAWN, *LIST]
         batches_.append([{"t": "Tick", "Time": at}, *events, END])
@@ -53,7 +53,7 @@
 def test_a_wire_becomes_a_trace_that_replays_and_tells_its_dialogs(tmp_path):
     done = converted(wire(tmp_path / "tap", *day()), tmp_path / "out")
     assert done.differ == 0 and done.batches == done.replies == 21
-    trace, = opened([tmp_path / "out"])
+    (trace,) = opened([tmp_path / "out"])
     stories = list(stories_of(trace))
     assert len(stories) == 20 and sum(story.final == "stood" for story in stories) == 7
     result = CliRunner().invoke(main, ["trace", "replay", str(tmp_path / "out")])
@@ -71,14 +71,20 @@
     path.write_text(text)
     result = CliRunner().invoke(main, ["trace", "from-tap", str(path), "--out", str(tmp_path / "out")])
     assert result.exit_code == 1 and "1 differ" in result.output and "Elsewhere" in result.output
-    trace, = opened([tmp_path / "out"])
+    (trace,) = opened([tmp_path / "out"])
     assert len(list(stories_of(trace))) == 7  # up to the batch before
 
 
-@pytest.mark.parametrize(("text", "words"), [
-    ("not a wire\n", "line 1: no recorded wire"), (">> process 0, 3 bytes\n{}\n", "line 2"),
-    (">> process 0, 3 bytes\n" + json.dumps(TICK) + "\n" + json.dumps(KNOCK) + "\n", "line 3"),
-    (">> process 0, 3 bytes\n" + json.dumps(TICK) + "\n<< process 0, 4 bytes\nnot JSON\n", "line 4"), ("", "no proxy")])
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("not a wire\n", "line 1: no recorded wire"),
+        (">> process 0, 3 bytes\n{}\n", "line 2"),
+        (">> process 0, 3 bytes\n" + json.dumps(TICK) + "\n" + json.dumps(KNOCK) + "\n", "line 3"),
+        (">> process 0, 3 bytes\n" + json.dumps(TICK) + "\n<< process 0, 4 bytes\nnot JSON\n", "line 4"),
+        ("", "no proxy"),
+    ],
+)
 def test_what_is_no_wire_is_refused_naming_the_line(tmp_path, text, words):
     path = tmp_path / "tap"
     path.write_text(text)
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -52,7 +52,7 @@
 
 
 def all_alike(path):
-    trace, = opened([Path(path)])
+    (trace,) = opened([Path(path)])
     done = replay(trace.sources, trace.entries(), trace.whole)
     assert all(one.difference is None for one in done), [one.difference for one in done]
     return trace, done
@@ -85,11 +85,13 @@
     path.unlink(missing_ok=True)
     cut(trace, span_of(trace, low, high, frozenset(), None), path)
     cutting, (done,) = all_alike(path)
-    assert done.passed_over == sum(entry.now < low and entry.record[0] < FIRST_ACTION
-                                   for entry in itertools.takewhile(lambda one: one.record[0] != SNAPSHOT, cutting.entries())
-                                   ) * (not cutting.whole)
+    assert done.passed_over == sum(
+        entry.now < low and entry.record[0] < FIRST_ACTION
+        for entry in itertools.takewhile(lambda one: one.record[0] != SNAPSHOT, cutting.entries())
+    ) * (not cutting.whole)
     assert [entry for entry in cutting.entries() if entry.now >= low] == [
-        entry for entry in trace.entries() if low <= entry.now <= high]
+        entry for entry in trace.entries() if low <= entry.now <= high
+    ]
 
 
 @pytest.fixture(scope="module")
@@ -97,6 +99,7 @@
     """The same as `long`, made once for a property."""
     import conftest
     from test_trace import busy as fixture
+
     folder = tmp_path_factory.mktemp("long")
     patch = pytest.MonkeyPatch()
     try:
@@ -130,7 +133,7 @@
     touched = {(0, one.dialog) for one in stories_of(long) if one.touches(2)}
     assert span.focus == touched and 0 < len(touched) < len(list(stories_of(long)))
     copy = cut(long, span, tmp_path / "far.trace", bare=True)
-    bare, = opened([tmp_path / "far.trace"])
+    (bare,) = opened([tmp_path / "far.trace"])
     dialogs = {entry.record[trace_format.DIALOG_AT[entry.record[0]]] for entry in bare.entries()}
     assert {(0, dialog) for dialog in dialogs} == touched and copy.records < sum(1 for _ in long.entries())
     with pytest.raises(BadTraceError, match="nothing of that"):
@@ -175,8 +178,11 @@
     assert second.offset >= 499 and second.uncertain == -1 and given_up == 0
 
 
-@given(st.lists(st.tuples(st.integers(0, 1_000), st.integers(0, 300)), min_size=1, max_size=60), st.integers(-300, 300),
-       st.floats(-0.2, 0.2))
+@given(
+    st.lists(st.tuples(st.integers(0, 1_000), st.integers(0, 300)), min_size=1, max_size=60),
+    st.integers(-300, 300),
+    st.floats(-0.2, 0.2),
+)
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_points_that_are_dropped_can_bind_no_line(points, offset, slope):
     given = [(sent, sent + delay) for sent, delay in points]
@@ -205,8 +211,9 @@
     for place in range(3):
         cuts = [(0, 45_000), (55_000, 1 << 40)] if restart and place == 2 else [(-1 << 40, 1 << 40)]
         for life, (low, high) in enumerate(cuts):
-            header = Header(FORMAT, f"m{place}", f"e{life}", f"p{place}", 1_000.0 + (5 if life else 0), 50_000 if life else 0,
-                            {"types": []})
+            header = Header(
+                FORMAT, f"m{place}", f"e{life}", f"p{place}", 1_000.0 + (5 if life else 0), 50_000 if life else 0, {"types": []}
+            )
             path = folder / f"p{place}-e{life}.trace"
             copy = Copy(path, header)
             for record in records[place]:
@@ -218,7 +225,7 @@
 
 def kept_order(path, traces):
     """Whether each source's records stand in a merged trace in their own order, all of them."""
-    merged, = opened([path])
+    (merged,) = opened([path])
     found = [[] for _ in merged.sources]
     times = []
     for entry in merged.entries():
@@ -232,8 +239,11 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-@pytest.mark.parametrize("figures", [{}, {"skew": -2_000, "drift": 3.0}, {"restart": True}, {"lost": 0.3, "drift": -1.0}],
-                         ids=["skewed", "drifting", "restarted", "lossy"])
+@pytest.mark.parametrize(
+    "figures",
+    [{}, {"skew": -2_000, "drift": 3.0}, {"restart": True}, {"lost": 0.3, "drift": -1.0}],
+    ids=["skewed", "drifting", "restarted", "lossy"],
+)
 def test_merged_traces_keep_every_order_and_turn_nothing_round(tmp_path, seed, figures):
     proxies(tmp_path, seed, **figures)
     traces = opened(sorted(tmp_path.glob("p*.trace")))
@@ -268,8 +278,10 @@
 
 
 def test_traces_that_contradict_themselves_are_merged_and_told(tmp_path):
-    for name, rows in (("a", [[CAME, 10, b"y" * 8, -1], [SENT, 20, b"x" * 8, -1]]),
-                       ("b", [[CAME, 10, b"x" * 8, -1], [SENT, 20, b"y" * 8, -1]])):
+    for name, rows in (
+        ("a", [[CAME, 10, b"y" * 8, -1], [SENT, 20, b"x" * 8, -1]]),
+        ("b", [[CAME, 10, b"x" * 8, -1], [SENT, 20, b"y" * 8, -1]]),
+    ):
         copy = Copy(tmp_path / f"{name}.trace", Header(FORMAT, "m", "e", name, 0.0, 0, {"types": []}))
         for record in rows:
             copy.put(Entry(0, record[1], record))
@@ -323,7 +335,7 @@
 
 def everything(path):
     """All bytes of a trace file with its blocks unpacked: header, frames, records, snapshots, index."""
-    trace, = opened([path])
+    (trace,) = opened([path])
     whole = path.read_bytes()
     for reader in trace.readers:
         for block in reader.blocks():
@@ -334,15 +346,16 @@
 
 def test_no_number_is_left_anywhere_and_every_decision_is_the_same(busy, tmp_path):  # noqa: F811
     tape, header = busy
-    grown = [[*record[:6], f"27{record[6]}55", *record[7:]] if record[0] == CODES["dialog_came"] else record
-             for record in tape.records]
+    grown = [
+        [*record[:6], f"27{record[6]}55", *record[7:]] if record[0] == CODES["dialog_came"] else record for record in tape.records
+    ]
     called = sorted({record[6] for record in grown if record[0] == CODES["dialog_came"]})
     records = with_states(header, grown, 25)
     records.insert(40, [CODES["remark"], records[39][1], f"lines dead at {called[3]}, and at +{called[5]} since 09:14"])
     header = trace_format.msgspec.structs.replace(header, instance=f"p{called[0]}")
     path = written(tmp_path, header, records, each=100)
     assert all(number.encode() in everything(path) for number in called)
-    copy, = anonymise(opened([path])[0], Numbers(KEY), tmp_path / "out")
+    (copy,) = anonymise(opened([path])[0], Numbers(KEY), tmp_path / "out")
     whole = everything(copy.path)
     assert not [number for number in called if number.encode() in whole]
     trace, (done,) = all_alike(copy.path)
@@ -358,11 +371,11 @@
 def test_a_replay_from_an_anonymised_state_goes_on_as_before(busy, tmp_path):  # noqa: F811
     tape, header = busy
     records = with_states(header, tape.records, 50)
-    copy, = anonymise(opened([written(tmp_path, header, records, each=100)])[0], Numbers(KEY), tmp_path / "out")
-    trace, = opened([copy.path])
+    (copy,) = anonymise(opened([written(tmp_path, header, records, each=100)])[0], Numbers(KEY), tmp_path / "out")
+    (trace,) = opened([copy.path])
     entries = list(trace.entries())
     first = [place for place, entry in enumerate(entries) if entry.record[0] == SNAPSHOT][2]
-    done, = replay(trace.sources, entries[first:], whole=False)
+    (done,) = replay(trace.sources, entries[first:], whole=False)
     assert done.difference is None and done.resumed == 1 and done.actions > 50
 
 
@@ -375,7 +388,7 @@
 
 # --- compare and diff ---
 
-TIMID = '''
+TIMID = """
 from .brain import *  # noqa
 from . import brain
 Chance, TrunkGroup, Exchange, Dialog = (type(name, (getattr(brain, name),), {"__module__": __name__}
@@ -388,14 +401,14 @@
         if dialog % 5 == 0 and not d.legs:
             return False
         return super()._send(dialog, d, ex)
-'''
+"""
 
 
 def test_another_version_is_asked_at_every_event_and_its_differences_counted(busy, tmp_path):  # noqa: F811
     tape, header = busy
     path = tmp_path / "timid.py"
     path.write_text(TIMID)
-    trace, = opened([written(tmp_path, header, tape.records)])
+    (trace,) = opened([written(tmp_path, header, tape.records)])
     found = compare(trace.sources, trace.entries(), True, module_at(path))
     stories = list(stories_of(trace))
     assert found.decisions == replayed(header, tape.records).actions
@@ -412,7 +425,7 @@
 def test_nothing_is_said_of_another_version_where_this_one_does_not_decide_as_noted(busy, tmp_path):  # noqa: F811
     tape, header = busy
     records = [[CODES["abort"], record[1]] if record[0] == CODES["decline"] else record for record in tape.records]
-    trace, = opened([written(tmp_path, header, records)])
+    (trace,) = opened([written(tmp_path, header, records)])
     with pytest.raises(BadTraceError, match="does not decide as was noted"):
         compare(trace.sources, trace.entries(), True, brain)
 
@@ -433,22 +446,23 @@
     assert [row[0] for row in kinds_of([[send, 1, 2, 9]], [[decline, 1, 0]])] == ["send_leg -> decline"]
     assert [row[0] for row in kinds_of([[wake, 200]], [])] == ["wake_after -> nothing yet"]
     assert [row[0] for row in kinds_of([[send, 1, 2, 9], [decline, 2, 0]], [[decline, 2, 0], [send, 1, 2, 9]])] == [
-        "other order of the same"]
+        "other order of the same"
+    ]
 
 
 def test_two_traces_are_told_apart_at_the_first_record(busy, tmp_path):  # noqa: F811
     tape, header = busy
-    left, = opened([written(tmp_path, header, tape.records, name="a.trace")])
-    same, = opened([written(tmp_path, header, [record for record in tape.records if record[0] < FIRST_NOTE], name="b.trace")])
+    (left,) = opened([written(tmp_path, header, tape.records, name="a.trace")])
+    (same,) = opened([written(tmp_path, header, [record for record in tape.records if record[0] < FIRST_NOTE], name="b.trace")])
     assert difference(left, same).place == -1
     wrong = list(tape.records)
     place = next(place for place, record in enumerate(wrong) if record[0] == CODES["decline"])
     wrong[place] = [CODES["decline"], wrong[place][1], 77_777]
-    right, = opened([written(tmp_path, header, wrong, name="c.trace")])
+    (right,) = opened([written(tmp_path, header, wrong, name="c.trace")])
     found = difference(left, right)
     heard = sum(record[0] < FIRST_NOTE for record in tape.records[:place])
     assert found.place == heard and found.right[2] == 77_777 and found.before
-    shorter, = opened([written(tmp_path, header, tape.records[:-30], name="d.trace")])
+    (shorter,) = opened([written(tmp_path, header, tape.records[:-30], name="d.trace")])
     found = difference(left, shorter)
     assert found.right is None and found.counts
 
@@ -467,12 +481,16 @@
     run = CliRunner().invoke
     paths = [str(tmp_path / f"p{number}-e1-000.trace") for number in (0, 1)]
     steps = [
-        ["merge", *paths, "--out", f"{tmp_path}/m.trace"], ["cut", f"{tmp_path}/m.trace", "--from", "1", "--to", "4",
-                                                            "--out", f"{tmp_path}/c.trace"],
+        ["merge", *paths, "--out", f"{tmp_path}/m.trace"],
+        ["cut", f"{tmp_path}/m.trace", "--from", "1", "--to", "4", "--out", f"{tmp_path}/c.trace"],
         ["anonymise", f"{tmp_path}/c.trace", "--key", str(key), "--out", f"{tmp_path}/out"],
-        ["replay", f"{tmp_path}/out/c.trace"], ["info", f"{tmp_path}/out/c.trace"], ["diff", paths[0], paths[0]],
-        ["summarise", paths[0], "--chart", f"{tmp_path}/chart.svg"], ["spans", paths[0], "--out", f"{tmp_path}/spans.jsonl"],
-        ["show", paths[0], "--at", "30", "--around", "3"]]
+        ["replay", f"{tmp_path}/out/c.trace"],
+        ["info", f"{tmp_path}/out/c.trace"],
+        ["diff", paths[0], paths[0]],
+        ["summarise", paths[0], "--chart", f"{tmp_path}/chart.svg"],
+        ["spans", paths[0], "--out", f"{tmp_path}/spans.jsonl"],
+        ["show", paths[0], "--at", "30", "--around", "3"],
+    ]
     for step in steps:
         done = run(main, ["trace", *step])
         assert done.exit_code == 0, (step, done.output, done.stderr)
@@ -485,13 +503,24 @@
     assert done.exit_code == 1 and "send_leg" in done.output
 
 
-@pytest.mark.parametrize("words", [
-    ["info", "nowhere.trace"], ["info", "."], ["cut", "p.trace", "--dialog", "99999", "--out", "c.trace"],
-    ["anonymise", "p.trace", "--key", "short", "--out", "out"], ["anonymise", "p.trace", "--key", "key", "--out", "."],
-    ["replay", "p.trace", "--module", "short"], ["replay", "bare.trace"], ["merge", "bare.trace", "--out", "m.trace"],
-    ["cut", "p.trace", "--to", "1", "--out", "p.trace"], ["from-tap", "short", "--out", "o"],
-    ["summarise", "p.trace", "--chart", "c.nothing"], ["spans", "p.trace", "--out", "no/such/folder"],
-    ["state", "--control", "none.sock"]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["info", "nowhere.trace"],
+        ["info", "."],
+        ["cut", "p.trace", "--dialog", "99999", "--out", "c.trace"],
+        ["anonymise", "p.trace", "--key", "short", "--out", "out"],
+        ["anonymise", "p.trace", "--key", "key", "--out", "."],
+        ["replay", "p.trace", "--module", "short"],
+        ["replay", "bare.trace"],
+        ["merge", "bare.trace", "--out", "m.trace"],
+        ["cut", "p.trace", "--to", "1", "--out", "p.trace"],
+        ["from-tap", "short", "--out", "o"],
+        ["summarise", "p.trace", "--chart", "c.nothing"],
+        ["spans", "p.trace", "--out", "no/such/folder"],
+        ["state", "--control", "none.sock"],
+    ],
+)
 def test_what_cannot_be_done_is_one_line_and_exit_2(busy, tmp_path, monkeypatch, words):  # noqa: F811
     monkeypatch.chdir(tmp_path)
     tape, header = busy
@@ -499,7 +528,7 @@
     (tmp_path / "short").write_text("x y z")
     (tmp_path / "key").write_bytes(KEY)
     (tmp_path / "empty").mkdir()
-    trace, = opened([path])
+    (trace,) = opened([path])
     cut(trace, span_of(trace, None, None, frozenset({5}), None), tmp_path / "bare.trace", bare=True)
     before = path.read_bytes()
     if words == ["info", "."]:
@@ -512,8 +541,12 @@
 def test_what_several_processes_wrote_in_one_folder_stays_apart(busy, tmp_path):  # noqa: F811
     tape, header = busy
     for epoch, wall in (("e1", 0.0), ("e2", 50.0)):
-        written(tmp_path, trace_format.msgspec.structs.replace(header, epoch=epoch, wall=wall), tape.records,
-                name=f"p0-{epoch}-000.trace")
+        written(
+            tmp_path,
+            trace_format.msgspec.structs.replace(header, epoch=epoch, wall=wall),
+            tape.records,
+            name=f"p0-{epoch}-000.trace",
+        )
     traces = opened([tmp_path])
     assert [trace.header.epoch for trace in traces] == ["e1", "e2"]
     merge(traces, tmp_path / "m.trace")
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -13,8 +13,10 @@
 from gingergap.transport.sockets import Sockets
 from gingergap.transport.stream import Stream
 
-OPTIONS = (b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP h;branch=z9hG4bK%d\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
-           b"Call-ID: c\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
+OPTIONS = (
+    b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP h;branch=z9hG4bK%d\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
+    b"Call-ID: c\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class Owner:
--- a/tests/test_trunk_group.py
+++ b/tests/test_trunk_group.py
@@ -10,8 +10,7 @@
     return group
 
 
-@pytest.mark.parametrize(("size", "cap", "accept", "lower"), [(20, 18, 16, 9), (40, 38, 34, 19),
-                                                            (4, 3.6, 2.6, 1.6)])
+@pytest.mark.parametrize(("size", "cap", "accept", "lower"), [(20, 18, 16, 9), (40, 38, 34, 19), (4, 3.6, 2.6, 1.6)])
 def test_starting_levels(group, size, cap, accept, lower):
     group.told(size, size)
     assert (group.cap, group.accept_below, group.lower_below) == pytest.approx((cap, accept, lower))
