Logs say which set-ups an end waits for, and why each was refused, tried again or closed

Change: service/log.py (bounded detail lines); ending-waits twice a second; set-up-refused, set-up-failed, set-up-given-up, leg-again, leg-ended, caller-closed, switch-connection-closed with ids and reasons; list-changed.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -16,7 +16,7 @@
 from ..callers import lines
 from ..facts import NOTES, Facts, circuits_in, controller_facts
 from ..host import GwState, LegEnd, ListEntry, Rsn
-from ..switches import words
+from ..switches import messages
 from .belief import Belief
 
 MS = 10  # tenths of a millisecond
@@ -34,6 +34,9 @@
 class Wire(Protocol):
     """What the owner of the sockets does for its calls. Nothing here blocks or calls back."""
 
+    def record(self, event: str, id: str, **fields: object) -> None:
+        """A line for the log about one call: why it was refused, how a leg of it ended, that another was sent."""
+
     def to_caller(self, conn: Conn | None, data: bytes) -> None:
         """None: any caller that may be told, now or when there is one."""
 
@@ -131,6 +134,8 @@
         call.legs += 1
         call.gw, call.until, call.sent_at = gw, self.now + limit, -1
         heappush(self.due, (call.until, dialog, call.legs))
+        if call.legs > 1:
+            self.wire.record("leg-again", call.id, switch=self.ids[gw], leg=call.legs)
         link = self.wire.link_to(gw, call.used)
         call.link = link
         if link is None:
@@ -201,6 +206,7 @@
             return
         if len(self.by_dialog) >= self.most_open:
             self.count("refused: too many open")
+            self.wire.record("set-up-refused", id, why="too many open")
             self.wire.to_caller(conn, lines.release(id, DECLINED, self.controller.longest_hold_off // MS))
             return
         call = Call(id, self.dialogs, conn, kind, number, sdp, width)
@@ -217,6 +223,7 @@
         """An id that is open already. On another connection that one is turned away; on the same one nobody can tell
         which of the two an answer would be for, so neither gets one that says it stands."""
         self.count("refused: id is open already")
+        self.wire.record("set-up-refused", call.id, why="id is open already")
         if call.conn != conn or call.stands:
             self.wire.to_caller(conn, lines.release(call.id, USELESS))
         elif not call.over:
@@ -225,6 +232,7 @@
 
     def unusable(self, now: int, conn: Conn, id: str, why: str) -> None:
         self.count(f"refused: {why}")
+        self.wire.record("set-up-refused", id, why=why)
         self.wire.to_caller(conn, lines.release(id, USELESS))
 
     def stands_at(self, now: int, conn: Conn, id: str, kind: str, number: str, switch: str) -> None:
@@ -246,7 +254,7 @@
             return
         if call.stands:
             self.wire.to_caller(conn, lines.released(id))
-            self.wire.to_switch(call.gw, words.bye(call.number, id, call.legs + 1, cause))
+            self.wire.to_switch(call.gw, messages.bye(call.number, id, call.legs + 1, cause))
             self._ended(call, LegEnd.ENDED)
         elif call.conn == conn:
             self._give_up(call)
@@ -270,6 +278,7 @@
             return
         call.over = True
         self._off_conn(call)
+        self.wire.record("set-up-given-up", call.id, legs=call.legs, connection="gone" if call.conn is None else "open")
         self.controller.dialog_gone(self.now, call.dialog)
         if call.link is not None:
             self._call_off(call)
@@ -303,9 +312,9 @@
             off = self.called_off.pop((id, link), None)
             if off is not None:  # it crossed the CANCEL, and stands at the switch
                 self.count("crossed answers released")
-                self.wire.to_link(link, words.ack(off[2], id, off[1]) + words.bye(off[2], id, off[1] + 1, NORMAL))
+                self.wire.to_link(link, messages.ack(off[2], id, off[1]) + messages.bye(off[2], id, off[1] + 1, NORMAL))
             return
-        self.wire.to_link(link, words.ack(call.number, id, call.legs))
+        self.wire.to_link(link, messages.ack(call.number, id, call.legs))
         del self.on_link[link][id]
         self._off_conn(call)
         call.stands, call.link = True, None
@@ -329,7 +338,7 @@
         if call is None:
             self._group_told(gw, free, size)
             return
-        self.wire.to_link(link, words.ack(call.number, id, call.legs))
+        self.wire.to_link(link, messages.ack(call.number, id, call.legs))
         how = LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT
         self.count(f"legs refused {status} {word}")
         if self.belief is not None:
@@ -341,7 +350,7 @@
     def call_released(self, now: int, gw: int, link: Link, id: str, cause: int, report: dict[str, float]) -> None:
         """A call that stands has come to its end or was cut; or a set-up broke on its way."""
         self.now = now
-        self.wire.to_link(link, words.bye_heard(id))
+        self.wire.to_link(link, messages.bye_heard(id))
         free, size = circuits_in(report)
         self._group_told(gw, free, size)
         call = self.by_id.get(id)
@@ -381,6 +390,7 @@
     def _cut(self, gw: int, calls: list[Call]) -> None:
         for call in calls:
             self.count("calls cut with their machine")
+            self.wire.record("call-cut", call.id, switch=self.ids[gw])
             self.wire.to_caller(call.conn, lines.release(call.id, ABORTED))
             self._ended(call, LegEnd.CUT)
 
@@ -437,7 +447,7 @@
     def _invite(self, call: Call) -> None:
         call.sent_at = self.now
         within = max(1, (call.until - self.now) // MS)
-        self.wire.to_link(call.link, words.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
+        self.wire.to_link(call.link, messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
 
     def _leg_on(self, link: Link, id: str) -> Call | None:
         return self.on_link.get(link, {}).get(id)
@@ -450,7 +460,7 @@
         if call.sent_at < 0:
             return False
         self.called_off[call.id, link] = call.gw, call.legs, call.number
-        self.wire.to_link(link, words.cancel(call.number, call.id, call.legs))
+        self.wire.to_link(link, messages.cancel(call.number, call.id, call.legs))
         return True
 
     def _over(self, call: Call, how: LegEnd) -> None:
@@ -461,9 +471,14 @@
         if call.link is not None:
             self.on_link[call.link].pop(call.id, None)
             call.link = None
+        self.wire.record("leg-ended", call.id, switch=self.ids[call.gw], leg=call.legs, how=how.name, after_ms=self._leg_age(call))
         self.controller.leg_ended(self.now, call.dialog, call.gw, how, rsn, call.over, free, size)
         self._forget(call)
 
+    def _leg_age(self, call: Call) -> int:
+        """Milliseconds since the leg left; -1 where it never did."""
+        return (self.now - call.sent_at) // MS if call.sent_at >= 0 else -1
+
     def _tell_later(self) -> None:
         while self.later:
             call, gw, how = self.later.popleft()
@@ -477,6 +492,7 @@
             return
         call.over = True
         self.count("declined" if cause == DECLINED else "aborted")
+        self.wire.record("set-up-refused" if cause == DECLINED else "set-up-failed", call.id, cause=cause, legs=call.legs)
         self._off_conn(call)
         self.wire.to_caller(call.conn, lines.release(call.id, cause, wait))
         self._forget(call)
--- a/gingergap/service/told.py
+++ b/gingergap/service/configuration.py
@@ -9,7 +9,7 @@
 from ..listfeed.poll import Batch, address_of, known_batch
 
 
-class Told(NamedTuple):
+class Configuration(NamedTuple):
     """One configuration: names and addresses, the seed, limits, the list at the start, the settings object."""
 
     name: str
@@ -28,7 +28,7 @@
         raise BadFactError(f"field {facts.where}.{field}: {bad}") from None
 
 
-def read(path: Path) -> Told:
+def read_configuration(path: Path) -> Configuration:
     """The configuration file; raises BadFactError naming the field, or why there is no reading it."""
     try:
         text = path.read_bytes()
@@ -52,19 +52,19 @@
     sockets = facts.part("limits").get("sockets", int, 256)
     if sockets < 32:
         raise BadFactError("field config.limits.sockets is under 32, the least to serve with")
-    return Told(
+    return Configuration(
         facts.get("name", str), _address(facts, "listen"), _address(facts, "bus"), seed, sockets, known, facts.get("settings", dict)
     )
 
 
-def told(environment: Mapping[str, str]) -> tuple[Path, Told]:
+def configuration_from_environment(environment: Mapping[str, str]) -> tuple[Path, Configuration]:
     """By LB_CONFIG, and where given by LB_LISTEN and LB_NAME, which come first; raises BadFactError."""
     name = environment.get("LB_CONFIG", "")
     if not name:
         raise BadFactError("LB_CONFIG: is not set; it names the configuration file")
     path = Path(name)
     try:
-        found = read(path)
+        found = read_configuration(path)
     except BadFactError as bad:
         raise BadFactError(f"{path}: {bad}") from None
     if listen := environment.get("LB_LISTEN", ""):
--- /dev/null
+++ b/gingergap/service/log.py
@@ -0,0 +1,43 @@
+"""The service's log: one line an event on standard error.
+
+The logging library of the other commands takes more memory than the rest of the service.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+MOST_DETAILS = 100  # lines a second: a flood of bad requests must not become a flood of lines
+
+
+def log(event: str, **fields: Any) -> None:
+    """Write one line: the time of day in UTC, the event's name, `name=value` for each field."""
+    pairs = [f"{name}={str(value)!r}" if " " in str(value) else f"{name}={value}" for name, value in fields.items()]
+    print(time.strftime("%H:%M:%S"), event, *pairs, file=sys.stderr, flush=True)
+
+
+class DetailLog:
+    """Lines about single calls and connections, `MOST_DETAILS` a second at most; those left out are counted.
+
+    `clock` gives seconds, `write` takes an event and its fields.
+    """
+
+    def __init__(self, clock: Callable[[], float], write: Callable[..., None] = log) -> None:
+        self.clock, self.write = clock, write
+        self.second = 0
+        self.written = self.left_out = 0
+
+    def __call__(self, event: str, **fields: Any) -> None:
+        second = int(self.clock())
+        if second != self.second:
+            if self.left_out:
+                self.write("lines-left-out", count=self.left_out)
+            self.second, self.written, self.left_out = second, 0, 0
+        if self.written >= MOST_DETAILS:
+            self.left_out += 1
+            return
+        self.written += 1
+        self.write(event, **fields)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -24,12 +24,14 @@
 from ..transport.stream import Stream, listening
 from .belief import Belief
 from .calls import Calls
-from .far import Far, Link
-from .told import Told, read, told
+from .configuration import Configuration, configuration_from_environment, read_configuration
+from .log import DetailLog, log
+from .switch_connections import SwitchConnection, SwitchConnections
 
 TICK = 0.01  # seconds between looks at what is due
 LOOK = 10  # ticks between looks at connections
 COUNT = 1000  # ticks between lines of counts
+END_LINES = 50  # ticks between lines about an end
 MOST_QUEUED = 1 << 18  # bytes
 LONGEST_WRITE = 2.0
 SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
@@ -41,12 +43,6 @@
 SETTLE = 0.1  # seconds from closing connections that rest to the end: what crossed the close is sent elsewhere
 
 
-def log(event: str, **fields: Any) -> None:
-    """One line on standard error. The logging library of the other commands takes more memory than all the rest here."""
-    words = [f"{name}={str(value)!r}" if " " in str(value) else f"{name}={value}" for name, value in fields.items()]
-    print(time.strftime("%H:%M:%S"), event, *words, file=sys.stderr, flush=True)
-
-
 class Caller(Stream):
     """One connection from callers."""
 
@@ -63,7 +59,7 @@
             self.lines.feed(data)
         except BadCallerError as bad:
             self.process.calls.count(f"closed: {str(bad)[:60]}")
-            self.close(True)
+            self.close(True, str(bad)[:60])
 
     def ended(self, reset: bool) -> None:
         self.process.caller_gone(self)
@@ -94,12 +90,13 @@
 class Process:
     """One running proxy; the Wire of its calls and the Owner of its connections."""
 
-    def __init__(self, path: Path, config: Told, belief: bool = False) -> None:
+    def __init__(self, path: Path, config: Configuration, belief: bool = False) -> None:
         self.path, self.config = path, config
         self.ahead = time.time_ns() - time.monotonic_ns()  # the Unix clock, without its steps
         self.callers: dict[Caller, None] = {}
         self.most_callers = config.sockets // 2
-        self.fars: dict[int, Far] = {}
+        self.switches: dict[int, SwitchConnections] = {}
+        self.details = DetailLog(self.seconds)
         self.untold: list[bytes] = []  # releases that no caller could be told yet
         self.tests: list[tuple[Caller, str]] = []
         self.started = self.seconds()
@@ -132,7 +129,7 @@
         gevent.signal_handler(signal.SIGTERM, self.end)
         gevent.signal_handler(signal.SIGINT, self.end)
         gevent.signal_handler(signal.SIGHUP, self.reload)
-        log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.fars))
+        log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.switches))
         self.feed = gevent.spawn(self._follow)
         ticker, acceptor = gevent.spawn(self._tick), gevent.spawn(self._accept)
         self.over.wait()
@@ -146,13 +143,16 @@
             event,
             open=len(self.calls.by_dialog),
             callers=len(self.callers),
-            links=sum(len(far.links) for far in self.fars.values()),
+            links=sum(len(switch.links) for switch in self.switches.values()),
             standing=sum(map(len, self.calls.standing.values())),
             **{key.replace(" ", "-"): value for key, value in self.calls.counts.items()},
         )
 
     # --- the wire of the calls ---
 
+    def record(self, event: str, id: str, **fields: Any) -> None:
+        self.details(event, id=id, **fields)
+
     def to_caller(self, conn: Caller | None, data: bytes) -> None:
         if conn is not None and not conn.closed:
             conn.put(data)
@@ -171,47 +171,54 @@
         """The latest connection on which calls stood; any other may be anybody's."""
         return next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
 
-    def link_to(self, gw: int, used: set[Any]) -> Link | None:
-        far = self.fars.get(gw)
-        return far.link_to(used) if far is not None else None
+    def link_to(self, gw: int, used: set[Any]) -> SwitchConnection | None:
+        switch = self.switches.get(gw)
+        return switch.link_to(used) if switch is not None else None
 
-    def is_up(self, link: Link) -> bool:
+    def is_up(self, link: SwitchConnection) -> bool:
         return link.up
 
-    def to_link(self, link: Link, data: bytes) -> None:
+    def to_link(self, link: SwitchConnection, data: bytes) -> None:
         link.put(data)
 
     def to_switch(self, gw: int, data: bytes) -> None:
-        far = self.fars.get(gw)
-        if far is not None:
-            far.send(data)
+        switch = self.switches.get(gw)
+        if switch is not None:
+            switch.send(data)
 
-    def spoilt(self, link: Link) -> None:
+    def spoilt(self, link: SwitchConnection) -> None:
         link.retired = True
 
     # --- the owner of the connections ---
 
-    def link_up(self, link: Link) -> None:
+    def link_up(self, link: SwitchConnection) -> None:
         self.calls.link_up(self.clock(), link)
 
-    def link_lost(self, link: Link, was_up: bool) -> None:
+    def link_lost(self, link: SwitchConnection, was_up: bool) -> None:
+        legs = self.calls.on_link.get(link)
+        if legs:
+            uid = self.calls.ids[link.switch.gw]
+            self.details("switch-connection-closed", switch=uid, why=link.close_reason, legs=",".join(legs))
         self.calls.link_lost(self.clock(), link, was_up)
 
-    def link_busy(self, link: Link) -> int:
+    def link_busy(self, link: SwitchConnection) -> int:
         return len(self.calls.on_link.get(link, ()))
 
-    def standing_at(self, far: Far) -> int:
-        return len(self.calls.standing.get(far.gw, ()))
+    def standing_at(self, switch: SwitchConnections) -> int:
+        return len(self.calls.standing.get(switch.gw, ()))
 
-    def machine_lost(self, far: Far) -> None:
-        log("machine-lost", switch=self.calls.ids[far.gw], calls=self.standing_at(far))
-        self.calls.machine_lost(self.clock(), far.gw)
+    def machine_lost(self, switch: SwitchConnections) -> None:
+        log("machine-lost", switch=self.calls.ids[switch.gw], calls=self.standing_at(switch))
+        self.calls.machine_lost(self.clock(), switch.gw)
 
-    def spoilt_by(self, link: Link, why: str) -> None:
+    def spoilt_by(self, link: SwitchConnection, why: str) -> None:
         self.calls.count(f"link closed: {why[:60]}")
 
     def caller_gone(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
+        held = self.calls.on_conn.get(caller, ())
+        if held or caller.queue or caller.lines.held:
+            self.details("caller-closed", why=caller.close_reason, set_ups=",".join(held) or "none", partial=len(caller.lines.held))
         self.calls.conn_gone(self.clock(), caller)
 
     def pinged(self, caller: Caller, id: str) -> None:
@@ -244,7 +251,7 @@
         resting = [caller for caller in self.callers if caller not in self.calls.on_conn]
         if not resting:
             return False
-        min(resting, key=lambda caller: (caller.known, caller.spoken, caller.said_at)).close(True)
+        min(resting, key=lambda caller: (caller.known, caller.spoken, caller.said_at)).close(True, "room for another")
         return True
 
     def _look_at_callers(self) -> None:
@@ -253,33 +260,34 @@
             quiet = now - caller.said_at
             if quiet <= SPEAK:
                 if not caller.spoken and now - caller.since > 2 * SPEAK:
-                    caller.close(True)  # drips bytes and never a line
+                    caller.close(True, "bytes and no line")
                 continue
             if caller not in self.calls.on_conn and (not caller.spoken or caller.lines.held or quiet > REST):
-                caller.close(True)
+                caller.close(True, "nothing whole in time" if caller.lines.held or not caller.spoken else "at rest")
 
     # --- the list ---
 
     def listed(self, number: int, whole: bool, entries: list[Line]) -> None:
         self.last = number
+        log("list-changed", number=number, whole=whole, switches=",".join(f"{line.uid}:{line.state}" for line in entries[:8]))
         self.calls.listed(self.clock(), whole, [(line.uid, line.pod_group, state_of(line), line.boot_ms * 10) for line in entries])
         named = {self.calls.gw_of[line.uid] for line in entries}
         if whole:
-            for gw, far in self.fars.items():
-                far.wanted = far.wanted and gw in named
+            for gw, switch in self.switches.items():
+                switch.wanted = switch.wanted and gw in named
         for line in entries:
             gw, state = self.calls.gw_of[line.uid], state_of(line)
-            far = self.fars.get(gw)
+            switch = self.switches.get(gw)
             if state == GwState.READY and self.calls.numbers[gw] != self.calls.controller.here:
                 address = address_of(line.endpoint)
-                if far is not None and far.address != address:
-                    far.close()
-                    far = None
-                if far is None:
-                    far = self.fars[gw] = Far(self, gw, address, self.connect_timeout)
-                far.wanted = True
-            elif far is not None and state == GwState.GONE:
-                far.wanted = False
+                if switch is not None and switch.address != address:
+                    switch.close()
+                    switch = None
+                if switch is None:
+                    switch = self.switches[gw] = SwitchConnections(self, gw, address, self.connect_timeout)
+                switch.wanted = True
+            elif switch is not None and state == GwState.GONE:
+                switch.wanted = False
 
     def _follow(self) -> None:
         """Ask the bus, for ever; a break or silence is asked again at once, then with a short rest."""
@@ -322,6 +330,8 @@
                     self._look()
                 if ticks % COUNT == 0:
                     self._log_counts("counts")
+                if self.ending is not None and ticks % END_LINES == 0:
+                    self._log_end()
             except Exception as error:  # one event that fails must not end the timer: the other calls go on
                 log("event-failed", error=repr(error))
                 import traceback
@@ -329,10 +339,10 @@
                 traceback.print_exc()
 
     def _look(self) -> None:
-        for far in list(self.fars.values()):
-            far.look()
-            if not far.wanted and not far.links and not self.standing_at(far):
-                del self.fars[far.gw]
+        for switch in list(self.switches.values()):
+            switch.look()
+            if not switch.wanted and not switch.links and not self.standing_at(switch):
+                del self.switches[switch.gw]
         self._look_at_callers()
         if self.untold:
             known = self._known_caller()
@@ -341,7 +351,8 @@
                 for data in untold:
                     known.put(data)
         if not self.ready and (
-            self.seconds() - self.started > READY or all(far.main is not None and far.main.state for far in self.fars.values())
+            self.seconds() - self.started > READY
+            or all(switch.main is not None and switch.main.state for switch in self.switches.values())
         ):
             self.ready = True
             for caller, id in self.tests:
@@ -355,7 +366,7 @@
     def reload(self) -> None:
         """SIGHUP: the bus of the file that is there now. A file that can't be read changes nothing."""
         try:
-            config = read(self.path)
+            config = read_configuration(self.path)
         except BadFactError as bad:
             log("configuration-kept", file=self.path, why=bad)
             return
@@ -368,7 +379,19 @@
         """SIGTERM: go on until nothing new can come, answer what was taken, then end."""
         if self.ending is None:
             self.ending = self.seconds()
-            log("ending", open=len(self.calls.by_dialog))
+            log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.untold))
+
+    def _log_end(self) -> None:
+        """Who still waits while the process ends: the oldest set-ups by id, and what stands in queues."""
+        waiting = [id for held in self.calls.on_conn.values() for id in held]
+        log(
+            "ending-waits",
+            after_s=round(self.seconds() - self.ending, 2),
+            set_ups=len(waiting),
+            oldest=",".join(waiting[:3]) or "none",
+            queued=sum(caller.queued for caller in self.callers),
+            untold=len(self.untold),
+        )
 
     def _look_at_end(self) -> None:
         if self.seconds() - self.ending < LAST or self.calls.on_conn:
@@ -383,7 +406,7 @@
 def main(belief: bool = False) -> int:
     """Exit 2 with one line where the environment or the configuration is not as it should be."""
     try:
-        path, config = told(os.environ)
+        path, config = configuration_from_environment(os.environ)
         process = Process(path, config, belief)
     except (BadFactError, BadFeedError) as bad:
         print(bad, file=sys.stderr)
--- a/gingergap/service/far.py
+++ b/gingergap/service/switch_connections.py
@@ -11,7 +11,7 @@
 import gevent
 
 from ..sip.message import BadMessageError
-from ..switches.words import Reader
+from ..switches.messages import Reader
 from ..transport.stream import Stream
 
 MOST_LINKS = 4  # a switch tells states on so many at most
@@ -29,79 +29,79 @@
 
     def clock(self) -> int: ...
 
-    def link_up(self, link: Link) -> None: ...
+    def link_up(self, link: SwitchConnection) -> None: ...
 
-    def link_lost(self, link: Link, was_up: bool) -> None: ...
+    def link_lost(self, link: SwitchConnection, was_up: bool) -> None: ...
 
-    def link_busy(self, link: Link) -> int:
+    def link_busy(self, link: SwitchConnection) -> int:
         """How many set-ups are out on it."""
 
-    def machine_lost(self, far: Far) -> None: ...
+    def machine_lost(self, switch: SwitchConnections) -> None: ...
 
-    def standing_at(self, far: Far) -> int: ...
+    def standing_at(self, switch: SwitchConnections) -> int: ...
 
-    def spoilt_by(self, link: Link, why: str) -> None: ...
+    def spoilt_by(self, link: SwitchConnection, why: str) -> None: ...
 
     calls: Any
 
 
-class Link(Stream):
+class SwitchConnection(Stream):
     """One connection to a switch."""
 
-    def __init__(self, far: Far) -> None:
+    def __init__(self, switch: SwitchConnections) -> None:
         super().__init__(None, most_queued=MOST_QUEUED, longest_write=LONGEST_WRITE)
-        self.far = far
+        self.switch = switch
         self.reader = Reader(self)
         self.up = self.retired = False
         self.heard_at = 0.0
         self.state: dict[str, float] = {}
 
     def open(self) -> None:
-        if not self.connect(self.far.address, self.far.connect_timeout):
+        if not self.connect(self.switch.address, self.switch.connect_timeout):
             return
         self.up = True
-        self.far.came_up(self)
+        self.switch.came_up(self)
         self.read()
 
     def came(self, data: bytes) -> None:
-        self.heard_at = self.far.heard_at = self.far.now()
+        self.heard_at = self.switch.heard_at = self.switch.now()
         try:
             self.reader.feed(data)
         except BadMessageError as bad:
-            self.far.owner.spoilt_by(self, str(bad))
-            self.close(True)
+            self.switch.owner.spoilt_by(self, str(bad))
+            self.close(True, str(bad)[:60])
 
     def ended(self, reset: bool) -> None:
-        self.far.gone(self, reset and self.up)
+        self.switch.gone(self, reset and self.up)
 
     # --- what the reader makes of it ---
 
     def answered(self, id: str, sdp: str) -> None:
-        owner = self.far.owner
-        owner.calls.answered(owner.clock(), self.far.gw, self, id, sdp)
+        owner = self.switch.owner
+        owner.calls.answered(owner.clock(), self.switch.gw, self, id, sdp)
 
     def refused(self, id: str, status: int, word: str, report: dict[str, float]) -> None:
-        owner = self.far.owner
-        owner.calls.refused(owner.clock(), self.far.gw, self, id, status, word, report)
+        owner = self.switch.owner
+        owner.calls.refused(owner.clock(), self.switch.gw, self, id, status, word, report)
 
     def released(self, id: str, cause: int, report: dict[str, float]) -> None:
-        owner = self.far.owner
-        owner.calls.call_released(owner.clock(), self.far.gw, self, id, cause, report)
+        owner = self.switch.owner
+        owner.calls.call_released(owner.clock(), self.switch.gw, self, id, cause, report)
 
     def reported(self, report: dict[str, float]) -> None:
         self.state = report
-        if self.far.main is self:
-            owner = self.far.owner
-            owner.calls.reported(owner.clock(), self.far.gw, report)
+        if self.switch.main is self:
+            owner = self.switch.owner
+            owner.calls.reported(owner.clock(), self.switch.gw, report)
 
 
-class Far:
+class SwitchConnections:
     """One switch by its id. Connections belong to the id: another switch may come to its address. Times in seconds."""
 
     def __init__(self, owner: Owner, gw: int, address: tuple[str, int], connect_timeout: float) -> None:
         self.owner, self.gw, self.address, self.connect_timeout = owner, gw, address, connect_timeout
-        self.links: list[Link] = []
-        self.main: Link | None = None
+        self.links: list[SwitchConnection] = []
+        self.main: SwitchConnection | None = None
         self.waiting: list[bytes] = []  # for the next connection
         self.wanted = True
         self.renew = False  # a connection was lost: what the switch wrote to it comes again on the next one
@@ -114,9 +114,9 @@
     def close(self) -> None:
         self.wanted = False
         for link in list(self.links):
-            link.close(True)
+            link.close(True, "another address")
 
-    def link_to(self, used: set[Any]) -> Link | None:
+    def link_to(self, used: set[Any]) -> SwitchConnection | None:
         """A connection for a set-up: a free one, else a new one, else the least busy. None: nobody is there."""
         free = [link for link in self.links if not link.retired and link not in used]
         up = sorted((self.owner.link_busy(link), not link.up, place) for place, link in enumerate(free))
@@ -137,15 +137,15 @@
         self.waiting.append(data)
         del self.waiting[:-1000]
 
-    def _open(self) -> Link:
-        link = Link(self)
+    def _open(self) -> SwitchConnection:
+        link = SwitchConnection(self)
         self.links.append(link)
         self.renew = False
         self.tried_at = self.now()
         gevent.spawn(link.open)
         return link
 
-    def came_up(self, link: Link) -> None:
+    def came_up(self, link: SwitchConnection) -> None:
         self.failed_since = 0.0
         self.heard_at = link.heard_at = self.now()
         waiting, self.waiting = self.waiting, []
@@ -154,7 +154,7 @@
         self._choose_main()
         self.owner.link_up(link)
 
-    def gone(self, link: Link, was_up: bool) -> None:
+    def gone(self, link: SwitchConnection, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
         self.renew = self.renew or was_up
@@ -183,7 +183,7 @@
                 self._choose_main()
             elif link.up and link.reader.partial and now - link.heard_at > STALLED:
                 self.owner.spoilt_by(link, "a message stands half")
-                link.close(True)
+                link.close(True, "a message stands half")
         standing = self.owner.standing_at(self)
         if not self.wanted and not standing:
             for link in list(self.links):
@@ -206,4 +206,4 @@
             if standing:
                 self.owner.machine_lost(self)
             for link in up:
-                link.close(True)
+                link.close(True, "nobody there")
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -38,6 +38,7 @@
         self.queue: deque[bytes] = deque()
         self.queued = 0
         self.closed = self.finishing = False
+        self.close_reason = ""
         self.writer: gevent.Greenlet | None = None
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -52,8 +53,8 @@
         """Open it, within seconds; what waits in the queue leaves then. Blocks its greenlet."""
         try:
             sock = socket.create_connection(address, timeout, source_address=(source, 0) if source else None)
-        except OSError:
-            self.close(False)
+        except OSError as error:
+            self.close(False, f"not connected: {error}")
             return False
         if self.closed:
             sock.close()
@@ -73,15 +74,15 @@
                 sent = os.write(self.sock.fileno(), data)
             except BlockingIOError:
                 sent = 0
-            except OSError:
-                gevent.spawn(self.close, True)
+            except OSError as error:
+                gevent.spawn(self.close, True, f"write failed: {error}")
                 return
             if sent == len(data):
                 return
             data = data[sent:]
         if self.queued + len(data) > self.most_queued:
             # A peer that accepts and never reads: what waits for it must not grow.
-            gevent.spawn(self.close, True)
+            gevent.spawn(self.close, True, "write queue over its limit")
             return
         self.queue.append(data)
         self.queued += len(data)
@@ -92,7 +93,7 @@
         try:
             while self.queue and not self.closed:
                 data = self.queue[0]
-                with gevent.Timeout(self.longest_write, OSError):
+                with gevent.Timeout(self.longest_write, OSError("stood still")):
                     sent = self.sock.send(data)
                 if self.closed:
                     return
@@ -101,14 +102,15 @@
                     self.queue.popleft()
                 else:
                     self.queue[0] = data[sent:]
-        except OSError:
-            self.close(True)
+        except OSError as error:
+            self.close(True, f"write failed: {error}")
         finally:
             self.writer = None
 
     def read(self) -> None:
         """Read until the end; runs in a greenlet of its own."""
         turn = 0
+        reason = "an event failed"
         try:
             while not self.closed and (data := self.sock.recv(READ)):
                 self.came(data)
@@ -116,10 +118,11 @@
                 if turn >= TURN:
                     turn = 0
                     gevent.sleep(PAUSE)
-        except OSError:
-            pass
+            reason = "closed by its peer"
+        except OSError as error:
+            reason = f"read failed: {error}"
         finally:  # also where an event failed: nobody would read on, and what waits here would never end
-            self.close(True)
+            self.close(True, reason)
 
     def finish(self, within: float) -> None:
         """Write no more, and read on until the far end has closed too, `within` seconds at most: what it wrote before
@@ -130,15 +133,16 @@
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            self.close(True)
+            self.close(True, "had gone when it was half closed")
             return
-        gevent.spawn_later(within, self.close, True)
+        gevent.spawn_later(within, self.close, True, "half closed long enough")
 
-    def close(self, reset: bool = True) -> None:
-        """Close; the user hears of it, once, so that what was under way on it ends."""
+    def close(self, reset: bool = True, reason: str = "") -> None:
+        """Close; the user hears of it, once, so that what was under way on it ends. `reason` is for logs."""
         if self.closed:
             return
         self.closed = True
+        self.close_reason = reason
         self.queue.clear()
         if self.sock is not None:
             self.sock.close()
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -40,6 +40,9 @@
         self.nobody, self.opens = set(), True
         self.served_conns = set()
 
+    def record(self, event, id, **fields):
+        pass
+
     def to_caller(self, conn, data):
         self.to_callers.append((conn, json.loads(data)))
 
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from gingergap.sip.message import BadMessageError, parse
-from gingergap.switches import words
-from gingergap.switches.words import MOST_MESSAGE, Reader, report_of
+from gingergap.switches import messages
+from gingergap.switches.messages import MOST_MESSAGE, Reader, report_of
 
 ID = "9b1f03aa5c7e2d41"
 SDP = "bb904f61c861c4ae\r\nc=IN IP4 10.196.97.200\r\nm=audio 46897 RTP/AVP 0 8 100\r\n"
@@ -103,13 +103,13 @@
 
 
 def test_what_goes_out_is_whole_sip_with_id_number_and_description_unchanged():
-    message = parse(words.invite("7f3a", ID, 2, "voice", 1500, SDP), stream=True)
+    message = parse(messages.invite("7f3a", ID, 2, "voice", 1500, SDP), stream=True)
     assert (message.method, message.uri, message.call_id, message.cseq()) == ("INVITE", "sip:7f3a@net", ID, (2, "INVITE"))
     assert (message.get("Call-Kind"), message.get("Answer-Within"), message.body.decode()) == ("voice", "1500", SDP)
     for data, method in (
-        (words.ack("7f", ID, 2), "ACK"),
-        (words.cancel("7f", ID, 2), "CANCEL"),
-        (words.bye("7f", ID, 2, 16), "BYE"),
+        (messages.ack("7f", ID, 2), "ACK"),
+        (messages.cancel("7f", ID, 2), "CANCEL"),
+        (messages.bye("7f", ID, 2, 16), "BYE"),
     ):
         assert parse(data, stream=True).method == method
-    assert parse(words.bye_heard(ID), stream=True).status == 200
+    assert parse(messages.bye_heard(ID), stream=True).status == 200
