--- /dev/null
+++ b/tests/test_service_end.py
@@ -0,0 +1,202 @@
+"""A process that is told to end, among callers that go on and switches that hang: report 319500 and what is related to it."""
+
+import asyncio
+import contextlib
+import json
+import resource
+import socket
+import struct
+import tempfile
+from pathlib import Path
+
+import gevent
+import pytest
+import test_service_process as scripted
+from gevent import socket as green
+from test_service_calls import SDP
+from trial import HANGING, KILL_AFTER, MIXED, Trial, broken_rules, now
+from trial_peers import Reply
+
+from gingergap.transport.stream import Stream
+
+start = scripted.start
+A, B = "a" * 16, "b" * 16
+
+
+def played(scenario, seed=1):
+    """Run one scenario of a trial in a folder of its own; what broke."""
+
+    async def play(folder):
+        trial = Trial(seed, Path(folder))
+        began = now()
+        told = await scenario(trial) or {}
+        await trial.end()
+        return broken_rules(trial.record, told, began + (now() - began))
+
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play(folder))
+
+
+# Guards against report 319500: set-ups taken for as long as callers sent any, so that SIGKILL found some unanswered.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_process_ends_by_itself_before_the_earliest_kill_while_callers_go_on(seed):
+    async def scenario(trial):
+        await trial.begin([MIXED, HANGING, [Reply.ANSWER], [Reply.HANG], [Reply.LATE], [Reply.RESET, Reply.ANSWER]], delay=3.5)
+        for _ in range(6):
+            trial.add_caller()
+        await asyncio.sleep(1.5)
+        await trial.node.stop()
+
+    assert played(scenario, seed) == []
+
+
+# Guards against a set-up whose caller would wait for longer than the process has left.
+def test_a_set_up_with_more_time_than_the_process_has_left_is_answered_in_time(start):
+    service = start(s1=scripted.Switch(lambda id: None))
+    caller = service.caller()
+    service.process.send_signal(scripted.signal.SIGTERM)
+    caller.set_up(A, left=3000)
+    service.switches["s1"].next("INVITE")
+    with contextlib.suppress(TimeoutError):
+        caller.sock.settimeout(KILL_AFTER)
+        assert caller.next()["type"] == "release"
+        assert service.process.wait(KILL_AFTER) == 0
+        return
+    pytest.fail("not answered when SIGKILL could come")
+
+
+# Guards against set-ups that are still routed when the process has stopped taking any.
+def test_a_set_up_long_after_sigterm_is_refused_at_once_with_leave_to_go_elsewhere(start):
+    service = start(s1=scripted.Switch(lambda id: None))
+    caller = service.caller()
+    caller.set_up(A, left=3000)  # keeps the connection in use
+    service.switches["s1"].next("INVITE")
+    service.process.send_signal(scripted.signal.SIGTERM)
+    scripted.threading.Event().wait(1.2)
+    caller.set_up(B, far=2)
+    said = caller.next()
+    assert (said["id"], said["type"], said.get("cause")) == (B, "release", 34)
+    assert "wait" not in said["fields"]
+
+
+# Guards against answers that stood in a slow reader's queue and went with its connection at the end.
+def test_what_is_queued_for_a_slow_reader_is_written_before_its_connection_is_half_closed():
+    listener, address = scripted.listener()
+    host, port = address.split(":")
+    ours = Stream(green.create_connection((host, int(port))), most_queued=1 << 24, longest_write=5.0)
+    peer, _ = listener.accept()
+    answers = b"".join(b"%07d\n" % place for place in range(1_500_000))  # more than the machine's buffers hold
+    ours.put(answers)
+    assert ours.queue
+    gevent.spawn(ours.read)
+    ours.finish(5.0)
+    got, reader = bytearray(), gevent.get_hub().threadpool
+    reader.apply(lambda: [got.extend(data) for data in iter(lambda: peer.recv(1 << 20), b"")])
+    peer.close()
+    listener.close()
+    assert bytes(got) == answers
+
+
+# Guards against connections that the machine had accepted, and nobody had read, when the listener was closed.
+@pytest.mark.parametrize("after", [0.6, 0.72])
+def test_what_waits_to_be_accepted_when_the_listener_closes_is_answered(start, after):
+    service = start()
+    signals = scripted.signal
+    service.process.send_signal(signals.SIGTERM)
+    pause = scripted.threading.Event()
+    pause.wait(after)
+    service.process.send_signal(signals.SIGSTOP)  # busy with something else while the listener's time runs out
+    callers = []
+    for place in range(30):
+        callers.append(service.caller())
+        callers[-1].set_up(f"{place:016x}", far=2)
+    pause.wait(0.3)
+    service.process.send_signal(signals.SIGCONT)
+    for place, caller in enumerate(callers):
+        said = caller.next()
+        assert said is not None and said["id"] == f"{place:016x}", f"set-up {place} was taken and never answered"
+
+
+# Guards against a call's end that nobody had been told when the process ended.
+def test_a_release_that_no_caller_could_be_told_yet_is_told_before_the_end(start):
+    full = scripted.Switch(lambda id: scripted.sip("SIP/2.0 503 Full", id, "INVITE", "Fail-Word: no_path\r\n"))
+    service = start(s2=full)
+    caller = service.caller()
+    caller.set_up(B, far=2)  # refused: nothing stood on this connection
+    assert caller.next()["type"] == "release"
+    other = service.caller()
+    other.set_up(B[:-1] + "c")
+    assert other.next()["type"] == "answer"  # so that a connection to the switch is there
+    conn, _ = service.switches["s1"].next("INVITE")
+    other.sock.close()
+    conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    scripted.threading.Event().wait(0.2)
+    service.process.send_signal(scripted.signal.SIGTERM)
+    assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
+
+
+# Guards against a set-up cut in pieces by the end: its first half came before the listener closed, the rest after.
+def test_a_set_up_in_pieces_across_the_end_is_refused_and_not_cut_off(start):
+    service = start()
+    caller = service.caller()
+    extras = {"class": "voice", "left": "2900", "key": "7f", "extras": "dest:2;width:1;via:-1"}
+    line = json.dumps({"type": "setup", "id": A, "fields": extras, "sdp": SDP}).encode() + b"\n"
+    service.process.send_signal(scripted.signal.SIGTERM)
+    pause = scripted.threading.Event()
+    pause.wait(0.3)
+    caller.sock.sendall(line[:60])
+    pause.wait(0.8)
+    caller.sock.sendall(line[60:])
+    said = caller.next()
+    assert said is not None and said["id"] == A
+
+
+# Guards against a call that stands at a switch for good: its answer crossed the CANCEL on a connection half closed since.
+def test_an_answer_that_crosses_the_cancel_on_a_half_closed_connection_is_released(start):
+    service = start(s1=scripted.Switch(lambda id: None, scripted.answer))
+    caller = service.caller()
+    caller.set_up(A, left=600)
+    switch = service.switches["s1"]
+    conn, _ = switch.next("INVITE")
+    assert caller.next()["type"] == "release"
+    switch.next("CANCEL")
+    scripted.threading.Event().wait(0.4)  # the connection is half closed by then
+    conn.sendall(scripted.answer(A))
+    _, bye = switch.next("BYE")
+    assert bye.call_id == A
+
+
+# Guards against an answer that was thrown away unread, since a write to its connection failed first.
+def test_what_came_before_a_reset_is_read_although_a_write_fails_first():
+    listener, address = scripted.listener()
+    host, port = address.split(":")
+    came = []
+
+    class Noted(Stream):
+        def came(self, data):
+            came.append(data)
+
+    ours = Noted(green.create_connection((host, int(port))), most_queued=1000, longest_write=1.0)
+    peer, _ = listener.accept()
+    peer.sendall(b"answer")
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    ours.put(b"more")
+    ours.put(b"more")
+    gevent.spawn(ours.read).join(2)
+    listener.close()
+    assert b"".join(came) == b"answer"
+
+
+# Guards against an acceptor that ends with its first error once the process is ending.
+def test_an_error_of_the_listener_does_not_end_the_acceptor(start):
+    service = start()
+    pid = service.process.pid
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (len(list(Path(f"/proc/{pid}/fd").iterdir())), 1024))
+    service.process.send_signal(scripted.signal.SIGTERM)
+    caller = service.caller()  # in the backlog: there is no descriptor for it
+    caller.set_up(A, far=2)
+    pause = scripted.threading.Event()
+    pause.wait(0.2)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (1024, 1024))
+    assert caller.next()["id"] == A
--- /dev/null
+++ b/tests/trial.py
@@ -0,0 +1,468 @@
+"""A short dense trial of a few service processes among peers that fail, by a seed; and the rules judged from what passed.
+
+By hand: `.venv/bin/python tests/trial.py FIRST LAST [SIDE_BY_SIDE]` plays the seeds of a range and prints what broke.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from test_service_calls import SETTINGS
+from trial_peers import BadCaller, Bus, BusFault, Caller, CallerFault, Leg, Reply, SetUp, Standing, Switch, now
+
+GUARD = 0.1  # seconds; as SETTINGS says
+DRAIN_GRACE = 1.0
+SLACK = 0.05  # by which each time limit on sockets is longer
+ANSWER_SLACK = 0.5  # after its time an answer earns nothing, but the set-up is not lost
+TOLD_AFTER_TROUBLE = 6.0  # seconds from when the bus had a change and could be reached
+TOLD_AFTER_RELOAD = 4.0
+KILL_AFTER = 3.7  # longest deadline and 0.7 s: the earliest SIGKILL
+RELEASED_WITHIN, RELEASED_AT_LATEST = 1.0, 8.0
+MEASURING = 0.05  # seconds by which two processes of one machine may see an instant apart
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def entry(switch: Switch, state: str = "in_service", boot_ms: int = 0) -> dict:
+    return {"uid": switch.uid, "endpoint": switch.address, "pod_group": switch.number, "state": state, "boot_ms": boot_ms}
+
+
+@dataclass
+class Stop:
+    """A SIGTERM: when, when the process had ended, its exit status; `killed` where SIGKILL found it."""
+
+    node: str
+    at: float
+    ended: float = 0.0
+    status: int | None = None
+    killed: bool = False
+
+
+@dataclass
+class Record:
+    """What passed in a trial."""
+
+    set_ups: dict[str, SetUp] = field(default_factory=dict)
+    stops: list[Stop] = field(default_factory=list)
+    drains: dict[str, float] = field(default_factory=dict)  # uid: when it counts as told
+    crashes: list[str] = field(default_factory=list)
+    legs: list[Leg] = field(default_factory=list)
+    calls: list[Standing] = field(default_factory=list)
+    logs: dict[str, Path] = field(default_factory=dict)
+
+
+class Node:
+    """One service process and its configuration."""
+
+    def __init__(self, name: str, folder: Path, bus: Bus, known: dict, record: Record, sockets: int = 128) -> None:
+        self.name, self.folder, self.bus, self.record, self.sockets = name, folder, bus, record, sockets
+        self.port = free_port()
+        self.known = known
+        self.path = folder / f"{name}.json"
+        self.log_path = record.logs[name] = folder / f"{name}.log"
+        self.process: asyncio.subprocess.Process | None = None
+        self.ready = False
+        self.trouble_until = -1e9
+        self.reloaded_at = -1e9
+
+    def write(self) -> None:
+        config = {
+            "name": self.name, "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964", "bus": self.bus.address,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": SETTINGS, "known": self.known,
+        }  # fmt: skip
+        self.path.write_text(json.dumps(config))
+
+    async def start(self) -> None:
+        self.known = {"offset": len(self.bus.events), "batch": list(self.bus.events)}
+        self.write()
+        with self.log_path.open("a") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "gingergap", "serve", stdout=log, stderr=log,
+                env={**os.environ, "LB_CONFIG": str(self.path), "LB_NAME": self.name},
+            )  # fmt: skip
+        ping = json.dumps({"type": "ping", "id": "0" * 16, "fields": {}, "cause": 0}).encode() + b"\n"
+        while self.process.returncode is None:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(ping)
+                pong = json.loads(await reader.readline())
+                writer.close()
+                if pong["cause"] == 1:
+                    self.ready = True
+                    return
+            except (OSError, ValueError):
+                pass
+            await asyncio.sleep(0.02)
+        self.record.crashes.append(f"{self.name} ended at its start with {self.process.returncode}")
+
+    def reload(self, bus: Bus) -> None:
+        """SIGHUP with a configuration that names another bus."""
+        if self.process is None or self.process.returncode is not None or not self.ready:
+            return
+        self.bus = bus
+        self.reloaded_at = now()
+        self.write()
+        self.process.send_signal(signal.SIGHUP)
+
+    async def stop(self, kill_after: float = KILL_AFTER) -> Stop:
+        """SIGTERM, and SIGKILL at the earliest moment at which it may come."""
+        stop = Stop(self.name, now())
+        self.record.stops.append(stop)
+        self.ready = False
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), kill_after)
+        except TimeoutError:
+            stop.killed = True
+            self.process.kill()
+            await self.process.wait()
+        stop.ended, stop.status = now(), self.process.returncode
+        return stop
+
+    def close(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
+
+class Trial:
+    """The world of one trial; a scenario drives it, `judged` says what broke."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random = Random(seed)
+        self.folder = folder
+        self.record = Record()
+        self.buses: list[Bus] = []
+        self.switches: list[Switch] = []
+        self.node: Node
+        self.callers: list[Caller | BadCaller] = []
+        self.tasks: list[asyncio.Task] = []
+
+    async def begin(self, replies: list[list[Reply]], delay: float = 0.3, sockets: int = 128) -> None:
+        """One switch a list of replies, numbered from 1; the events of a second bus go on where the first's end."""
+        for number, choice in enumerate(replies, 1):
+            switch = Switch(f"s-{number}", number, Random(self.random.random()), choice, delay)
+            await switch.listen()
+            self.switches.append(switch)
+        bus = await self.new_bus()
+        own = {"uid": "s-0", "endpoint": "127.0.0.1:9", "pod_group": 0, "state": "in_service", "boot_ms": 0}
+        bus.tell(own, *(entry(switch) for switch in self.switches), whole=True)
+        self.node = Node("n0", self.folder, bus, {}, self.record, sockets)
+        await self.node.start()
+
+    async def new_bus(self) -> Bus:
+        bus = Bus()
+        if self.buses:
+            bus.events = self.buses[0].events
+        await bus.listen()
+        self.buses.append(bus)
+        return bus
+
+    def add_caller(self, fault: CallerFault = CallerFault.NONE, rate: float = 8.0) -> Caller:
+        numbers = [switch.number for switch in self.switches]
+        caller = Caller(self.node.name, self.node.port, Random(self.random.random()), self.record.set_ups, fault, numbers)
+        caller.rate = rate
+        self.run(caller)
+        return caller
+
+    def run(self, caller: Caller | BadCaller) -> None:
+        self.callers.append(caller)
+        self.tasks.append(asyncio.ensure_future(caller.run()))
+
+    def tell(self, *lines: dict) -> None:
+        """An event on every bus. A drain counts as told now, or later where a bus was or is in trouble."""
+        self.buses[0].tell(*lines)
+        for bus in self.buses[1:]:
+            changed, bus.changed = bus.changed, asyncio.Event()
+            changed.set()
+        for line in lines:
+            if line["state"] == "in_service":
+                self.record.drains.pop(line["uid"], None)
+            else:
+                self.record.drains.setdefault(line["uid"], now())
+
+    async def end(self, settle: float = 4.0) -> None:
+        """No more set-ups; wait for what is owed, then stop everything."""
+        for caller in self.callers:
+            caller.stopping = True
+        await asyncio.sleep(settle)
+        status = self.node.process.returncode
+        if status not in (None, 0, -signal.SIGKILL):
+            self.record.crashes.append(f"{self.node.name} ended with {status}")
+        self.node.close()
+        for task in self.tasks:
+            task.cancel()
+        for peer in (*self.switches, *self.buses):
+            peer.close()
+        self.record.legs = sorted((leg for switch in self.switches for leg in switch.legs), key=lambda leg: leg.began)
+        self.record.calls = [call for switch in self.switches for call in switch.calls]
+        await asyncio.sleep(0.05)
+
+
+# --- rules ---
+
+
+def broken_rules(record: Record, told: dict[str, float], end: float) -> list[str]:
+    """What broke, a sentence each. `told`: when each drain counts as told; `end`: until when answers were waited for."""
+    found = [*record.crashes]
+    for stop in record.stops:
+        if stop.killed:
+            found.append(f"end: {stop.node} had not ended {KILL_AFTER} s after SIGTERM")
+        elif stop.status != 0:
+            found.append(f"crash: {stop.node} ended with {stop.status} after SIGTERM")
+    for set_up in record.set_ups.values():
+        found += _set_up_broken(set_up, record, end)
+    found += _legs_broken(record, told)
+    found += _calls_broken(record, end)
+    return found
+
+
+def _since_stop(record: Record, node: str, at: float) -> str:
+    since = [at - stop.at for stop in record.stops if stop.node == node and stop.at <= at]
+    return f"{min(since):.2f} s after SIGTERM" if since else "no SIGTERM before"
+
+
+def _stopped_between(record: Record, node: str, begin: float, end: float) -> bool:
+    """Whether another process serves by then: it can't know what the one before refused."""
+    return any(stop.node == node and begin < stop.ended < end for stop in record.stops)
+
+
+def _set_up_broken(set_up: SetUp, record: Record, end: float) -> list[str]:
+    if not set_up.sent:
+        return []
+    name = f"{set_up.id} to {set_up.node} ({_since_stop(record, set_up.node, set_up.sent)}, left {set_up.left:.1f})"
+    if len(set_up.finals) > 1:
+        if not _stopped_between(record, set_up.node, set_up.finals[0][0], set_up.finals[-1][0]):
+            return [f"lost: {name} had {len(set_up.finals)} final answers"]
+    if set_up.finals:
+        at, kind, description = set_up.finals[0]
+        if kind == "answer" and f"of {set_up.id}\r\n" not in description:
+            return [f"lost: {name} got what no switch made"]
+        late = at - set_up.sent - set_up.left
+        return [f"lost: {name} answered {late:.2f} s late"] if late > ANSWER_SLACK + SLACK and not set_up.given_up else []
+    if set_up.given_up or set_up.crossed:
+        return []  # a new connection may be refused: then it was sent nowhere
+    if set_up.connection_ended and set_up.connection_ended - set_up.sent > set_up.left + ANSWER_SLACK:
+        return [f"lost: {name} not answered in its time"]
+    if set_up.connection_ended:
+        return [f"lost: {name} connection ended after {set_up.connection_ended - set_up.sent:.3f} s with no answer"]
+    return [f"lost: {name} never answered"] if set_up.sent + set_up.left + ANSWER_SLACK + SLACK < end else []
+
+
+def _legs_broken(record: Record, told: dict[str, float]) -> list[str]:
+    found = []
+    last: dict[str, Leg] = {}
+    for leg in record.legs:
+        if leg.read_late:
+            continue
+        before = last.get(leg.id)
+        last[leg.id] = leg
+        if before is not None and (not before.ended or before.ended > leg.began + MEASURING):
+            found.append(f"two legs: {leg.id} at {before.uid} and {leg.uid}")
+        elif before is not None and before.how in ("cancelled", "its connection ended", "spoilt"):
+            again = record.set_ups[leg.id].sent_again or record.set_ups[leg.id].crossed
+            if leg.began - before.ended < GUARD - MEASURING and not again:
+                found.append(f"guard: {leg.id} {leg.began - before.ended:.3f} s after a leg that was {before.how}")
+        if leg.uid in told and leg.began > told[leg.uid] + DRAIN_GRACE + SLACK:
+            found.append(f"drain: {leg.id} to {leg.uid} {leg.began - told[leg.uid]:.2f} s after its drain counts as told")
+    return found
+
+
+def _calls_broken(record: Record, end: float) -> list[str]:
+    """Calls that stood: their ends reach their callers, or the switch where the caller ended them."""
+    found = []
+    for call in record.calls:
+        set_up = record.set_ups[call.id]
+        answered = any(kind == "answer" for _, kind, _ in set_up.finals)
+        if call.heard_bye or not answered and set_up.finals:
+            if call.released == 0.0 and not call.heard_bye and end - call.since > RELEASED_AT_LATEST:
+                found.append(f"standing: {call.id} refused to its caller, and stands at {call.uid}")
+            continue
+        stopped = any(stop.node == set_up.node and call.since - 5 < stop.at for stop in record.stops)
+        limit = RELEASED_AT_LATEST if stopped else RELEASED_WITHIN
+        over = call.released or 0.0
+        if answered and over and not set_up.released and not set_up.ended_by_caller and over + limit + SLACK + MEASURING < end:
+            found.append(f"standing: {call.id} over at {call.uid}, its caller was never told")
+        elif answered and over and set_up.released > over + limit + SLACK + MEASURING:
+            found.append(f"standing: {call.id} over at {call.uid}, its caller was told {set_up.released - over:.2f} s later")
+    return found
+
+
+# --- scenarios ---
+
+
+async def cancel(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+MIXED = [Reply.ANSWER] * 8 + [Reply.LATE, Reply.FULL, Reply.FAULT, Reply.PIECES, Reply.TWICE, Reply.RESET, Reply.CLOSE]
+SPOILT = [Reply.ANSWER] * 6 + [Reply.SPOILT, Reply.NOISE, Reply.RESET, Reply.HANG]
+HANGING = [Reply.HANG] * 3 + [Reply.LATE, Reply.ANSWER]
+
+
+class DenseTrial(Trial):
+    """Stops in series, faults of the bus, drains, reloads and bad callers, all drawn from the seed."""
+
+    SECONDS = 9.0
+
+    async def play(self) -> list[str]:
+        draw = self.random
+        choices = [draw.choice([MIXED, SPOILT, HANGING, [Reply.ANSWER]]) for _ in range(draw.randint(4, 6))]
+        await self.begin(choices, delay=draw.choice([0.3, 1.0, 3.5]), sockets=draw.choice([64, 128, 256]))
+        began = now()
+        for _ in range(draw.randint(2, 6)):
+            self.add_caller(draw.choice(list(CallerFault)), rate=draw.choice([4.0, 8.0, 16.0]))
+        if draw.random() < 0.5:
+            self.run(BadCaller(self.node.port, Random(draw.random())))
+        if draw.random() < 0.3:
+            self.tasks.append(asyncio.ensure_future(self._crowd(self.node)))
+        scripts = [self._stops(), self._bus_faults(), self._drains(), self._reloads(), self._hangs()]
+        tasks = [asyncio.ensure_future(script) for script in scripts]
+        await asyncio.sleep(self.SECONDS)
+        await cancel(tasks[1:])
+        await tasks[0]
+        await self.end()
+        return broken_rules(self.record, self.told, began + (now() - began))
+
+    @property
+    def told(self) -> dict[str, float]:
+        """When each drain counts as told: with any trouble of a bus, reload or start near it, six seconds after that."""
+        troubles = sorted(self.troubles)
+        told = {}
+        for uid, at in self.record.drains.items():
+            latest = at
+            for start, end in troubles:
+                if start - 0.5 <= latest + TOLD_AFTER_TROUBLE and end + TOLD_AFTER_TROUBLE > latest - 0.5:
+                    latest = max(latest, max(end, at) + TOLD_AFTER_TROUBLE)
+            told[uid] = latest
+        return told
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        super().__init__(seed, folder)
+        self.troubles: list[tuple[float, float]] = []
+
+    async def _stops(self) -> None:
+        """Up to three ends in a row, each followed by a start at once; some begin just after a SIGHUP."""
+        for _ in range(self.random.randint(1, 3)):
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            if self.random.random() < 0.4:
+                self.node.reload(self.random.choice(self.buses))
+                await asyncio.sleep(self.random.choice([0.0, 0.02, 0.3]))
+            await self.node.stop()
+            start = now()
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+            await self.node.start()
+            self.troubles.append((start, now()))
+
+    async def _bus_faults(self) -> None:
+        while True:
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+            bus = self.random.choice(self.buses)
+            start = now()
+            if self.random.random() < 0.3:
+                bus.stop_listening()
+                bus.reset_all()
+                await asyncio.sleep(self.random.uniform(0.5, 2.5))
+                await bus.listen()
+            else:
+                fault = self.random.choice([fault for fault in BusFault if fault is not BusFault.NONE])
+                bus.set_fault(fault, self.random.uniform(0.5, 3.5))
+                self.troubles.append((start, now() + 1000))
+                await asyncio.sleep(self.random.uniform(0.5, 3.0))
+                bus.set_fault(BusFault.NONE)
+                self.troubles.pop()
+            self.troubles.append((start, now()))
+
+    async def _drains(self) -> None:
+        serial = 100
+        while True:
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            switch = self.random.choice(self.switches)
+            if switch.uid in self.record.drains:
+                continue
+            self.tell(entry(switch, "terminating"))
+            if self.random.random() < 0.5:
+                serial += 1
+                new = Switch(f"s-{serial}", switch.number, Random(self.random.random()), switch.replies, switch.delay)
+                await new.listen()
+                self.switches.append(new)
+                self.tell(entry(new))
+                await asyncio.sleep(self.random.uniform(0.0, 1.0))
+                self.tell(entry(switch, "terminated"))
+
+    async def _reloads(self) -> None:
+        """New configurations, some in quick succession; the old bus closes after 1.5 s."""
+        while True:
+            await asyncio.sleep(self.random.uniform(1.0, 4.0))
+            for _ in range(self.random.randint(1, 3)):
+                old, new = self.buses[-1], await self.new_bus()
+                self.node.reload(new)
+                self.troubles.append(
+                    (now() - TOLD_AFTER_TROUBLE + TOLD_AFTER_RELOAD, now() - TOLD_AFTER_TROUBLE + TOLD_AFTER_RELOAD)
+                )
+                old.stop_listening()
+                asyncio.get_running_loop().call_later(1.5, old.reset_all)
+                await asyncio.sleep(self.random.choice([0.0, 0.02, 0.3]))
+
+    async def _hangs(self) -> None:
+        """Switches that fall silent for a while, or vanish with their connections."""
+        while True:
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            switch = self.random.choice(self.switches)
+            if self.random.random() < 0.5:
+                switch.silent = True
+                await asyncio.sleep(self.random.uniform(0.3, 3.0))
+                switch.silent = False
+            else:
+                switch.reset_all()
+
+    async def _crowd(self, node: Node) -> None:
+        """Connections that say nothing, more than the process may hold."""
+        held = []
+        while True:
+            with contextlib.suppress(OSError):
+                held.append(await asyncio.open_connection("127.0.0.1", node.port))
+                if len(held) > 200:
+                    held.pop(0)[1].close()
+            await asyncio.sleep(0.01)
+
+
+def play(seed: int, kind: type[DenseTrial] = DenseTrial, keep: Path | None = None) -> list[str]:
+    """Play one seed; what broke."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(kind(seed, keep or Path(folder)).play())
+
+
+def main() -> None:
+    from concurrent.futures import ProcessPoolExecutor
+
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    side_by_side = int(sys.argv[3]) if len(sys.argv) > 3 else 2
+    failed = 0
+    with ProcessPoolExecutor(side_by_side) as pool:
+        for seed, broken in zip(range(first, last + 1), pool.map(play, range(first, last + 1)), strict=True):
+            failed += bool(broken)
+            print(
+                f"seed {seed}: {'; '.join(broken[:6]) if broken else 'kept'}{f' (+{len(broken) - 6})' if len(broken) > 6 else ''}",
+                flush=True,
+            )
+    print(f"{last - first + 1 - failed} passed, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/trial_peers.py
@@ -0,0 +1,484 @@
+"""Peers of a service process in one event loop on loopback, each with faults by script: event bus, switches, callers.
+
+Times are seconds of the loop's clock. What passed is kept as typed records, which `trial_rules` judges afterwards.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from gingergap.sip.framing import Framer
+from gingergap.sip.message import BadMessageError, Message
+
+NORMAL_RELEASE, TEMPORARY_FAILURE = 16, 41  # causes of Q.850
+FREE_CIRCUITS = 40
+SDP_TAIL = "c=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"
+CROSSING = 0.05  # seconds in which a set-up may cross the close of its connection and be sent again
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Peer:
+    """A listener on a port of its own; `serve` handles each connection and may fail with it."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def listen(self) -> None:
+        self.server = await asyncio.start_server(self._accepted, "127.0.0.1", self.port, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        self.tasks.add(asyncio.current_task())
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            await self.serve(reader, writer)
+        self.writers.discard(writer)
+        self.tasks.discard(asyncio.current_task())
+        writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def stop_listening(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def reset_all(self) -> None:
+        for writer in list(self.writers):
+            reset(writer)
+
+    def close(self) -> None:
+        self.stop_listening()
+        self.reset_all()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+# --- the event bus ---
+
+
+class BusFault(Enum):
+    NONE = "none"
+    SLOW = "whole answers, late"
+    DRIP = "whole answers, byte by byte over the delay"
+    SILENT = "accepts and says nothing"
+    BREAKS = "breaks off in the middle of an answer"
+    GARBLED = "answers that are no HTTP or no JSON"
+
+
+class Bus(Peer):
+    """Long polls of numbered events. `delay` belongs to SLOW and DRIP."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[dict] = []
+        self.changed = asyncio.Event()
+        self.fault, self.delay = BusFault.NONE, 0.0
+        self.asked: list[tuple[float, int]] = []  # when, and after which number
+
+    def set_fault(self, fault: BusFault, delay: float = 0.0) -> None:
+        self.fault, self.delay = fault, delay
+
+    def tell(self, *lines: dict, whole: bool = False) -> int:
+        offset = len(self.events) + 1
+        self.events.append({"offset": offset, "topology": {"rev": offset, "all": whole, "targets": list(lines)}})
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+        return offset
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            while (await reader.readline()).strip():
+                pass
+            after, hold = (int(part.split("=")[1]) for part in line.decode().split()[1].split("?")[1].split("&"))
+            self.asked.append((now(), after))
+            if len(self.events) <= after:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), hold / 1000)
+            batch = self.events[after:]
+            body = json.dumps({"offset": after + len(batch), "batch": batch}).encode()
+            await self._answer(writer, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    async def _answer(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        match self.fault:
+            case BusFault.SILENT:
+                await asyncio.sleep(60)
+            case BusFault.SLOW:
+                await asyncio.sleep(self.delay)
+            case BusFault.DRIP:
+                pieces = 20
+                step = len(data) // pieces + 1
+                for start in range(0, len(data), step):
+                    await asyncio.sleep(self.delay / pieces)
+                    writer.write(data[start : start + step])
+                return
+            case BusFault.BREAKS:
+                writer.write(data[: len(data) // 2])
+                await writer.drain()
+                writer.close()
+                return
+            case BusFault.GARBLED:
+                writer.write(data[:-3] + b"\xff{]")
+                return
+        writer.write(data)
+        await writer.drain()
+
+
+# --- switches ---
+
+
+class Reply(Enum):
+    ANSWER = "200 at once"
+    LATE = "200 after the delay"
+    HANG = "nothing"
+    FULL = "503"
+    FAULT = "500"
+    PIECES = "200 in pieces over the delay"
+    SPOILT = "200 with a description that is cut"
+    TWICE = "200 twice"
+    RESET = "a reset under the set-up"
+    CLOSE = "200 and a close at once"
+    NOISE = "bytes that are no SIP"
+
+
+@dataclass
+class Leg:
+    """An INVITE at a switch: when its first byte and all of it came, when and how it was over."""
+
+    id: str
+    uid: str
+    began: float
+    ended: float = 0.0
+    how: str = ""
+    read_late: bool = False  # its switch was silent, so when it came or was over is not known
+
+
+@dataclass
+class Standing:
+    """A call that stands at a switch; `released` is when the switch sent its BYE, 0 while it stands."""
+
+    id: str
+    uid: str
+    since: float
+    released: float = 0.0
+    heard_bye: float = 0.0
+
+
+def sip(first: str, id: str, method: str, extra: str = "", body: str = "") -> bytes:
+    return (
+        f"{first}\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id}\r\nCSeq: 1 {method}\r\n{extra}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+class Switch(Peer):
+    """Draws a reply for each set-up from `replies`; answered calls stand for `hold` seconds, then it sends BYE."""
+
+    def __init__(self, uid: str, number: int, random: Random, replies: list[Reply], delay: float = 0.3) -> None:
+        super().__init__()
+        self.uid, self.number, self.random, self.replies, self.delay = uid, number, random, replies, delay
+        self.hold = 1.0
+        self.silent = False  # reads nothing and says nothing, as a machine that hangs
+        self.open_legs: dict[tuple[str, asyncio.StreamWriter], Leg] = {}
+        self.legs: list[Leg] = []
+        self.standing: dict[str, Standing] = {}
+        self.calls: list[Standing] = []
+        self.unsent: dict[str, bytes] = {}  # releases, sent also on the next connection that is opened
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        state = f"Link-State: idle:{FREE_CIRCUITS};circuits:{FREE_CIRCUITS}\r\n"
+        writer.write(sip("NOTIFY sip:x@net SIP/2.0", "0" * 16, "NOTIFY", state))
+        for data in self.unsent.values():
+            writer.write(data)
+        self.unsent.clear()
+        framer = Framer()
+        try:
+            while data := await reader.read(65_536):
+                late = self.silent
+                while self.silent:
+                    await asyncio.sleep(0.05)
+                for message in framer.feed(data):
+                    if not isinstance(message, BadMessageError):
+                        self._came(message, writer, late)
+        finally:
+            for key in [key for key in self.open_legs if key[1] is writer]:
+                self._over(key, "its connection ended")
+
+    def _came(self, message: Message, writer: asyncio.StreamWriter, late: bool) -> None:
+        id, method = message.call_id, message.method
+        if late and (id, writer) in self.open_legs:
+            self.open_legs[id, writer].read_late = True
+        if method == "INVITE":
+            leg = Leg(id, self.uid, now(), read_late=late)
+            self.legs.append(leg)
+            self.open_legs[id, writer] = leg
+            task = asyncio.ensure_future(self._reply(id, writer, self.random.choice(self.replies)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        elif method == "CANCEL":
+            self._over((id, writer), "cancelled")
+        elif method == "BYE":
+            writer.write(sip("SIP/2.0 200 OK", id, "BYE"))
+            call = self.standing.pop(id, None)
+            if call is not None:
+                call.heard_bye = now()
+
+    def _over(self, key: tuple[str, asyncio.StreamWriter], how: str) -> bool:
+        leg = self.open_legs.pop(key, None)
+        if leg is None:
+            return False
+        leg.ended, leg.how = now(), how
+        leg.read_late = leg.read_late or self.silent
+        return True
+
+    async def _reply(self, id: str, writer: asyncio.StreamWriter, reply: Reply) -> None:
+        body = f"{self.uid} of {id}\r\n{SDP_TAIL}"
+        answer = sip("SIP/2.0 200 OK", id, "INVITE", body=body)
+        key = id, writer
+        await asyncio.sleep(self.random.uniform(0.002, 0.03) if reply is not Reply.LATE else self.random.uniform(0.1, self.delay))
+        while self.silent:
+            await asyncio.sleep(0.05)
+        if key not in self.open_legs:
+            return
+        match reply:
+            case Reply.HANG:
+                return
+            case Reply.FULL | Reply.FAULT:
+                first = "SIP/2.0 503 Full" if reply is Reply.FULL else "SIP/2.0 500 Fault"
+                self._over(key, "refused")
+                writer.write(sip(first, id, "INVITE", "Fail-Word: queue_long\r\n" if reply is Reply.FULL else ""))
+                return
+            case Reply.RESET:
+                reset(writer)
+                return
+            case Reply.NOISE:
+                self._over(key, "spoilt")
+                writer.write(b"\x00\xff\x13 no message\r\n\r\n")
+                return
+            case Reply.SPOILT:
+                self._over(key, "spoilt")
+                writer.write(answer[:-9])
+                return
+            case Reply.PIECES:
+                for start in range(0, len(answer), 40):
+                    writer.write(answer[start : start + 40])
+                    await asyncio.sleep(self.random.uniform(0, 0.04))
+                    if key not in self.open_legs:
+                        return
+            case Reply.TWICE:
+                writer.write(answer + answer)
+            case _:
+                writer.write(answer)
+        self._over(key, "answered")
+        call = Standing(id, self.uid, now())
+        self.standing[id] = call
+        self.calls.append(call)
+        if reply is Reply.CLOSE:
+            writer.close()
+        await asyncio.sleep(self.random.uniform(0.1, self.hold))
+        self._release(call, writer)
+
+    def _release(self, call: Standing, writer: asyncio.StreamWriter) -> None:
+        if self.standing.pop(call.id, None) is None:
+            return
+        call.released = now()
+        data = sip("BYE sip:x@net SIP/2.0", call.id, "BYE", f"Reason: Q.850;cause={NORMAL_RELEASE}\r\n")
+        self.unsent[call.id] = data
+        carrier = writer if writer in self.writers else next(iter(self.writers), None)
+        if carrier is not None:
+            carrier.write(data)
+
+
+# --- callers ---
+
+
+@dataclass
+class SetUp:
+    """One set-up of a caller. `sent`: its last byte; `finals`: when and what came back; `lost`: why it counts as such."""
+
+    id: str
+    node: str
+    left: float
+    sent: float = 0.0
+    finals: list[tuple[float, str, str]] = field(default_factory=list)  # (when, type, description)
+    given_up: float = 0.0
+    released: float = 0.0  # when its end was told after an answer
+    ended_by_caller: float = 0.0
+    connection_ended: float = 0.0
+    crossed: bool = False  # it crossed the close of its connection
+    sent_again: bool = False
+
+
+class CallerFault(Enum):
+    NONE = "none"
+    PIECES = "lines in pieces"
+    GIVES_UP = "gives set-ups up early"
+    SLOW_READER = "reads seldom"
+    CLOSES = "closes its connection with set-ups open"
+    EAGER = "tries again as soon as it is refused"
+    SLOW_WRITER = "stops in the middle of lines, for up to a second"
+
+
+class Caller:
+    """A client of one node that keeps a connection open and sends set-ups on it, and comes again at once when it ends."""
+
+    def __init__(
+        self, name: str, port: int, random: Random, book: dict[str, SetUp], fault: CallerFault, numbers: list[int]
+    ) -> None:
+        self.name, self.port, self.random, self.book, self.fault = name, port, random, book, fault
+        self.numbers = numbers
+        self.rate = 8.0  # set-ups a second
+        self.stopping = False
+        self.mid_line, self.held_back = False, b""  # a line stands half: what else is to be said waits
+        self.open: dict[str, SetUp] = {}
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def run(self) -> None:
+        while not self.stopping:
+            try:
+                self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 20)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            reading = asyncio.ensure_future(self._read())
+            again = [set_up for set_up in self.open.values() if set_up.crossed]
+            self.open, self.mid_line, self.held_back = {}, False, b""
+            with contextlib.suppress(OSError):
+                for set_up in again:
+                    await self._send(set_up)
+                await self._send_on(reading)
+            if not self.stopping:
+                reading.cancel()
+            await asyncio.wait([reading])
+            self.writer.close()
+
+    async def _send_on(self, reading: asyncio.Task) -> None:
+        while not self.stopping and not reading.done():
+            await asyncio.wait([reading], timeout=self.random.expovariate(self.rate))
+            if reading.done() or self.stopping:
+                return
+            set_up = SetUp(f"{self.random.getrandbits(64):016x}", self.name, self.random.choice([0.3, 1.0, 2.0, 3.0]))
+            self.book[set_up.id] = set_up
+            await self._send(set_up)
+            if self.fault is CallerFault.GIVES_UP and self.random.random() < 0.4:
+                asyncio.get_running_loop().call_later(self.random.uniform(0.0, 0.3), self._give_up, set_up)
+            if self.fault is CallerFault.CLOSES and self.random.random() < 0.1:
+                for other in self.open.values():
+                    other.given_up = other.given_up or now()
+                reset(self.writer) if self.random.random() < 0.5 else self.writer.close()
+                return
+
+    async def _send(self, set_up: SetUp) -> None:
+        extras = f"dest:{self.random.choice(self.numbers)};width:1;via:-1"
+        fields = {"class": "voice", "left": str(int(set_up.left * 1000)), "key": set_up.id[:8], "extras": extras}
+        line = json.dumps({"type": "setup", "id": set_up.id, "fields": fields, "sdp": f"of {set_up.id}\r\n{SDP_TAIL}"}).encode()
+        line += b"\n"
+        if self.fault in (CallerFault.PIECES, CallerFault.SLOW_WRITER):
+            cut = self.random.randrange(1, len(line))
+            self.writer.write(line[:cut])
+            self.mid_line = True
+            await asyncio.sleep(self.random.uniform(0, 0.2 if self.fault is CallerFault.PIECES else 1.0))
+            self.mid_line = False
+            line, self.held_back = line[cut:] + self.held_back, b""
+        if self.writer.is_closing() or self.reader.at_eof():
+            return
+        set_up.connection_ended = 0.0
+        self.open[set_up.id] = set_up
+        set_up.sent = now()
+        self.writer.write(line)
+
+    def _give_up(self, set_up: SetUp) -> None:
+        if set_up.id in self.open and not self.writer.is_closing():
+            set_up.given_up = now()
+            self._release(set_up)
+
+    def _release(self, set_up: SetUp) -> None:
+        line = json.dumps({"type": "release", "id": set_up.id, "fields": {}, "cause": 16}).encode() + b"\n"
+        if self.mid_line:
+            self.held_back += line
+        else:
+            self.writer.write(line)
+
+    async def _read(self) -> None:
+        ended = "closed"
+        try:
+            while line := await self.reader.readline():
+                if not line.endswith(b"\n"):
+                    break
+                self._came(json.loads(line))
+                if self.fault is CallerFault.SLOW_READER and self.random.random() < 0.1:
+                    await asyncio.sleep(self.random.uniform(0, 0.3))
+        except OSError as error:
+            ended = str(error)
+        finally:
+            for set_up in self.open.values():
+                set_up.connection_ended = now()
+                crossed = now() - set_up.sent <= CROSSING and not set_up.given_up
+                set_up.crossed, set_up.sent_again = crossed and not set_up.sent_again, set_up.crossed
+            self.ended = ended
+
+    def _came(self, line: dict) -> None:
+        set_up = self.book.get(line["id"])
+        if set_up is None:
+            return
+        answered = any(kind == "answer" for _, kind, _ in set_up.finals)
+        if line["type"] == "release" and answered:
+            set_up.released = now()
+        elif line["type"] in ("answer", "release"):
+            set_up.finals.append((now(), line["type"], line.get("sdp", "")))
+            self.open.pop(set_up.id, None)
+            if line["type"] == "answer" and self.random.random() < 0.2:
+                asyncio.get_running_loop().call_later(self.random.uniform(0.05, 0.4), self._end, set_up)
+
+    def _end(self, set_up: SetUp) -> None:
+        if set_up.released or self.writer.is_closing() or self.reader.at_eof():
+            return
+        set_up.ended_by_caller = now()
+        self._release(set_up)
+
+
+class BadCaller:
+    """Sends what no caller should, again and again, and reads nothing but what comes at once."""
+
+    LINES = (
+        b"\xff\xfe\x00\n",
+        b"x" * 20_000,
+        b'{"type":"setup","id":"zz"}\n',
+        b'{"type":"setup","id":"%016x","fields":{"left":"-5"}}\n' % 7,
+    )
+
+    def __init__(self, port: int, random: Random) -> None:
+        self.port, self.random, self.stopping = port, random, False
+
+    async def run(self) -> None:
+        while not self.stopping:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(self.random.choice(self.LINES))
+                await asyncio.sleep(self.random.uniform(0.01, 0.3))
+                writer.close()
+            await asyncio.sleep(self.random.uniform(0.05, 0.3))
