What a peer wrote before a reset is read although a write fails first

Callers saw: a set-up failed, or sent twice, whose switch had answered just before it reset the connection. Cause: Stream.put and _drain closed the connection on the first failed write; bytes that had come and were not read went with it. Evidence: test_what_came_before_a_reset_is_read_although_a_write_fails_first failed before (nothing came) and passes now. Change: a failed write ends writing; reading goes on to the end of the stream, a tenth of a second at most.

--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -14,6 +14,7 @@
 READ = 16_384
 TURN = 16_384  # bytes that one connection may bring before others have their turn
 BACKLOG = 512
+READ_OUT = 0.1  # seconds in which what a peer wrote before it reset the connection is still read
 PAUSE = 0.0005  # seconds; a timer, since sleep(0) lets up to fifty others run before the loop looks at timers
 
 
@@ -75,7 +76,7 @@
             except BlockingIOError:
                 sent = 0
             except OSError as error:
-                gevent.spawn(self.close, True, f"write failed: {error}")
+                self._write_failed(error)
                 return
             if sent == len(data):
                 return
@@ -103,10 +104,17 @@
                 else:
                     self.queue[0] = data[sent:]
         except OSError as error:
-            self.close(True, f"write failed: {error}")
+            self._write_failed(error)
         finally:
             self.writer = None
 
+    def _write_failed(self, error: OSError) -> None:
+        """Nothing more can be written. What the peer wrote before may stand unread: it is read first."""
+        self.finishing = True
+        self.queue.clear()
+        self.queued = 0
+        gevent.spawn_later(READ_OUT, self.close, True, f"write failed: {error}")
+
     def read(self) -> None:
         """Read until the end; runs in a greenlet of its own."""
         turn = 0
