A connection that is half closed first writes what is queued on it

Callers saw: answers that a slow reader had not taken were cut off when its connection was finished. Cause: Stream.finish shut the socket down for writing at once; what stood in the queue could never leave. Evidence: test_what_is_queued_for_a_slow_reader_is_written_before_its_connection_is_half_closed failed before and passes now. Change: the writer half closes when the queue is empty; the time limit of finish stays.

--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -103,6 +103,8 @@
                     self.queue.popleft()
                 else:
                     self.queue[0] = data[sent:]
+            if self.finishing and not self.closed:
+                self._half_close()
         except OSError as error:
             self._write_failed(error)
         finally:
@@ -133,17 +135,20 @@
             self.close(True, reason)
 
     def finish(self, within: float) -> None:
-        """Write no more, and read on until the far end has closed too, `within` seconds at most: what it wrote before
-        it noticed still comes."""
+        """Write what is queued and no more, and read on until the far end has closed too, `within` seconds at most: what
+        it wrote before it noticed still comes."""
         if self.closed or self.finishing or self.sock is None:
             return
         self.finishing = True
+        gevent.spawn_later(within, self.close, True, "half closed long enough")
+        if not self.queue:
+            self._half_close()
+
+    def _half_close(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.close(True, "had gone when it was half closed")
-            return
-        gevent.spawn_later(within, self.close, True, "half closed long enough")
 
     def close(self, reset: bool = True, reason: str = "") -> None:
         """Close; the user hears of it, once, so that what was under way on it ends. `reason` is for logs."""
