Questions to the event bus overlap, so that a slow answer is taken and a lost one not waited for

Callers saw: set-ups sent to switches that had been draining for many seconds, for as long as the bus stayed slow. Cause: one question at a time with one bound of 1.4 s on its whole answer (process.py, _follow): a bus that answers whole and later than that was broken off each time, for ever. Change: service/event_bus.py. A question that is overdue stays open and another is asked beside it, six at most; the first whole answer counts. A healthy bus sees one connection and one question, as before.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -20,11 +20,12 @@
 from ..callers.lines import BadCallerError, Lines
 from ..facts import BadFactError, Facts
 from ..host import GwState
-from ..listfeed.poll import BadFeedError, Line, Poll, address_of, events_after, state_of
+from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
 from ..transport.stream import Stream, listening
 from .belief import Belief
 from .calls import Calls
 from .configuration import Configuration, configuration_from_environment, read_configuration
+from .event_bus import EventBusClient
 from .log import DetailLog, log
 from .switch_connections import SwitchConnection, SwitchConnections
 
@@ -36,8 +37,6 @@
 LONGEST_WRITE = 2.0
 SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
 REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
-HOLD = 1000  # milliseconds that the bus may hold a question
-PATIENCE = 0.4  # seconds beyond that before it is asked on another connection
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
 LAST = 0.75  # seconds after SIGTERM until nothing new is taken
 SETTLE = 0.1  # seconds from closing connections that rest to the end: what crossed the close is sent elsewhere
@@ -104,8 +103,7 @@
         self.ending: float | None = None
         self.over = Event()
         self.last = 0
-        self.bus = config.bus
-        self.feed: gevent.Greenlet | None = None
+        self.bus = EventBusClient(self, config.bus)
         ceilings = Facts(config.settings, "settings").part("Ceilings")
         self.connect_timeout = ceilings.get("ConnectTimeout", int, 500_000) / 1e6
         self.calls = Calls(self, self.clock(), config.seed, config.settings, belief=Belief(log) if belief else None)
@@ -130,10 +128,11 @@
         gevent.signal_handler(signal.SIGINT, self.end)
         gevent.signal_handler(signal.SIGHUP, self.reload)
         log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.switches))
-        self.feed = gevent.spawn(self._follow)
+        self.bus.start()
         ticker, acceptor = gevent.spawn(self._tick), gevent.spawn(self._accept)
         self.over.wait()
-        for greenlet in (ticker, acceptor, self.feed):
+        self.bus.stop()
+        for greenlet in (ticker, acceptor):
             greenlet.kill(block=False)
         self._log_counts("ended")
         return 0
@@ -289,33 +288,9 @@
             elif switch is not None and state == GwState.GONE:
                 switch.wanted = False
 
-    def _follow(self) -> None:
-        """Ask the bus, for ever; a break or silence is asked again at once, then with a short rest."""
-        troubles = 0
-        while True:
-            host = f"{self.bus[0]}:{self.bus[1]}"
-            sock = None
-            try:
-                sock = socket.create_connection(self.bus, 1.0)
-                sock.settimeout(None)  # else a question held as long as asked for counts as a trouble
-                poll = Poll(host)
-                while True:
-                    sock.sendall(poll.ask(self.last, HOLD))
-                    batch = None
-                    with gevent.Timeout(HOLD / 1000 + PATIENCE, OSError("the bus is silent")):
-                        while batch is None:
-                            batch = poll.feed(sock.recv(65_536))
-                    for number, whole, entries in events_after(self.last, batch):
-                        self.listed(number, whole, entries)
-                    troubles = 0
-            except (OSError, BadFeedError) as error:
-                troubles += 1
-                if troubles in (1, 10, 100):
-                    log("bus-trouble", bus=host, why=str(error)[:100], times=troubles)
-            finally:
-                if sock is not None:
-                    sock.close()
-            gevent.sleep(0 if troubles <= 1 else 0.2)
+    def batch_came(self, batch: Batch) -> None:
+        for number, whole, entries in events_after(self.last, batch):
+            self.listed(number, whole, entries)
 
     # --- time ---
 
@@ -371,9 +346,7 @@
             log("configuration-kept", file=self.path, why=bad)
             return
         log("configuration-read", bus=f"{config.bus[0]}:{config.bus[1]}")
-        self.bus = config.bus
-        self.feed.kill(block=False)
-        self.feed = gevent.spawn(self._follow)
+        self.bus.move_to(config.bus)
 
     def end(self) -> None:
         """SIGTERM: go on until nothing new can come, answer what was taken, then end."""
