A process that is told to end refuses what comes late, answers all in time, and closes in order

Cause: Process._look_at_end waited for a moment without any open set-up, while set-ups went on being taken (LAST only delayed the first look), and no set-up's time was cut by the end. With callers that go on, or one switch that hangs, there is no such moment. Class: a wait for an empty state that others refill, without a bound of its own. The listener's backlog is taken before it is closed; a caller's connection is half closed once nothing is owed, queued, cut in pieces or unread on it; then the switches' connections.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -23,6 +23,7 @@
 
 SECOND = 10_000
 BEAT = SECOND // 50  # the one periodic timer of an instance
+NEVER = 1 << 62
 IN_DOUBT = (LegEnd.NO_ANSWER, LegEnd.CUT, LegEnd.CANCELLED)
 
 
@@ -300,6 +301,7 @@
         self.due: list[tuple[int, int, str]] = []  # all due times but the beat: (when, dialog, what)
         self.waiting: list[tuple[float, int]] = []  # (less importance, dialog): none would take it
         self.now = 0
+        self.refuse_from = self.answer_by = NEVER  # set when the process is told to end
         self.stood_rate = self.best_rate = 0.0  # dialogs that stood, over the last ten seconds
         self.legs_sent = 0
         self.legs_out: dict[int, int] = {}  # dialogs with an unanswered leg, numbered as sent
@@ -332,7 +334,10 @@
             elif d is None or d.answered or d.stands:
                 continue
             elif what == "answer":  # no dialog outlives the client's time: answer, whatever is still out
-                self._abort(dialog, d)
+                if now >= self.answer_by and d.leg_to is None:
+                    self._decline(dialog, d)  # the process ends: another may serve it
+                else:
+                    self._abort(dialog, d)
             elif what == "give up" and d.waits:
                 self._decline(dialog, d)
             elif what == "silent" and d.leg_to is not None:
@@ -399,16 +404,28 @@
         advised: int = -1,
     ) -> None:
         self.now = now
-        expires = now + expires_in - 2 * BEAT
+        expires = min(now + expires_in - 2 * BEAT, self.answer_by)
         first = now if transit or cut else self.first_tried.pop((number, kind, far), now)
         redialled = redialled or first < now
         objective_at = min(first + self.types[kind].setup_objective, expires)
         self.widest = max(self.widest, width)
         d = Dialog(first, kind, far, width, number, transit, redialled, expires, objective_at, self.chance.draw(), advised)
         self.dialogs[dialog] = d
+        if now >= self.refuse_from:
+            self._decline(dialog, d)
+            return
         heappush(self.due, (expires, dialog, "answer"))
         self._route(dialog, d)
 
+    def shut_down(self, now: int, refuse_from: int, answer_by: int) -> None:
+        """The process ends: dialogs that come from `refuse_from` on are declined at once, and each has its answer by
+        `answer_by`, whatever time its caller gave it."""
+        self.now, self.refuse_from, self.answer_by = now, refuse_from, answer_by
+        for dialog, d in self.dialogs.items():
+            if d.expires > answer_by:
+                d.expires = answer_by
+                heappush(self.due, (answer_by, dialog, "answer"))
+
     def dialog_stands(self, now: int, dialog: int, took: int) -> None:
         self.now = now
         d = self.dialogs.get(dialog)
@@ -696,7 +713,8 @@
         if d.doubt and not self.types[d.kind].repeatable:
             self._abort(dialog, d)
             return
-        self.host.decline(dialog, 0 if d.transit else self.longest_hold_off)
+        # One that ends does not keep callers away: others serve them, and so will the process after it.
+        self.host.decline(dialog, 0 if d.transit or self.refuse_from < NEVER else self.longest_hold_off)
         self._drop(dialog, d)
 
     def _abort(self, dialog: int, d: Dialog) -> None:
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -17,7 +17,9 @@
 from ..facts import NOTES, Facts, circuits_in, controller_facts
 from ..host import GwState, LegEnd, ListEntry, Rsn
 from ..switches import messages
+from . import shutdown
 from .belief import Belief
+from .shutdown import Schedule
 
 MS = 10  # tenths of a millisecond
 SECOND = 10_000
@@ -260,6 +262,13 @@
             self._give_up(call)
         self._tell_later()
 
+    def shut_down(self, now: int) -> Schedule:
+        """The process is told to end; when it refuses, has answered all and is gone."""
+        self.now = now
+        schedule = shutdown.schedule(now, max(kind.no_answer_time for kind in self.types))
+        self.controller.shut_down(now, schedule.refuse_from, schedule.answer_by)
+        return schedule
+
     def pinged(self, now: int, conn: Conn, id: str, passed: bool) -> None:
         self.wire.to_caller(conn, lines.pong(id, passed))
 
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import os
 import signal
@@ -27,6 +28,7 @@
 from .configuration import Configuration, configuration_from_environment, read_configuration
 from .event_bus import EventBusClient
 from .log import DetailLog, log
+from .shutdown import Schedule
 from .switch_connections import SwitchConnection, SwitchConnections
 
 TICK = 0.01  # seconds between looks at what is due
@@ -38,8 +40,8 @@
 SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
 REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
-LAST = 0.75  # seconds after SIGTERM until nothing new is taken
-SETTLE = 0.1  # seconds from closing connections that rest to the end: what crossed the close is sent elsewhere
+FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
+FINISH_SWITCHES = 0.1  # and switches theirs
 
 
 class Caller(Stream):
@@ -63,10 +65,17 @@
     def ended(self, reset: bool) -> None:
         self.process.caller_gone(self)
 
+    def at_rest(self) -> bool:
+        """Nothing is owed on it and nothing of its peer waits to be read, so that it may be closed."""
+        return not (self in self.process.calls.on_conn or self.queue or self.lines.held or self.readable())
+
     # --- what the lines are ---
 
     def set_up(self, id: str, *figures: Any) -> None:
         self.spoken = True
+        if self.finishing:  # it crossed the close: its caller sends it again elsewhere
+            self.process.details("set-up-crossed-close", id=id)
+            return
         self.process.calls.set_up(self.process.clock(), self, id, *figures)
 
     def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
@@ -101,6 +110,8 @@
         self.started = self.seconds()
         self.ready = False
         self.ending: float | None = None
+        self.schedule: Schedule | None = None  # once told to end
+        self.finished_at: float | None = None  # when the last caller's connection was half closed
         self.over = Event()
         self.last = 0
         self.bus = EventBusClient(self, config.bus)
@@ -129,11 +140,11 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.switches))
         self.bus.start()
-        ticker, acceptor = gevent.spawn(self._tick), gevent.spawn(self._accept)
+        self.acceptor = gevent.spawn(self._accept)
+        ticker = gevent.spawn(self._tick)
         self.over.wait()
         self.bus.stop()
-        for greenlet in (ticker, acceptor):
-            greenlet.kill(block=False)
+        ticker.kill(block=False)
         self._log_counts("ended")
         return 0
 
@@ -229,20 +240,31 @@
     # --- callers' connections ---
 
     def _accept(self) -> None:
-        while True:
+        while self.listener is not None:
             try:
                 sock, _ = self.listener.accept()
             except OSError:
-                if self.ending is not None:
-                    return
                 gevent.sleep(0.05)
                 continue
-            if len(self.callers) >= self.most_callers and not self._make_room():
-                sock.close()
-                continue
-            caller = Caller(self, sock)
-            self.callers[caller] = None
-            gevent.spawn(caller.read)
+            self._accepted(sock)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        if len(self.callers) >= self.most_callers and not self._make_room():
+            sock.close()
+            return
+        caller = Caller(self, sock)
+        self.callers[caller] = None
+        gevent.spawn(caller.read)
+
+    def _stop_listening(self) -> None:
+        """Take what the machine has accepted by now, then refuse connections."""
+        listener, self.listener = self.listener, None
+        self.acceptor.kill(block=False)
+        listener.settimeout(0)
+        with contextlib.suppress(OSError):
+            while True:
+                self._accepted(listener.accept()[0])
+        listener.close()
 
     def _make_room(self) -> bool:
         """Close the oldest that has said nothing, else the one that rests longest; those on which calls stood last,
@@ -303,6 +325,8 @@
                 self.calls.beat(self.clock())
                 if ticks % LOOK == 0 or not self.ready:
                     self._look()
+                if self.schedule is not None:
+                    self._advance_end()
                 if ticks % COUNT == 0:
                     self._log_counts("counts")
                 if self.ending is not None and ticks % END_LINES == 0:
@@ -333,8 +357,6 @@
             for caller, id in self.tests:
                 self.pinged(caller, id)
             self.tests.clear()
-        if self.ending is not None:
-            self._look_at_end()
 
     # --- signals ---
 
@@ -352,6 +374,7 @@
         """SIGTERM: go on until nothing new can come, answer what was taken, then end."""
         if self.ending is None:
             self.ending = self.seconds()
+            self.schedule = self.calls.shut_down(self.clock())
             log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.untold))
 
     def _log_end(self) -> None:
@@ -366,13 +389,29 @@
             untold=len(self.untold),
         )
 
-    def _look_at_end(self) -> None:
-        if self.seconds() - self.ending < LAST or self.calls.on_conn:
+    def _advance_end(self) -> None:
+        """One step of the end: first callers' connections, each once nothing is owed on it, then the switches'."""
+        now = self.clock()
+        if now < self.schedule.refuse_from:
             return
-        self.listener.close()
+        if self.listener is not None:
+            self._stop_listening()
+        overdue = now >= self.schedule.close_by
         for caller in list(self.callers):
-            caller.close(True)
-        gevent.sleep(SETTLE)
+            if not caller.finishing and (overdue or caller.at_rest()):
+                caller.finish(FINISH)
+                self.finished_at = self.seconds()
+        if any(not caller.finishing for caller in self.callers):
+            return
+        if self.callers and self.seconds() - self.finished_at < FINISH:
+            return  # a caller that has not noticed yet may still end a call
+        self._log_end()
+        links = [link for switch in self.switches.values() for link in switch.links]
+        for link in links:
+            link.finish(FINISH)
+        until = self.seconds() + FINISH_SWITCHES
+        while self.seconds() < until and not all(link.closed for link in links):
+            gevent.sleep(TICK)
         self.over.set()
 
 
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import select
 from collections import deque
 
 import gevent
@@ -134,6 +135,14 @@
         finally:  # also where an event failed: nobody would read on, and what waits here would never end
             self.close(True, reason)
 
+    def readable(self) -> bool:
+        """Whether bytes, or the peer's close, wait to be read."""
+        if self.closed or self.sock is None:
+            return False
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def finish(self, within: float) -> None:
         """Write what is queued and no more, and read on until the far end has closed too, `within` seconds at most: what
         it wrote before it noticed still comes."""
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -6,8 +6,9 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from gingergap.brain import BEAT
 from gingergap.facts import BadFactError
 from gingergap.host import GwState
 from gingergap.service.calls import Calls
@@ -273,6 +274,7 @@
         self.wire = NotedWire()
         self.now = START
         self.calls = made(self.wire)
+        self.ending = None
         self.count = 0
         self.given_up, self.seen = set(), set()
         self.doubt_until = defaultdict(int)
@@ -364,6 +366,16 @@
     def machine_goes(self, gw):
         self.calls.machine_lost(self.now, gw)
 
+    @precondition(lambda self: self.ending is None)
+    @rule()
+    def told_to_end(self):
+        self.ending = self.calls.shut_down(self.now)
+
+    @invariant()
+    def all_have_their_answer_in_time_at_an_end(self):
+        if hasattr(self, "calls") and self.ending is not None and self.now > self.ending.answer_by + 2 * BEAT:
+            assert not any(self.calls.on_conn.values())
+
     @rule(ms=st.integers(1, 300))
     def time_passes(self, ms):
         end = self.now + 10 * ms
--- /dev/null
+++ b/tests/test_service_shutdown.py
@@ -0,0 +1,33 @@
+"""When a process that was told to end refuses, has answered all and is gone; no sockets."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gingergap.service.shutdown import KILL_AFTER, LONGEST_COUNTED, schedule
+
+
+# Guards against an end that is later than the earliest SIGKILL, whatever times the deployment gives its set-ups.
+@given(now=st.integers(0, 1 << 50), longest=st.integers(1, 200_000))
+def test_the_schedule_is_in_order_and_ends_before_the_earliest_kill(now, longest):
+    refuse_from, answer_by, close_by = schedule(now, longest)
+    assert now < refuse_from <= answer_by <= close_by < now + min(longest, LONGEST_COUNTED) + KILL_AFTER
+
+
+# Guards against dialogs that the controller holds, routes or sends on when the process has refused or answered them.
+@pytest.mark.parametrize("waits", [True, False])
+def test_the_controller_answers_all_by_the_time_given_and_declines_what_comes_later(mesh, waits):
+    if waits:
+        for gw in (1, 2, 3):
+            mesh.controller.group_told(0, gw, 0, 20)
+    mesh.came(1, expires_in=90_000)
+    mesh.controller.shut_down(1_000, 7_500, 12_000)
+    mesh.came(2, now=2_000, expires_in=90_000)
+    mesh.came(3, now=7_500, expires_in=90_000)
+    assert (3, 0) in mesh.host.asked("decline")
+    mesh.beats(12_200, 2_000)
+    answered = {dialog for name in ("decline", "abort") for dialog, *_ in mesh.host.asked(name)}
+    assert answered == {1, 2, 3}
+    sent = len(mesh.host.asked("send_leg"))
+    mesh.beats(40_000, 12_200)
+    assert len(mesh.host.asked("send_leg")) == sent
