Releases that no caller could be told yet are told within their second, and before the end

Callers saw: a call that was over at its switch stood for good for its caller. Cause: a release with no known caller (one on which a call had stood) waited in Process.untold without a bound, and the end threw the list away. After a restart under load no caller is known for seconds. Evidence: test_a_release_that_no_caller_could_be_told_yet_is_told_before_the_end failed before (closed with nothing said; the test now also closes the file of the other caller's socket, which had kept that connection open) and passes now. Change: after 0.4 s, or at once when the process ends, they go to any caller that has sent a set-up. A connection that is half closed counts as gone.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 from gevent import socket
@@ -40,10 +40,19 @@
 SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
 REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
+UNTOLD_PATIENCE = 0.4  # seconds a release waits for a caller that is known; it is owed within one second
+MOST_UNTOLD = 1000
 FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
 FINISH_SWITCHES = 0.1  # and switches theirs
 
 
+class Untold(NamedTuple):
+    """A release for which there was no caller's connection; `since` in seconds."""
+
+    since: float
+    data: bytes
+
+
 class Caller(Stream):
     """One connection from callers."""
 
@@ -52,7 +61,7 @@
         self.process = process
         self.lines = Lines(self)
         self.since = self.said_at = process.seconds()
-        self.spoken = self.known = False
+        self.spoken = self.known = self.sent_set_up = False
 
     def came(self, data: bytes) -> None:
         self.said_at = self.process.seconds()
@@ -76,6 +85,7 @@
         if self.finishing:  # it crossed the close: its caller sends it again elsewhere
             self.process.details("set-up-crossed-close", id=id)
             return
+        self.sent_set_up = True
         self.process.calls.set_up(self.process.clock(), self, id, *figures)
 
     def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
@@ -105,7 +115,7 @@
         self.most_callers = config.sockets // 2
         self.switches: dict[int, SwitchConnections] = {}
         self.details = DetailLog(self.seconds)
-        self.untold: list[bytes] = []  # releases that no caller could be told yet
+        self.untold: list[Untold] = []  # releases that no caller could be told yet
         self.tests: list[tuple[Caller, str]] = []
         self.started = self.seconds()
         self.ready = False
@@ -164,22 +174,35 @@
         self.details(event, id=id, **fields)
 
     def to_caller(self, conn: Caller | None, data: bytes) -> None:
-        if conn is not None and not conn.closed:
+        if conn is None or conn.closed or conn.finishing:
+            conn = self._known_caller()
+        if conn is not None:
             conn.put(data)
             return
-        other = self._known_caller()
-        if other is not None:
-            other.put(data)
-        else:
-            self.untold.append(data)
-            del self.untold[:-1000]
+        self.untold.append(Untold(self.seconds(), data))
+        del self.untold[:-MOST_UNTOLD]
+
+    def _tell_untold(self) -> None:
+        """Releases that waited go to a known caller; failing that, when time runs out, to one that has sent a set-up."""
+        if not self.untold:
+            return
+        hurry = self.schedule is not None or self.seconds() - self.untold[0].since > UNTOLD_PATIENCE
+        caller = self._known_caller() or (self._calling_caller() if hurry else None)
+        if caller is None:
+            return
+        untold, self.untold = self.untold, []
+        for release in untold:
+            caller.put(release.data)
+
+    def _calling_caller(self) -> Caller | None:
+        return next((caller for caller in reversed(self.callers) if caller.sent_set_up and not caller.finishing), None)
 
     def served(self, conn: Caller) -> None:
         conn.known = True
 
     def _known_caller(self) -> Caller | None:
         """The latest connection on which calls stood; any other may be anybody's."""
-        return next((caller for caller in reversed(self.callers) if caller.known and not caller.closed), None)
+        return next((caller for caller in reversed(self.callers) if caller.known and not caller.finishing), None)
 
     def link_to(self, gw: int, used: set[Any]) -> SwitchConnection | None:
         switch = self.switches.get(gw)
@@ -343,12 +366,7 @@
             if not switch.wanted and not switch.links and not self.standing_at(switch):
                 del self.switches[switch.gw]
         self._look_at_callers()
-        if self.untold:
-            known = self._known_caller()
-            if known is not None:
-                untold, self.untold = self.untold, []
-                for data in untold:
-                    known.put(data)
+        self._tell_untold()
         if not self.ready and (
             self.seconds() - self.started > READY
             or all(switch.main is not None and switch.main.state for switch in self.switches.values())
@@ -396,6 +414,7 @@
             return
         if self.listener is not None:
             self._stop_listening()
+        self._tell_untold()
         overdue = now >= self.schedule.close_by
         for caller in list(self.callers):
             if not caller.finishing and (overdue or caller.at_rest()):
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -128,7 +128,9 @@
     other.set_up(B[:-1] + "c")
     assert other.next()["type"] == "answer"  # so that a connection to the switch is there
     conn, _ = service.switches["s1"].next("INVITE")
+    other.file.close()
     other.sock.close()
+    scripted.threading.Event().wait(0.2)
     conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
     scripted.threading.Event().wait(0.2)
     service.process.send_signal(scripted.signal.SIGTERM)
