A process that begins keeps a connection to switches that are draining already

Callers saw: after a restart, calls that ended at a draining switch stood for good. Cause: Process.listed followed only switches in service; calls of the process before stood at others, whose releases come on the next connection that is opened, and none was. Change: a switch first seen draining is followed as one in service is; the controller sends nothing new there.

--- a/gingergap/listfeed/poll.py
+++ b/gingergap/listfeed/poll.py
@@ -70,7 +70,7 @@
         for line in event.topology.targets:
             if line.state not in STATES or line.boot_ms < 0 or not -1 <= line.pod_group < 1_000_000:
                 raise BadFeedError(f"a field of {line.uid!r} makes no sense")
-            if STATES[line.state] == GwState.READY:
+            if STATES[line.state] == GwState.READY or line.endpoint and STATES[line.state] == GwState.DRAINING:
                 try:
                     address_of(line.endpoint)
                 except ValueError as bad:
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -321,17 +321,22 @@
                 switch.wanted = switch.wanted and gw in named
         for line in entries:
             gw, state = self.calls.gw_of[line.uid], state_of(line)
-            switch = self.switches.get(gw)
-            if state == GwState.READY and self.calls.numbers[gw] != self.calls.controller.here:
-                address = address_of(line.endpoint)
-                if switch is not None and switch.address != address:
-                    switch.close()
-                    switch = None
-                if switch is None:
-                    switch = self.switches[gw] = SwitchConnections(self, gw, address, self.connect_timeout)
-                switch.wanted = True
-            elif switch is not None and state == GwState.GONE:
-                switch.wanted = False
+            if self.calls.numbers[gw] == self.calls.controller.here:
+                continue
+            if state == GwState.READY or state == GwState.DRAINING and gw not in self.switches and line.endpoint:
+                # A switch that drains already gets nothing new, but calls that stood there before may end.
+                self._follow_switch(gw, address_of(line.endpoint))
+            elif state == GwState.GONE and gw in self.switches:
+                self.switches[gw].wanted = False
+
+    def _follow_switch(self, gw: int, address: tuple[str, int]) -> None:
+        switch = self.switches.get(gw)
+        if switch is not None and switch.address != address:
+            switch.close()
+            switch = None
+        if switch is None:
+            switch = self.switches[gw] = SwitchConnections(self, gw, address, self.connect_timeout)
+        switch.wanted = True
 
     def batch_came(self, batch: Batch) -> None:
         for number, whole, entries in events_after(self.last, batch):
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -202,3 +202,22 @@
     pause.wait(0.2)
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (1024, 1024))
     assert caller.next()["id"] == A
+
+
+# Guards against calls that stand for good: they stood at a draining switch before the process began, and it had no connection
+# on which their ends could come.
+def test_a_process_that_begins_hears_of_calls_that_end_at_a_draining_switch(tmp_path):
+    switch = scripted.Switch()
+    service = scripted.Service(tmp_path, known_states={"s1": "terminating"}, s1=switch)
+    try:
+        caller = service.caller()
+        caller.set_up(B, far=2)
+        assert caller.next()["type"] == "answer"
+        deadline = scripted.time.monotonic() + scripted.WAIT
+        while not switch.conns and scripted.time.monotonic() < deadline:
+            scripted.time.sleep(0.01)
+        switch.conns[0].sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+        assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
+        assert not any(message.method == "INVITE" for _, message in list(switch.came.queue))
+    finally:
+        service.close()
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -186,6 +186,7 @@
     since: float
     released: float = 0.0
     heard_bye: float = 0.0
+    cut: bool = False  # with its machine, which sends no release
 
 
 def sip(first: str, id: str, method: str, extra: str = "", body: str = "") -> bytes:
@@ -301,6 +302,15 @@
         await asyncio.sleep(self.random.uniform(0.1, self.hold))
         self._release(call, writer)
 
+    def die(self) -> None:
+        """The process ends: it resets its connections and cuts its calls."""
+        self.stop_listening()
+        for call in self.standing.values():
+            call.released, call.cut = now(), True
+        self.standing.clear()
+        self.unsent.clear()
+        self.reset_all()
+
     def _release(self, call: Standing, writer: asyncio.StreamWriter) -> None:
         if self.standing.pop(call.id, None) is None:
             return
