An answer that crosses CANCEL on a half closed connection is released on another

Callers saw nothing; the call stood at its switch with nobody at the other end. Cause: the connection of a leg called off is half closed soon after; the BYE for a 200 that crossed was put on it and dropped. Change: Wire.to_link says whether it could write; else the BYE goes on any connection to that switch, or the next. Connections that can't be written any more get no set-up.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -50,7 +50,8 @@
 
     def is_up(self, link: Link) -> bool: ...
 
-    def to_link(self, link: Link, data: bytes) -> None: ...
+    def to_link(self, link: Link, data: bytes) -> bool:
+        """Whether it can still be written there."""
 
     def to_switch(self, gw: int, data: bytes) -> None:
         """On any connection there, or the next that is opened."""
@@ -321,7 +322,9 @@
             off = self.called_off.pop((id, link), None)
             if off is not None:  # it crossed the CANCEL, and stands at the switch
                 self.count("crossed answers released")
-                self.wire.to_link(link, messages.ack(off[2], id, off[1]) + messages.bye(off[2], id, off[1] + 1, NORMAL))
+                goodbye = messages.ack(off[2], id, off[1]) + messages.bye(off[2], id, off[1] + 1, NORMAL)
+                if not self.wire.to_link(link, goodbye):
+                    self.wire.to_switch(off[0], goodbye)
             return
         self.wire.to_link(link, messages.ack(call.number, id, call.legs))
         del self.on_link[link][id]
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -211,8 +211,9 @@
     def is_up(self, link: SwitchConnection) -> bool:
         return link.up
 
-    def to_link(self, link: SwitchConnection, data: bytes) -> None:
+    def to_link(self, link: SwitchConnection, data: bytes) -> bool:
         link.put(data)
+        return not link.closed and not link.finishing
 
     def to_switch(self, gw: int, data: bytes) -> None:
         switch = self.switches.get(gw)
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -118,7 +118,7 @@
 
     def link_to(self, used: set[Any]) -> SwitchConnection | None:
         """A connection for a set-up: a free one, else a new one, else the least busy. None: nobody is there."""
-        free = [link for link in self.links if not link.retired and link not in used]
+        free = [link for link in self.links if not link.retired and not link.finishing and link not in used]
         up = sorted((self.owner.link_busy(link), not link.up, place) for place, link in enumerate(free))
         if up and up[0][0] == 0 and free[up[0][2]].up:
             return free[up[0][2]]
@@ -131,7 +131,7 @@
     def send(self, data: bytes) -> None:
         """On any connection, or the next."""
         for link in self.links:
-            if link.up and not link.retired:
+            if link.up and not link.retired and not link.finishing:
                 link.put(data)
                 return
         self.waiting.append(data)
@@ -191,7 +191,7 @@
                     link.retired = True
                     link.finish(FINISH)
             return
-        up = [link for link in self.links if link.up and not link.retired]
+        up = [link for link in self.links if link.up and not link.retired and not link.finishing]
         opening = any(not link.up for link in self.links)
         # A release that crossed the close of its connection went to nobody while others stayed open: it is sent again
         # on the next connection that is opened, and has to reach its caller within a second.
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -64,6 +64,7 @@
 
     def to_link(self, link, data):
         self.to_switches += [(link, message) for message in Framer().feed(data)]
+        return True
 
     def to_switch(self, gw, data):
         self.to_switches += [(gw, message) for message in Framer().feed(data)]
