A leg whose connection never came up is not held for one in doubt

Callers saw: set-ups failed, where they could have been refused or sent on, when a connection to a switch was late. Cause: Calls.beat told the controller NO_ANSWER for every leg whose time ran out, also for one that had not left, and retired the connection that was still opening. Evidence: test_a_leg_whose_connection_never_came_up_is_not_in_doubt failed before (the connection was retired) and passes now. Change: such a leg ends as UNREACHABLE.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -437,9 +437,11 @@
             call = self.by_dialog.get(dialog)
             if call is not None and call.legs == leg and call.link is not None and not call.stands:
                 link = call.link
-                self._call_off(call)
-                self.wire.spoilt(link)
-                self._leg_over(call, LegEnd.NO_ANSWER)
+                if self._call_off(call):
+                    self.wire.spoilt(link)
+                    self._leg_over(call, LegEnd.NO_ANSWER)
+                else:
+                    self._leg_over(call, LegEnd.UNREACHABLE)  # its connection was not made: it never left
         while self.lately:
             id = next(iter(self.lately))
             if self.lately[id] > now:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -410,3 +410,29 @@
 
 TestAnyOrder = AnyOrder.TestCase
 TestAnyOrder.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+
+
+# Guards against a set-up that leaves for a draining switch: it waited for its connection while the drain was told.
+@pytest.mark.parametrize("state", [GwState.DRAINING, GwState.GONE])
+def test_a_leg_that_waits_for_its_connection_does_not_leave_once_its_switch_drains(state):
+    wire = NotedWire()
+    wire.opens = False
+    calls = made(wire)
+    came(calls, "a" * 16, START, "c", 1, "voice", 2000, 1)
+    link = wire.links
+    calls.listed(START + 100, False, [("s-1", 1, state, 0)])
+    wire.up.add(link)
+    calls.link_up(START + 200, link)
+    assert not [message for where, message in wire.sent("INVITE") if where == link]
+
+
+# Guards against a leg that never left being held for one in doubt, so that its set-up failed instead of being refused.
+def test_a_leg_whose_connection_never_came_up_is_not_in_doubt():
+    wire = NotedWire()
+    wire.opens = False
+    calls = made(wire)
+    came(calls, "a" * 16, START, "c", 1, "voice", 300, 1)
+    for now in range(START, START + 4000, 100):
+        calls.beat(now)
+    assert not wire.retired and not wire.sent("CANCEL")
+    assert [line["type"] for line in wire.told("a" * 16)] == ["release"]
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import tempfile
+import time
 from pathlib import Path
 
 import gevent
@@ -213,9 +214,9 @@
         caller = service.caller()
         caller.set_up(B, far=2)
         assert caller.next()["type"] == "answer"
-        deadline = scripted.time.monotonic() + scripted.WAIT
-        while not switch.conns and scripted.time.monotonic() < deadline:
-            scripted.time.sleep(0.01)
+        deadline = time.monotonic() + scripted.WAIT
+        while not switch.conns and time.monotonic() < deadline:
+            time.sleep(0.01)
         switch.conns[0].sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
         assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 16}
         assert not any(message.method == "INVITE" for _, message in list(switch.came.queue))
