A set-up that waits for its connection does not leave once its switch drains

Switches saw: set-ups up to half a second after the end of the grace, where connections came up late near a drain. Cause: Calls.link_up sent whatever had waited, whatever the list had said since. Evidence: test_a_leg_that_waits_for_its_connection_does_not_leave_once_its_switch_drains failed before for both states, passes now. Change: when the list changes, legs that have not left and whose switch is no longer ready end as UNREACHABLE and are routed anew.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -425,8 +425,16 @@
             if started > 0:
                 self._cut(gw, [call for call in self.standing.get(gw, {}).values() if call.sent_at < started])
         self.controller.list_pushed(now, told, whole)
+        self._drop_unsent_legs()
         self._tell_later()
 
+    def _drop_unsent_legs(self) -> None:
+        """Legs that wait for a connection to a switch that drains or has gone must not leave when it comes up."""
+        unsent = [call for held in self.on_link.values() for call in held.values() if call.sent_at < 0]
+        for call in unsent:
+            if call.link is not None and call.sent_at < 0 and not self.controller.gws[call.gw].ready:
+                self._leg_over(call, LegEnd.UNREACHABLE)
+
     # --- time ---
 
     def beat(self, now: int) -> None:
