A connection to a switch that comes up late is still used, and only its legs move on

Callers saw: an exchange as unreachable for good, and calls there declared over, where each connection took longer than the limit. Cause: the settings' time for a connection (0.5 s) ended the attempt itself, so a slow machine could never meet it; after 2.5 s of failed attempts the machine counted as lost. Evidence: test_a_connection_that_comes_up_late_is_used_and_its_legs_have_gone_elsewhere failed before and passes now. Change: after that time its legs end as unreachable, as the settings say; the attempt goes on for 3 s, three such at once.

--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -22,6 +22,8 @@
 LOST = 2.5  # seconds for which nobody was there before the machine counts as lost
 FINISH = 1.0  # seconds in which a switch may close its end of a connection that is given back
 AGAIN = 0.2  # seconds between tries to connect
+LATEST = 3.0  # seconds for which a connection that is late is still tried
+MOST_LATE = 3
 
 
 class Owner(Protocol):
@@ -53,16 +55,22 @@
         self.switch = switch
         self.reader = Reader(self)
         self.up = self.retired = False
+        self.late = False  # not up within the time for a connection, and still tried
+        self.opened_at = switch.now()
         self.heard_at = 0.0
         self.state: dict[str, float] = {}
 
     def open(self) -> None:
-        if not self.connect(self.switch.address, self.switch.connect_timeout):
+        if not self.connect(self.switch.address, LATEST):
             return
         self.up = True
         self.switch.came_up(self)
         self.read()
 
+    def usable(self) -> bool:
+        """Whether a set-up may go out on it, now or once it is up."""
+        return not self.retired and not self.finishing and not self.late
+
     def came(self, data: bytes) -> None:
         self.heard_at = self.switch.heard_at = self.switch.now()
         try:
@@ -118,20 +126,20 @@
 
     def link_to(self, used: set[Any]) -> SwitchConnection | None:
         """A connection for a set-up: a free one, else a new one, else the least busy. None: nobody is there."""
-        free = [link for link in self.links if not link.retired and not link.finishing and link not in used]
+        free = [link for link in self.links if link.usable() and link not in used]
         up = sorted((self.owner.link_busy(link), not link.up, place) for place, link in enumerate(free))
         if up and up[0][0] == 0 and free[up[0][2]].up:
             return free[up[0][2]]
         if self.failed_since and not any(link.up for link in free):
             return None
-        if len([link for link in self.links if not link.retired]) < MOST_LINKS:
+        if len([link for link in self.links if link.usable()]) < MOST_LINKS:
             return self._open()
         return free[up[0][2]] if up else self._open()
 
     def send(self, data: bytes) -> None:
         """On any connection, or the next."""
         for link in self.links:
-            if link.up and not link.retired and not link.finishing:
+            if link.up and link.usable():
                 link.put(data)
                 return
         self.waiting.append(data)
@@ -147,6 +155,7 @@
 
     def came_up(self, link: SwitchConnection) -> None:
         self.failed_since = 0.0
+        link.late = False
         self.heard_at = link.heard_at = self.now()
         waiting, self.waiting = self.waiting, []
         for data in waiting:
@@ -172,6 +181,17 @@
         if self.main is not None and self.main.state:
             self.main.reported(self.main.state)
 
+    def _look_at_late(self, now: float) -> None:
+        """Set-ups don't wait for a connection that is late; it may still come up, as from a slow machine."""
+        for link in self.links:
+            if not link.up and not link.late and now - link.opened_at > self.connect_timeout:
+                link.late = True
+                self.failed_since = self.failed_since or now
+                self.owner.link_lost(link, False)
+        late = [link for link in self.links if link.late]
+        for link in late[:-MOST_LATE]:
+            link.close(False, "late, and others are tried")
+
     def look(self) -> None:
         """From time to time: stalled messages, retired connections, and whether anybody is there."""
         now = self.now()
@@ -191,8 +211,9 @@
                     link.retired = True
                     link.finish(FINISH)
             return
-        up = [link for link in self.links if link.up and not link.retired and not link.finishing]
-        opening = any(not link.up for link in self.links)
+        self._look_at_late(now)
+        up = [link for link in self.links if link.up and link.usable()]
+        opening = any(not link.up and not link.late for link in self.links)
         # A release that crossed the close of its connection went to nobody while others stayed open: it is sent again
         # on the next connection that is opened, and has to reach its caller within a second.
         if (
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -8,6 +8,7 @@
 class NotedOwner:
     def __init__(self):
         self.now, self.busy, self.standing, self.lost = 1000.0, {}, 0, []
+        self.lost_links = []
 
     def clock(self):
         return int(self.now * 10_000)
@@ -16,7 +17,7 @@
         pass
 
     def link_lost(self, link, was_up):
-        pass
+        self.lost_links.append(link)
 
     def link_busy(self, link):
         return self.busy.get(link, 0)
@@ -129,3 +130,15 @@
     assert switch.owner.calls.told == [{"idle": 1}]
     first.close(True)
     assert switch.owner.calls.told == [{"idle": 1}, {"idle": 2}]
+
+
+# Guards against a switch whose connections all come up later than the time for one, which was never reached at all.
+def test_a_connection_that_comes_up_late_is_used_and_its_legs_have_gone_elsewhere(switch):
+    link = switch.link_to(set())
+    switch.owner.now += switch.connect_timeout + 0.1
+    switch.look()
+    assert link in switch.owner.lost_links and not link.closed
+    assert switch.link_to(set()) is None  # nobody is known to be there
+    link.up = True
+    switch.came_up(link)
+    assert switch.link_to(set()) is link
