A call that is declared over with its machine is released there too

Callers were told of the end, but the call stood on at a switch that had only been cut off, and came back. Cause: Calls.machine_lost told callers alone; found by reading, in the search for what an end leaves standing. Change: a BYE waits for the next connection to that switch.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -394,8 +394,10 @@
             self.controller.group_told(self.now, other, free, size)
 
     def machine_lost(self, now: int, gw: int) -> None:
-        """Nothing comes from there and nothing is taken: what stood there is over."""
+        """Nothing comes from there and nothing is taken: what stood there is over, also there should it come back."""
         self.now = now
+        for call in self.standing.get(gw, {}).values():
+            self.wire.to_switch(gw, messages.bye(call.number, call.id, call.legs + 1, ABORTED))
         self._cut(gw, list(self.standing.get(gw, {}).values()))
         self._tell_later()
 
