--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -352,6 +352,16 @@
     SLOW_WRITER = "stops in the middle of lines, for up to a second"
 
 
+class NotingProtocol(asyncio.StreamReaderProtocol):
+    """Knows when the peer's close has come, however late the reader gets to it."""
+
+    closing = False
+
+    def eof_received(self) -> bool | None:
+        self.closing = True
+        return super().eof_received()
+
+
 class Caller:
     """A client of one node that keeps a connection open and sends set-ups on it, and comes again at once when it ends."""
 
@@ -370,7 +380,7 @@
     async def run(self) -> None:
         while not self.stopping:
             try:
-                self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 20)
+                await self._connect()
             except OSError:
                 await asyncio.sleep(0.05)
                 continue
@@ -386,6 +396,13 @@
             await asyncio.wait([reading])
             self.writer.close()
 
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.reader = asyncio.StreamReader(limit=1 << 20)
+        self.protocol = NotingProtocol(self.reader)
+        transport, _ = await loop.create_connection(lambda: self.protocol, "127.0.0.1", self.port)
+        self.writer = asyncio.StreamWriter(transport, self.protocol, self.reader, loop)
+
     async def _send_on(self, reading: asyncio.Task) -> None:
         while not self.stopping and not reading.done():
             await asyncio.wait([reading], timeout=self.random.expovariate(self.rate))
@@ -414,7 +431,7 @@
             await asyncio.sleep(self.random.uniform(0, 0.2 if self.fault is CallerFault.PIECES else 1.0))
             self.mid_line = False
             line, self.held_back = line[cut:] + self.held_back, b""
-        if self.writer.is_closing() or self.reader.at_eof():
+        if self.writer.is_closing() or self.protocol.closing:
             return
         set_up.connection_ended = 0.0
         self.open[set_up.id] = set_up
@@ -465,7 +482,7 @@
                 asyncio.get_running_loop().call_later(self.random.uniform(0.05, 0.4), self._end, set_up)
 
     def _end(self, set_up: SetUp) -> None:
-        if set_up.released or self.writer.is_closing() or self.reader.at_eof():
+        if set_up.released or self.writer.is_closing() or self.protocol.closing:
             return
         set_up.ended_by_caller = now()
         self._release(set_up)
