Trials write down what a broken rule rests on, and judge only what their peers saw in time

Seen in soaks: breaks that did not come again and left no trace. Releases cut with a machine shortly before SIGTERM are now judged.

--- a/tests/trial.py
+++ b/tests/trial.py
@@ -1,6 +1,7 @@
 """A short dense trial of a few service processes among peers that fail, by a seed; and the rules judged from what passed.
 
 By hand: `.venv/bin/python tests/trial.py FIRST LAST [SIDE_BY_SIDE]` plays the seeds of a range and prints what broke.
+With TRIAL_TRACE naming a folder, what is known of each broken rule is written there.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 TOLD_AFTER_RELOAD = 4.0
 KILL_AFTER = 3.7  # longest deadline and 0.7 s: the earliest SIGKILL
 RELEASED_WITHIN, RELEASED_AT_LATEST = 1.0, 8.0
+CUT_IS_SEEN = 0.4  # seconds after SIGTERM in which a process still finds out that a switch has died
 MOST_SHOWN = 6  # broken rules a seed
 MEASURING = 0.05  # seconds by which two processes of one machine may see an instant apart
 
@@ -62,6 +64,8 @@
     legs: list[Leg] = field(default_factory=list)
     calls: list[Standing] = field(default_factory=list)
     logs: dict[str, Path] = field(default_factory=dict)
+    stalls: list[tuple[float, float]] = field(default_factory=list)  # when the peers themselves stood still
+    caller_closes: list[float] = field(default_factory=list)
 
 
 class Node:
@@ -159,6 +163,7 @@
         bus = await self.new_bus()
         own = {"uid": "s-0", "endpoint": "127.0.0.1:9", "pod_group": 0, "state": "in_service", "boot_ms": 0}
         bus.tell(own, *(entry(switch) for switch in self.switches), whole=True)
+        self.tasks.append(asyncio.ensure_future(self._watch_stalls()))
         self.node = Node("n0", self.folder, bus, {}, self.record, sockets)
         await self.node.start()
 
@@ -170,6 +175,14 @@
         self.buses.append(bus)
         return bus
 
+    async def _watch_stalls(self) -> None:
+        last = now()
+        while True:
+            await asyncio.sleep(0.01)
+            if now() - last > MEASURING:
+                self.record.stalls.append((last, now()))
+            last = now()
+
     def add_caller(self, fault: CallerFault = CallerFault.NONE, rate: float = 8.0) -> Caller:
         numbers = [switch.number for switch in self.switches]
         caller = Caller(self.node.name, self.node.port, Random(self.random.random()), self.record.set_ups, fault, numbers)
@@ -207,6 +220,7 @@
         for peer in (*self.switches, *self.buses):
             peer.close()
         self.record.legs = sorted((leg for switch in self.switches for leg in switch.legs), key=lambda leg: leg.began)
+        self.record.caller_closes = [at for caller in self.callers for at in getattr(caller, "closed_at", [])]
         self.record.calls = [call for switch in self.switches for call in switch.calls]
         await asyncio.sleep(0.05)
 
@@ -260,11 +274,16 @@
     return [f"lost: {name} never answered"] if set_up.sent + set_up.left + ANSWER_SLACK + SLACK < end else []
 
 
+def _stalled(record: Record, *times: float) -> bool:
+    """Whether the peers stood still at one of the times, so that they read it late."""
+    return any(begin - MEASURING < at < end + MEASURING for at in times for begin, end in record.stalls)
+
+
 def _legs_broken(record: Record, told: dict[str, float]) -> list[str]:
     found = []
     last: dict[str, Leg] = {}
     for leg in record.legs:
-        if leg.read_late:
+        if leg.read_late or _stalled(record, leg.began, leg.ended):
             continue
         before = last.get(leg.id)
         last[leg.id] = leg
@@ -289,9 +308,13 @@
             if call.released == 0.0 and not call.heard_bye and end - call.since > RELEASED_AT_LATEST:
                 found.append(f"standing: {call.id} refused to its caller, and stands at {call.uid}")
             continue
-        if call.cut and any(stop.node == set_up.node and stop.ended > call.since for stop in record.stops):
-            continue  # another process serves by then: nobody could tell it of this call
+        if call.cut and any(
+            stop.node == set_up.node and stop.at + CUT_IS_SEEN < call.released < stop.ended + 3 for stop in record.stops
+        ):
+            continue  # cut as the process ended, or before the next began: nobody could tell that of this call
         stopped = call.cut or any(stop.node == set_up.node and call.since - 5 < stop.at for stop in record.stops)
+        if any(abs(closed - call.released) < MEASURING for closed in record.caller_closes):
+            continue  # told on a connection that its caller closed at that moment, unread
         limit = RELEASED_AT_LATEST if stopped else RELEASED_WITHIN
         over = call.released or 0.0
         if answered and over and not set_up.released and not set_up.ended_by_caller and over + limit + SLACK + MEASURING < end:
@@ -301,6 +324,21 @@
     return found
 
 
+def trace(record: Record, broken: list[str], path: Path) -> None:
+    """Write what is known of each call that a broken rule names: its set-up, legs, standing, and the process's lines."""
+    lines = [str(stop) for stop in record.stops]
+    lines += [f"stalls {record.stalls}", f"callers' closes {record.caller_closes}"]
+    logged = [line for log in record.logs.values() for line in log.read_text().splitlines()]
+    for sentence in broken:
+        lines += ["", sentence]
+        for word in sentence.split():
+            if word in record.set_ups:
+                known = [record.set_ups[word], *record.legs, *record.calls]
+                lines += [f"  {entry}" for entry in known if entry.id == word]
+                lines += [f"  log: {line}" for line in logged if word in line]
+    path.write_text("\n".join([*lines, "", *(line for line in logged if " list-changed " in line or "end" in line)]))
+
+
 # --- scenarios ---
 
 
@@ -339,7 +377,10 @@
         await cancel(tasks[1:])
         await tasks[0]
         await self.end()
-        return broken_rules(self.record, self.told, began + (now() - began))
+        broken = broken_rules(self.record, self.told, now())
+        if broken and "TRIAL_TRACE" in os.environ:
+            trace(self.record, broken, Path(os.environ["TRIAL_TRACE"]) / f"trial-{os.getpid()}-{int(began)}.txt")
+        return broken
 
     @property
     def told(self) -> dict[str, float]:
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -18,6 +18,7 @@
 NORMAL_RELEASE, TEMPORARY_FAILURE = 16, 41  # causes of Q.850
 FREE_CIRCUITS = 40
 SDP_TAIL = "c=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"
+SILENCE_LASTS = 0.1  # seconds after a silence in which a switch still reads what came during it
 CROSSING = 0.05  # seconds in which a set-up may cross the close of its connection and be sent again
 
 
@@ -202,25 +203,29 @@
         super().__init__()
         self.uid, self.number, self.random, self.replies, self.delay = uid, number, random, replies, delay
         self.hold = 1.0
+        self.silent_until = -1e9  # what is read soon after may have come long before
         self.silent = False  # reads nothing and says nothing, as a machine that hangs
         self.open_legs: dict[tuple[str, asyncio.StreamWriter], Leg] = {}
         self.legs: list[Leg] = []
         self.standing: dict[str, Standing] = {}
         self.calls: list[Standing] = []
-        self.unsent: dict[str, bytes] = {}  # releases, sent also on the next connection that is opened
+        self.unsent: dict[str, tuple[Standing, bytes]] = {}  # releases, sent also on the next connection that is opened
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         state = f"Link-State: idle:{FREE_CIRCUITS};circuits:{FREE_CIRCUITS}\r\n"
         writer.write(sip("NOTIFY sip:x@net SIP/2.0", "0" * 16, "NOTIFY", state))
-        for data in self.unsent.values():
+        for _, data in self.unsent.values():
             writer.write(data)
         self.unsent.clear()
         framer = Framer()
         try:
             while data := await reader.read(65_536):
-                late = self.silent
+                late = self.silent or now() - self.silent_until < SILENCE_LASTS
                 while self.silent:
                     await asyncio.sleep(0.05)
+                    self.silent_until = now()
+                for key, leg in self.open_legs.items():
+                    leg.read_late = leg.read_late or late and key[1] is writer
                 for message in framer.feed(data):
                     if not isinstance(message, BadMessageError):
                         self._came(message, writer, late)
@@ -305,7 +310,7 @@
     def die(self) -> None:
         """The process ends: it resets its connections and cuts its calls."""
         self.stop_listening()
-        for call in self.standing.values():
+        for call in [*self.standing.values(), *(call for call, _ in self.unsent.values())]:
             call.released, call.cut = now(), True
         self.standing.clear()
         self.unsent.clear()
@@ -316,7 +321,7 @@
             return
         call.released = now()
         data = sip("BYE sip:x@net SIP/2.0", call.id, "BYE", f"Reason: Q.850;cause={NORMAL_RELEASE}\r\n")
-        self.unsent[call.id] = data
+        self.unsent[call.id] = call, data
         carrier = writer if writer in self.writers else next(iter(self.writers), None)
         if carrier is not None:
             carrier.write(data)
@@ -356,9 +361,10 @@
     """Knows when the peer's close has come, however late the reader gets to it."""
 
     closing = False
+    closed_at = 0.0
 
     def eof_received(self) -> bool | None:
-        self.closing = True
+        self.closing, self.closed_at = True, now()
         return super().eof_received()
 
 
@@ -372,6 +378,7 @@
         self.numbers = numbers
         self.rate = 8.0  # set-ups a second
         self.stopping = False
+        self.closed_at: list[float] = []  # when it closed a connection itself: what came then it has not read
         self.mid_line, self.held_back = False, b""  # a line stands half: what else is to be said waits
         self.open: dict[str, SetUp] = {}
         self.reader: asyncio.StreamReader | None = None
@@ -416,6 +423,7 @@
             if self.fault is CallerFault.CLOSES and self.random.random() < 0.1:
                 for other in self.open.values():
                     other.given_up = other.given_up or now()
+                self.closed_at.append(now())
                 reset(self.writer) if self.random.random() < 0.5 else self.writer.close()
                 return
 
@@ -464,7 +472,7 @@
         finally:
             for set_up in self.open.values():
                 set_up.connection_ended = now()
-                crossed = now() - set_up.sent <= CROSSING and not set_up.given_up
+                crossed = (self.protocol.closed_at or now()) - set_up.sent <= CROSSING and not set_up.given_up
                 set_up.crossed, set_up.sent_again = crossed and not set_up.sent_again, set_up.crossed
             self.ended = ended
 
