The end has a bound of its own, and calls at dead switches are ended before it

Callers saw: a call stood for good whose switch had died just before its proxy was told to end; only that process knew of it. Cause: a machine counted as lost after 2.5 s without a connection, also when its connections are refused, and the end did not wait. Related: a step of the end that fails each time would have kept the process until SIGKILL. Change: at the end a refused connection ends the calls there at once; while one is in doubt callers' connections stay, to close_by at the latest; no new connections to switches once nobody can be told; a timer ends the process whatever its steps do.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -368,8 +368,11 @@
                 traceback.print_exc()
 
     def _look(self) -> None:
+        # Without callers a new connection to a switch would bring releases that nobody can be told.
+        nobody = self.schedule is not None and self.listener is None and all(caller.finishing for caller in self.callers)
         for switch in list(self.switches.values()):
-            switch.look()
+            if not nobody:
+                switch.look()
             if not switch.wanted and not switch.links and not self.standing_at(switch):
                 del self.switches[switch.gw]
         self._look_at_callers()
@@ -400,6 +403,9 @@
         if self.ending is None:
             self.ending = self.seconds()
             self.schedule = self.calls.shut_down(self.clock())
+            # Whatever may go wrong in the steps of an end, it has a bound of its own.
+            latest = (self.schedule.close_by - self.clock()) / 10_000 + FINISH + FINISH_SWITCHES
+            gevent.spawn_later(max(0.0, latest), self.over.set)
             log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.untold))
 
     def _log_end(self) -> None:
@@ -414,6 +420,16 @@
             untold=len(self.untold),
         )
 
+    def _end_calls_of_the_dead(self) -> None:
+        """Once this process is gone nobody knows of calls whose switch has died, so their callers are told before."""
+        for switch in self.switches.values():
+            if switch.refused and self.standing_at(switch) and not any(link.up for link in switch.links):
+                self.machine_lost(switch)
+
+    def _doubts_a_switch(self) -> bool:
+        """Whether calls stand at a switch that can't be reached: it may turn out to be lost while callers can be told."""
+        return any(switch.failed_since and self.standing_at(switch) for switch in self.switches.values())
+
     def _advance_end(self) -> None:
         """One step of the end: first callers' connections, each once nothing is owed on it, then the switches'."""
         now = self.clock()
@@ -421,8 +437,11 @@
             return
         if self.listener is not None:
             self._stop_listening()
+        self._end_calls_of_the_dead()
         self._tell_untold()
         overdue = now >= self.schedule.close_by
+        if not overdue and self._doubts_a_switch():
+            return
         for caller in list(self.callers):
             if not caller.finishing and (overdue or caller.at_rest()):
                 caller.finish(FINISH)
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -245,3 +245,29 @@
         said = caller.next()
         assert said is not None and said["id"] == f"{id(caller):016x}"[-16:]
     assert len(late) == 8
+
+
+# Guards against calls whose callers are never told: their switch died just before the process ended, which alone knew of them.
+def test_calls_at_a_switch_that_has_died_are_ended_before_the_process_is_gone(start):
+    service = start()
+    caller = service.caller()
+    caller.set_up(A)
+    assert caller.next()["type"] == "answer"
+    service.switches["s1"].die()
+    service.process.send_signal(scripted.signal.SIGTERM)
+    assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 41}
+
+
+# Guards against a fault of the end's own steps keeping the process until SIGKILL.
+def test_the_end_has_a_bound_also_where_a_step_of_it_fails(monkeypatch):
+    import gingergap.service.process as module
+
+    class Failing(module.Process):
+        def __init__(self):
+            self.over, self.ending, self.schedule, self.callers, self.untold = module.Event(), None, None, {}, []
+            self.calls = type("Calls", (), {"by_dialog": {}, "shut_down": lambda self, now: module.Schedule(now, now, now + 10)})()
+            self.ahead = 0
+
+    process = Failing()
+    process.end()
+    assert process.over.wait(scripted.WAIT)
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -6,6 +6,7 @@
 import queue
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -51,6 +52,15 @@
         for conn in self.conns:
             conn.close()
 
+    def die(self):
+        """As a process that is killed: connections are reset, and new ones refused."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for conn in self.conns:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            conn.shutdown(socket.SHUT_RD)
+            conn.close()
+
 
 def sip(first, id, cseq, extra="", body=""):
     return (
