A release close to the end does not overtake its answer on another connection

Callers saw: a release for a call, then its answer: two final answers, where they read slowly. Cause: the connection of the answer was half closed as soon as nothing was owed on it, so a release that came soon after went to another known caller. Change: a connection counts as at rest 0.4 s after its last answer.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -42,6 +42,7 @@
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
 UNTOLD_PATIENCE = 0.4  # seconds a release waits for a caller that is known; it is owed within one second
 MOST_UNTOLD = 1000
+ANSWER_SETTLES = 0.4  # seconds: a release that comes soon after must not overtake its answer on another connection
 FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
 FINISH_SWITCHES = 0.1  # and switches theirs
 
@@ -62,6 +63,7 @@
         self.lines = Lines(self)
         self.since = self.said_at = process.seconds()
         self.spoken = self.known = self.sent_set_up = False
+        self.answered_at = 0.0  # seconds: when the last call of it began to stand
 
     def came(self, data: bytes) -> None:
         self.said_at = self.process.seconds()
@@ -76,6 +78,8 @@
 
     def at_rest(self) -> bool:
         """Nothing is owed on it and nothing of its peer waits to be read, so that it may be closed."""
+        if self.process.seconds() - self.answered_at < ANSWER_SETTLES:
+            return False
         return not (self in self.process.calls.on_conn or self.queue or self.lines.held or self.readable())
 
     # --- what the lines are ---
@@ -199,6 +203,7 @@
 
     def served(self, conn: Caller) -> None:
         conn.known = True
+        conn.answered_at = self.seconds()
 
     def _known_caller(self) -> Caller | None:
         """The latest connection on which calls stood; any other may be anybody's."""
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -271,3 +271,20 @@
     process = Failing()
     process.end()
     assert process.over.wait(scripted.WAIT)
+
+
+# Guards against a release that overtakes its answer: the answer's connection was half closed before its caller had read it,
+# and the release went to another.
+def test_a_release_close_to_the_end_comes_after_its_answer_on_the_same_connection(start):
+    service = start()
+    other, caller = service.caller(), service.caller()
+    other.set_up(B)
+    assert other.next()["type"] == "answer"
+    conn, _ = service.switches["s1"].next("INVITE")
+    service.process.send_signal(scripted.signal.SIGTERM)
+    time.sleep(0.65)
+    caller.set_up(A)
+    conn, _ = service.switches["s1"].next("INVITE")
+    time.sleep(0.2)
+    conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    assert [caller.next()["type"], caller.next()["type"]] == ["answer", "release"]
