--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -358,11 +359,19 @@
 
 
 class NotingProtocol(asyncio.StreamReaderProtocol):
-    """Knows when the peer's close has come, however late the reader gets to it."""
+    """Knows when lines and the peer's close have come, however late the reader gets to them."""
 
     closing = False
     closed_at = 0.0
 
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        super().__init__(reader)
+        self.arrivals: deque[float] = deque()  # of lines that are not read yet
+
+    def data_received(self, data: bytes) -> None:
+        self.arrivals.extend([now()] * data.count(b"\n"))
+        super().data_received(data)
+
     def eof_received(self) -> bool | None:
         self.closing, self.closed_at = True, now()
         return super().eof_received()
@@ -464,7 +473,7 @@
             while line := await self.reader.readline():
                 if not line.endswith(b"\n"):
                     break
-                self._came(json.loads(line))
+                self._came(json.loads(line), self.protocol.arrivals.popleft())
                 if self.fault is CallerFault.SLOW_READER and self.random.random() < 0.1:
                     await asyncio.sleep(self.random.uniform(0, 0.3))
         except OSError as error:
@@ -476,15 +485,15 @@
                 set_up.crossed, set_up.sent_again = crossed and not set_up.sent_again, set_up.crossed
             self.ended = ended
 
-    def _came(self, line: dict) -> None:
+    def _came(self, line: dict, at: float) -> None:
         set_up = self.book.get(line["id"])
         if set_up is None:
             return
         answered = any(kind == "answer" for _, kind, _ in set_up.finals)
         if line["type"] == "release" and answered:
-            set_up.released = now()
+            set_up.released = at
         elif line["type"] in ("answer", "release"):
-            set_up.finals.append((now(), line["type"], line.get("sdp", "")))
+            set_up.finals.append((at, line["type"], line.get("sdp", "")))
             self.open.pop(set_up.id, None)
             if line["type"] == "answer" and self.random.random() < 0.2:
                 asyncio.get_running_loop().call_later(self.random.uniform(0.05, 0.4), self._end, set_up)
