A flag of a connection no longer hides the method that its reader calls for refusals

Cause: named a flag of Stream 'refused', as SwitchConnection.refused is named, so each refusal raised TypeError and closed its connection with all legs on it. Soaks did not see it: legs that end cut break no rule. Change: the flag is nobody_listens; a trial fails on any traceback in a process's log.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -428,7 +428,7 @@
     def _end_calls_of_the_dead(self) -> None:
         """Once this process is gone nobody knows of calls whose switch has died, so their callers are told before."""
         for switch in self.switches.values():
-            if switch.refused and self.standing_at(switch) and not any(link.up for link in switch.links):
+            if switch.nobody_listens and self.standing_at(switch) and not any(link.up for link in switch.links):
                 self.machine_lost(switch)
 
     def _doubts_a_switch(self) -> bool:
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -114,7 +114,7 @@
         self.wanted = True
         self.renew = False  # a connection was lost: what the switch wrote to it comes again on the next one
         self.heard_at = self.tried_at = 0.0
-        self.refused = False  # by the last try: its process has died, and cut its calls
+        self.nobody_listens = False  # by the last try: its process has died, and cut its calls
         self.failed_since = 0.0  # 0 while the last try to connect went well or none has ended
 
     def now(self) -> float:
@@ -155,7 +155,7 @@
         return link
 
     def came_up(self, link: SwitchConnection) -> None:
-        self.failed_since, self.refused = 0.0, False
+        self.failed_since, self.nobody_listens = 0.0, False
         link.late = False
         self.heard_at = link.heard_at = self.now()
         waiting, self.waiting = self.waiting, []
@@ -168,7 +168,7 @@
         if link in self.links:
             self.links.remove(link)
         self.renew = self.renew or was_up
-        self.refused = not was_up and link.refused
+        self.nobody_listens = not was_up and link.nobody_listens
         if not was_up and not self.failed_since:
             self.failed_since = self.now()
         if self.main is link:
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -41,7 +41,7 @@
         self.queued = 0
         self.closed = self.finishing = False
         self.close_reason = ""
-        self.refused = False  # the peer's machine said that nobody listens there
+        self.nobody_listens = False  # the peer's machine said that nobody listens there
         self.writer: gevent.Greenlet | None = None
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -57,7 +57,7 @@
         try:
             sock = socket.create_connection(address, timeout, source_address=(source, 0) if source else None)
         except OSError as error:
-            self.refused = isinstance(error, ConnectionRefusedError)
+            self.nobody_listens = isinstance(error, ConnectionRefusedError)
             self.close(False, f"not connected: {error}")
             return False
         if self.closed:
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -288,3 +288,15 @@
     time.sleep(0.2)
     conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
     assert [caller.next()["type"], caller.next()["type"]] == ["answer", "release"]
+
+
+# Guards against an attribute of a connection hiding the method that its reader calls: each refusal closed its connection.
+def test_a_refusal_leaves_its_connection_open_and_the_log_without_a_fault(start):
+    service = start(s1=scripted.Switch(lambda id: scripted.sip("SIP/2.0 503 Full", id, "INVITE"), scripted.answer))
+    caller = service.caller()
+    caller.set_up(A)
+    first, _ = service.switches["s1"].next("INVITE")
+    _, ack = service.switches["s1"].next("ACK")
+    assert ack.call_id == A
+    caller.next()
+    assert "Traceback" not in (service.folder / "log").read_text()
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -231,6 +231,7 @@
 def broken_rules(record: Record, told: dict[str, float], end: float) -> list[str]:
     """What broke, a sentence each. `told`: when each drain counts as told; `end`: until when answers were waited for."""
     found = [*record.crashes]
+    found += [f"fault: a traceback in the log of {name}" for name, log in record.logs.items() if "Traceback" in log.read_text()]
     for stop in record.stops:
         if stop.killed:
             found.append(f"end: {stop.node} had not ended {KILL_AFTER} s after SIGTERM")
