Trials have a loopback address and ports of their own

Cause: a trial's bus listened again, after a time away, on a port that another process's connection had been given meanwhile; the trial ended with 'address already in use' and the whole run by hand stopped without its summary. A service's port could be taken in the same way while it was restarted. Change: each process of trials listens at an address of its own in 127/8, with ports counted up; connections are opened from 127.0.0.1, so none of these ports can be taken. A call with more than one final answer is now reported with what they were and when.

--- a/tests/trial.py
+++ b/tests/trial.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -17,7 +16,21 @@
 from random import Random
 
 from test_service_calls import SETTINGS
-from trial_peers import BadCaller, Bus, BusFault, Caller, CallerFault, Leg, Reply, SetUp, Standing, Switch, now
+from trial_peers import (
+    BadCaller,
+    Bus,
+    BusFault,
+    Caller,
+    CallerFault,
+    Leg,
+    Reply,
+    SetUp,
+    Standing,
+    Switch,
+    free_port,
+    now,
+    own_address,
+)
 
 GUARD = 0.1  # seconds; as SETTINGS says
 DRAIN_GRACE = 1.0
@@ -32,12 +45,6 @@
 MEASURING = 0.05  # seconds by which two processes of one machine may see an instant apart
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def entry(switch: Switch, state: str = "in_service", boot_ms: int = 0) -> dict:
     return {"uid": switch.uid, "endpoint": switch.address, "pod_group": switch.number, "state": state, "boot_ms": boot_ms}
 
@@ -84,7 +91,7 @@
 
     def write(self) -> None:
         config = {
-            "name": self.name, "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964", "bus": self.bus.address,
+            "name": self.name, "listen": f"{own_address()}:{self.port}", "seed": "8c1f30d27a5be964", "bus": self.bus.address,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": SETTINGS, "known": self.known,
         }  # fmt: skip
         self.path.write_text(json.dumps(config))
@@ -100,7 +107,7 @@
         ping = json.dumps({"type": "ping", "id": "0" * 16, "fields": {}, "cause": 0}).encode() + b"\n"
         while self.process.returncode is None:
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await asyncio.open_connection(own_address(), self.port)
                 writer.write(ping)
                 pong = json.loads(await reader.readline())
                 writer.close()
@@ -259,7 +266,8 @@
         return []
     name = f"{set_up.id} to {set_up.node} ({_since_stop(record, set_up.node, set_up.sent)}, left {set_up.left:.1f})"
     if len(set_up.finals) > 1 and not _stopped_between(record, set_up.node, set_up.finals[0][0], set_up.finals[-1][0]):
-        return [f"lost: {name} had {len(set_up.finals)} final answers"]
+        finals = ", ".join(f"{kind} after {at - set_up.sent:.3f} s" for at, kind, _ in set_up.finals)
+        return [f"lost: {name} had {len(set_up.finals)} final answers: {finals}"]
     if set_up.finals:
         at, kind, description = set_up.finals[0]
         if kind == "answer" and f"of {set_up.id}\r\n" not in description:
@@ -481,7 +489,7 @@
         held = []
         while True:
             with contextlib.suppress(OSError):
-                held.append(await asyncio.open_connection("127.0.0.1", node.port))
+                held.append(await asyncio.open_connection(own_address(), node.port))
                 if len(held) > 200:
                     held.pop(0)[1].close()
             await asyncio.sleep(0.01)
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -5,7 +5,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
 import socket
 import struct
 from collections import deque
@@ -23,6 +25,20 @@
 CROSSING = 0.05  # seconds in which a set-up may cross the close of its connection and be sent again
 
 
+_ports = itertools.count(20_000)
+
+
+def own_address() -> str:
+    """A loopback address of this process alone: connections that others open take their ports at 127.0.0.1."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 254}.{pid >> 8 & 255}.{pid & 255}"
+
+
+def free_port() -> int:
+    """A port at `own_address` that nothing else takes, also while its listener is away."""
+    return next(_ports)
+
+
 def now() -> float:
     return asyncio.get_running_loop().time()
 
@@ -39,18 +55,17 @@
     """A listener on a port of its own; `serve` handles each connection and may fail with it."""
 
     def __init__(self) -> None:
-        self.port = 0
+        self.port = free_port()
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
 
     async def listen(self) -> None:
-        self.server = await asyncio.start_server(self._accepted, "127.0.0.1", self.port, limit=1 << 20)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self._accepted, own_address(), self.port, limit=1 << 20)
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return f"{own_address()}:{self.port}"
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -416,7 +431,7 @@
         loop = asyncio.get_running_loop()
         self.reader = asyncio.StreamReader(limit=1 << 20)
         self.protocol = NotingProtocol(self.reader)
-        transport, _ = await loop.create_connection(lambda: self.protocol, "127.0.0.1", self.port)
+        transport, _ = await loop.create_connection(lambda: self.protocol, own_address(), self.port)
         self.writer = asyncio.StreamWriter(transport, self.protocol, self.reader, loop)
 
     async def _send_on(self, reading: asyncio.Task) -> None:
@@ -516,7 +531,7 @@
     async def run(self) -> None:
         while not self.stopping:
             with contextlib.suppress(OSError):
-                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                _, writer = await asyncio.open_connection(own_address(), self.port)
                 writer.write(self.random.choice(self.LINES))
                 await asyncio.sleep(self.random.uniform(0.01, 0.3))
                 writer.close()
