Trials judge final answers in the order in which they came, not in which they were read

Cause, by trace: the answer had come on one connection 0.42 s (0.57 s) before the release of that call came on another; the stand-in, a slow reader, took the release first. The stand-in notes when each line came, but kept them in the order of its reading. Change: a release that came after the answer is the end of the call. A release that came first, two releases before an answer, and two answers break the rule as before; tests/test_trial.py holds each of these.

--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,33 @@
+"""The trials' own judgement, on records by hand."""
+
+from random import Random
+
+import pytest
+from trial import Record, broken_rules
+from trial_peers import Caller, CallerFault, SetUp
+
+ID = "a" * 16
+ANSWER = {"type": "answer", "id": ID, "sdp": f"of {ID}\r\n"}
+RELEASE = {"type": "release", "id": ID}
+
+
+# Guards against a check that takes the end of a call for a second final answer, since its caller read two connections in
+# another order than what was on them came; and against one that would let a real second answer pass.
+@pytest.mark.parametrize(
+    ("read", "broken"),
+    [
+        ([(ANSWER, 1.0), (RELEASE, 1.5)], False),
+        ([(RELEASE, 1.5), (ANSWER, 1.0)], False),
+        ([(RELEASE, 1.0), (ANSWER, 1.5)], True),
+        ([(RELEASE, 1.0), (RELEASE, 1.5)], True),
+        ([(ANSWER, 1.0), (ANSWER, 1.5)], True),
+        ([(RELEASE, 1.5), (RELEASE, 1.6), (ANSWER, 1.0)], True),
+    ],
+)
+def test_final_answers_are_judged_in_the_order_in_which_they_came(read, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5)})
+    caller = Caller("n0", 0, Random(1), record.set_ups, CallerFault.NONE, [1])
+    caller.random = Random(5)  # its first draw is above the share of calls that it ends itself
+    for line, at in read:
+        caller._came(line, at)
+    assert bool(broken_rules(record, {}, 9.0)) is broken
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -505,6 +505,8 @@
         if set_up is None:
             return
         answered = any(kind == "answer" for _, kind, _ in set_up.finals)
+        if line["type"] == "answer":
+            self._put_in_order_of_arrival(set_up, at)
         if line["type"] == "release" and answered:
             set_up.released = at
         elif line["type"] in ("answer", "release"):
@@ -513,6 +515,15 @@
             if line["type"] == "answer" and self.random.random() < 0.2:
                 asyncio.get_running_loop().call_later(self.random.uniform(0.05, 0.4), self._end, set_up)
 
+    @staticmethod
+    def _put_in_order_of_arrival(set_up: SetUp, answered_at: float) -> None:
+        """A release that was read first, on another connection, but came after the answer is the end of the call."""
+        for final in set_up.finals:
+            if final[1] == "release" and final[0] > answered_at and not set_up.released:
+                set_up.released = final[0]
+                set_up.finals.remove(final)
+                return
+
     def _end(self, set_up: SetUp) -> None:
         if set_up.released or self.writer.is_closing() or self.protocol.closing:
             return
