--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -21,7 +21,8 @@
 from gingergap.transport.stream import Stream
 
 start = scripted.start
-A, B = "a" * 16, "b" * 16
+A, B, C = "a" * 16, "b" * 16, "c" * 16
+ANSWER_READ_WITHIN = 1.0  # seconds, as a release is owed within that time
 
 
 def played(scenario, seed=1):
@@ -290,6 +291,28 @@
     assert [caller.next()["type"], caller.next()["type"]] == ["answer", "release"]
 
 
+# Guards against a release that overtakes its answer where the answer's connection has been half closed meanwhile and its
+# caller reads it late: the release is not told on another connection sooner than a second after the answer.
+def test_a_release_on_another_connection_leaves_the_caller_time_to_read_its_answer(start):
+    service = start(s2=scripted.Switch(lambda id: None))
+    busy, caller = service.caller(), service.caller()
+    busy.set_up(C)
+    assert busy.next()["type"] == "answer"
+    busy.set_up(B, far=2)  # open until the end is near, so that its connection stays
+    service.switches["s1"].next("INVITE")
+    service.process.send_signal(scripted.signal.SIGTERM)
+    time.sleep(0.65)
+    answered_after = time.monotonic()
+    caller.set_up(A)
+    conn, _ = service.switches["s1"].next("INVITE")
+    assert caller.next()["type"] == "answer"
+    assert caller.next() is None
+    conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    told = busy.next()
+    assert (told["type"], told["id"]) == ("release", A)
+    assert time.monotonic() >= answered_after + ANSWER_READ_WITHIN
+
+
 # Guards against an attribute of a connection hiding the method that its reader calls: each refusal closed its connection.
 def test_a_refusal_leaves_its_connection_open_and_the_log_without_a_fault(start):
     service = start(s1=scripted.Switch(lambda id: scripted.sip("SIP/2.0 503 Full", id, "INVITE"), scripted.answer))
