--- a/tests/trial.py
+++ b/tests/trial.py
@@ -345,7 +345,7 @@
                 known = [record.set_ups[word], *record.legs, *record.calls]
                 lines += [f"  {entry}" for entry in known if entry.id == word]
                 lines += [f"  log: {line}" for line in logged if word in line]
-    path.write_text("\n".join([*lines, "", *(line for line in logged if " list-changed " in line or "end" in line)]))
+    path.write_text("\n".join([*lines, "", *logged]))
 
 
 # --- scenarios ---
