At the end a release waits until a slow reader has had a second for its answer

Callers saw: a release for a call, then its answer, which had come earlier on a connection that they had not read yet. Cause: the answer's connection is half closed 0.4 s after it, and a release after that went out at once on another connection. Change: while the process ends, such a release is held until a second after the answer, 0.6 s at most, since it is owed within one second; an end waits for it while a connection is open, and close_by tells it whatever its time.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import gc
+import math
 import os
 import signal
 import sys
@@ -42,15 +43,18 @@
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
 UNTOLD_PATIENCE = 0.4  # seconds a release waits for a caller that is known; it is owed within one second
 MOST_UNTOLD = 1000
-ANSWER_SETTLES = 0.4  # seconds: a release that comes soon after must not overtake its answer on another connection
+ANSWER_SETTLES = 0.4  # seconds: most releases that come soon after an answer still go on the connection of the answer
+ANSWER_READ_WITHIN = 1.0  # seconds from an answer in which a release on another connection might be read before it
+LONGEST_HELD = 0.6  # seconds that a release is held for that; it is owed within one second
 FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
 FINISH_SWITCHES = 0.1  # and switches theirs
 
 
 class Untold(NamedTuple):
-    """A release for which there was no caller's connection; `since` in seconds."""
+    """A release that waits for a caller's connection, and until `not_before`; times in seconds."""
 
     since: float
+    not_before: float
     data: bytes
 
 
@@ -178,26 +182,40 @@
         self.details(event, id=id, **fields)
 
     def to_caller(self, conn: Caller | None, data: bytes) -> None:
+        now = self.seconds()
+        not_before = now
         if conn is None or conn.closed or conn.finishing:
+            if conn is not None and self.schedule is not None:  # its own connection is half closed, and may stand unread
+                not_before = min(conn.answered_at + ANSWER_READ_WITHIN, now + LONGEST_HELD)
             conn = self._known_caller()
-        if conn is not None:
+        if conn is not None and not_before <= now:
             conn.put(data)
             return
-        self.untold.append(Untold(self.seconds(), data))
+        self.untold.append(Untold(now, not_before, data))
         del self.untold[:-MOST_UNTOLD]
 
-    def _tell_untold(self) -> None:
-        """Releases that waited go to a known caller; failing that, when time runs out, to one that has sent a set-up."""
-        if not self.untold:
+    def _tell_untold(self, overdue: bool = False) -> None:
+        """Releases that waited go to a known caller; failing that, when time runs out, to one that has sent a set-up.
+        `overdue`: callers' connections are about to close, so nothing waits any longer."""
+        now = self.seconds()
+        latest = math.inf if overdue else now
+        due = [release for release in self.untold if release.not_before <= latest]
+        if not due:
             return
-        hurry = self.schedule is not None or self.seconds() - self.untold[0].since > UNTOLD_PATIENCE
+        hurry = self.schedule is not None or now - due[0].since > UNTOLD_PATIENCE
         caller = self._known_caller() or (self._calling_caller() if hurry else None)
         if caller is None:
             return
-        untold, self.untold = self.untold, []
-        for release in untold:
+        self.untold = [release for release in self.untold if release.not_before > latest]
+        for release in due:
             caller.put(release.data)
 
+    def _a_release_is_held(self) -> bool:
+        """Whether a release waits for its time, and a connection is still open for it."""
+        now = self.seconds()
+        held = any(release.not_before > now for release in self.untold)
+        return held and any(not caller.finishing for caller in self.callers)
+
     def _calling_caller(self) -> Caller | None:
         return next((caller for caller in reversed(self.callers) if caller.sent_set_up and not caller.finishing), None)
 
@@ -443,9 +461,9 @@
         if self.listener is not None:
             self._stop_listening()
         self._end_calls_of_the_dead()
-        self._tell_untold()
         overdue = now >= self.schedule.close_by
-        if not overdue and self._doubts_a_switch():
+        self._tell_untold(overdue)
+        if not overdue and (self._doubts_a_switch() or self._a_release_is_held()):
             return
         for caller in list(self.callers):
             if not caller.finishing and (overdue or caller.at_rest()):
