Known red: a BYE of an earlier leg taken for the end of a later one, or of a call elsewhere

By trace: leg 2's answer was spoilt by the bytes before it on its connection, so it stood at the switch while legs 3 and 4 were sent; its BYE came on the connection of leg 4, which counted as ended though the switch still held it, and leg 5 left. The second test is the same mistake where the call stands at another switch, found by reading.

--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -166,6 +166,40 @@
     assert not wire.to_callers and not calls.by_id
 
 
+# Guards against two legs out at once: a leg whose answer was spoilt stood at the switch, and the BYE of that one was taken
+# for the end of the next, which was left out there while another was sent.
+def test_a_bye_while_a_leg_is_out_calls_that_leg_off_before_the_next_is_sent():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    calls.link_lost(START + 100, wire.sent("INVITE")[0][0], True)
+    for now in range(START + 100, START + 3000, 100):
+        calls.beat(now)
+    second = wire.sent("INVITE")[1][0]
+    calls.call_released(START + 3000, 1, second, "a" * 16, 16, {})
+    assert [link for link, _ in wire.sent("CANCEL")] == [second]
+    for now in range(START + 3000, START + 6000, 100):
+        calls.beat(now)
+    assert len(wire.sent("INVITE")) == 3
+    calls.answered(START + 6000, 1, second, "a" * 16, "x\r\n")  # it crosses the CANCEL
+    assert len(wire.sent("BYE")) == 1
+    assert not wire.told("a" * 16)
+
+
+# Guards against a caller that is told that its call is over, and a call left standing: one that an earlier leg had left at
+# another switch came to its end there.
+def test_a_bye_of_another_switch_does_not_end_a_call_that_stands():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    link = wire.sent("INVITE")[0][0]
+    calls.answered(START + 200, 1, link, "a" * 16, "x\r\n")
+    calls.call_released(START + 300, 2, 99, "a" * 16, 16, {})
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer"]
+    calls.call_released(START + 400, 1, link, "a" * 16, 16, {})
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer", "release"]
+
+
 def test_a_caller_that_gives_up_counts_against_nobody():
     wire = NotedWire()
     calls = made(wire)
