A BYE while a leg is out calls that leg off before another is sent

Cause: a BYE on the connection of an open leg counted as that leg's end. It may end an earlier leg, which the switch had answered in bytes that could not be read here, and then the open one stays out. Change: the leg is called off with CANCEL and then counts as cut, so the next waits for the release guard; an answer that crosses is released.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -374,6 +374,8 @@
             self.wire.to_caller(call.conn, lines.release(id, cause))
             self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
         elif self._leg_on(link, id) is call:
+            # It may end an earlier leg, which stood there unknown to this proxy; this one may be out still.
+            self._call_off(call)
             self._leg_over(call, LegEnd.CUT)
         self._tell_later()
 
