A BYE of another switch does not end a call that stands

Callers could see a call ended that stands on, which then nobody releases. Cause: the release of a call went by its id alone, whichever switch sent it. A leg whose answer could not be read may stand at one switch while the call stands at another; the end of the first was taken for the end of the call. Change: a BYE ends a call only where it stands.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -370,7 +370,7 @@
             if id not in self.lately:  # from before this process began
                 self.lately[id] = now + REMEMBERED
                 self.wire.to_caller(None, lines.release(id, cause))
-        elif call.stands:
+        elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
             self.wire.to_caller(call.conn, lines.release(id, cause))
             self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
         elif self._leg_on(link, id) is call:
