Dense trials: cut off switches, late connections, early closes, callers that repeat too often

Cause: connections up late, cuts, and connections closed early were not played, and callers named eager did not repeat: the fault was declared and nothing read it. Change: a switch can be cut off (open connections silent both ways, new ones not up), can let new connections wait (its queue is full, so they come up when the kernel asks again after a second), and closes a connection early; eager callers try again at once, up to four times, with a new id each.

--- a/tests/trial.py
+++ b/tests/trial.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 from dataclasses import dataclass, field
+from enum import Enum
 from pathlib import Path
 from random import Random
 
@@ -359,6 +360,14 @@
             await task
 
 
+class SwitchFault(Enum):
+    SILENT = "hangs: neither reads nor answers"
+    VANISHES = "is cut off"
+    LATE_CONNECTIONS = "new connections come up late"
+    CLOSES_ONE = "closes a connection early"
+    RESETS_ALL = "resets its connections"
+
+
 MIXED = [Reply.ANSWER] * 8 + [Reply.LATE, Reply.FULL, Reply.FAULT, Reply.PIECES, Reply.TWICE, Reply.RESET, Reply.CLOSE]
 SPOILT = [Reply.ANSWER] * 6 + [Reply.SPOILT, Reply.NOISE, Reply.RESET, Reply.HANG]
 HANGING = [Reply.HANG] * 3 + [Reply.LATE, Reply.ANSWER]
@@ -380,7 +389,7 @@
             self.run(BadCaller(self.node.port, Random(draw.random())))
         if draw.random() < 0.3:
             self.tasks.append(asyncio.ensure_future(self._crowd(self.node)))
-        scripts = [self._stops(), self._bus_faults(), self._drains(), self._reloads(), self._hangs()]
+        scripts = [self._stops(), self._bus_faults(), self._drains(), self._reloads(), self._switch_faults()]
         tasks = [asyncio.ensure_future(script) for script in scripts]
         await asyncio.sleep(self.SECONDS)
         await cancel(tasks[1:])
@@ -472,17 +481,24 @@
                 asyncio.get_running_loop().call_later(1.5, old.reset_all)
                 await asyncio.sleep(self.random.choice([0.0, 0.02, 0.3]))
 
-    async def _hangs(self) -> None:
-        """Switches that fall silent for a while, or vanish with their connections."""
+    async def _switch_faults(self) -> None:
+        """Switches that fall silent for a while, vanish, lose their connections, or let new ones come up late."""
         while True:
-            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
             switch = self.random.choice(self.switches)
-            if self.random.random() < 0.5:
-                switch.silent = True
-                await asyncio.sleep(self.random.uniform(0.3, 3.0))
-                switch.silent = False
-            else:
-                switch.reset_all()
+            match self.random.choice(list(SwitchFault)):
+                case SwitchFault.SILENT:
+                    switch.silent = True
+                    await asyncio.sleep(self.random.uniform(0.3, 3.0))
+                    switch.silent = False
+                case SwitchFault.VANISHES:
+                    await switch.vanish(self.random.uniform(0.5, 5.0))
+                case SwitchFault.LATE_CONNECTIONS:
+                    await switch.delay_connections(self.random.uniform(0.1, 1.5))
+                case SwitchFault.CLOSES_ONE:
+                    switch.close_one()
+                case SwitchFault.RESETS_ALL:
+                    switch.reset_all()
 
     async def _crowd(self, node: Node) -> None:
         """Connections that say nothing, more than the process may hold."""
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -22,6 +22,8 @@
 FREE_CIRCUITS = 40
 SDP_TAIL = "c=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"
 SILENCE_LASTS = 0.1  # seconds after a silence in which a switch still reads what came during it
+QUEUE_OF_NONE = 1  # connections that a listener with a backlog of 0 still takes
+MOST_EAGER = 4  # times that an eager caller tries again at once
 CROSSING = 0.05  # seconds in which a set-up may cross the close of its connection and be sent again
 
 
@@ -59,15 +61,45 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
+        self.barred: socket.socket | None = None  # the listener while no connection comes up
+        self.fillers: list[socket.socket] = []  # connections that keep its queue full
 
     async def listen(self) -> None:
         self.server = await asyncio.start_server(self._accepted, own_address(), self.port, limit=1 << 20)
 
+    def bar(self) -> None:
+        """New connections neither come up nor are refused: nobody accepts, and the listener's queue is full."""
+        if self.server is None or self.barred is not None:
+            return
+        self.barred = socket.socket(fileno=os.dup(self.server.sockets[0].fileno()))
+        self.stop_listening()
+        self.barred.listen(0)
+        for _ in range(QUEUE_OF_NONE + 1):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((own_address(), self.port))
+            self.fillers.append(filler)
+
+    async def unbar(self) -> None:
+        """Connections that waited come up when their peers ask again, a second or so after they began."""
+        if self.barred is None:
+            return
+        listener, self.barred = self.barred, None
+        listener.setblocking(False)
+        self.server = await asyncio.start_server(self._accepted, sock=listener, limit=1 << 20)
+        await asyncio.sleep(0.01)
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+
     @property
     def address(self) -> str:
         return f"{own_address()}:{self.port}"
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if writer.get_extra_info("peername") in [filler.getsockname() for filler in self.fillers]:
+            writer.close()
+            return
         self.writers.add(writer)
         self.tasks.add(asyncio.current_task())
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
@@ -84,12 +116,21 @@
             self.server.close()
             self.server = None
 
+    def close_queue(self) -> None:
+        """End a listener that is barred: from now on connections are refused."""
+        for sock in (self.barred, *self.fillers):
+            if sock is not None:
+                sock.close()
+        self.barred = None
+        self.fillers.clear()
+
     def reset_all(self) -> None:
         for writer in list(self.writers):
             reset(writer)
 
     def close(self) -> None:
         self.stop_listening()
+        self.close_queue()
         self.reset_all()
         for task in list(self.tasks):
             task.cancel()
@@ -221,6 +262,7 @@
         self.hold = 1.0
         self.silent_until = -1e9  # what is read soon after may have come long before
         self.silent = False  # reads nothing and says nothing, as a machine that hangs
+        self.cut_off = False  # nothing of what it says comes through either
         self.open_legs: dict[tuple[str, asyncio.StreamWriter], Leg] = {}
         self.legs: list[Leg] = []
         self.standing: dict[str, Standing] = {}
@@ -321,11 +363,37 @@
         if reply is Reply.CLOSE:
             writer.close()
         await asyncio.sleep(self.random.uniform(0.1, self.hold))
+        while self.cut_off:
+            await asyncio.sleep(0.05)
         self._release(call, writer)
 
+    async def vanish(self, seconds: float) -> None:
+        """Cut off for a while: open connections fall silent both ways, and new ones don't come up."""
+        self.silent = self.cut_off = True
+        self.bar()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            await self.unbar()
+            self.silent = self.cut_off = False
+
+    async def delay_connections(self, seconds: float) -> None:
+        """Open connections work; new ones come up late."""
+        self.bar()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            await self.unbar()
+
+    def close_one(self) -> None:
+        """Close a connection as soon as what is written has gone, whatever is open on it."""
+        if self.writers:
+            self.random.choice(sorted(self.writers, key=lambda writer: writer.get_extra_info("peername") or ())).close()
+
     def die(self) -> None:
         """The process ends: it resets its connections and cuts its calls."""
         self.stop_listening()
+        self.close_queue()
         for call in [*self.standing.values(), *(call for call, _ in self.unsent.values())]:
             call.released, call.cut = now(), True
         self.standing.clear()
@@ -361,6 +429,7 @@
     connection_ended: float = 0.0
     crossed: bool = False  # it crossed the close of its connection
     sent_again: bool = False
+    tries: int = 0  # refusals that came before, of a caller that tries again at once
 
 
 class CallerFault(Enum):
@@ -451,11 +520,18 @@
                 reset(self.writer) if self.random.random() < 0.5 else self.writer.close()
                 return
 
+    def _try_again(self, refused: SetUp) -> None:
+        """At once, whatever wait the refusal asked for; a retry has an id of its own."""
+        if refused.tries >= MOST_EAGER or self.stopping or self.writer.is_closing() or self.protocol.closing:
+            return
+        again = SetUp(f"{self.random.getrandbits(64):016x}", self.name, refused.left, tries=refused.tries + 1)
+        self.book[again.id] = again
+        self.open[again.id] = again
+        again.sent = now()
+        self.writer.write(self._line(again))
+
     async def _send(self, set_up: SetUp) -> None:
-        extras = f"dest:{self.random.choice(self.numbers)};width:1;via:-1"
-        fields = {"class": "voice", "left": str(int(set_up.left * 1000)), "key": set_up.id[:8], "extras": extras}
-        line = json.dumps({"type": "setup", "id": set_up.id, "fields": fields, "sdp": f"of {set_up.id}\r\n{SDP_TAIL}"}).encode()
-        line += b"\n"
+        line = self._line(set_up)
         if self.fault in (CallerFault.PIECES, CallerFault.SLOW_WRITER):
             cut = self.random.randrange(1, len(line))
             self.writer.write(line[:cut])
@@ -470,6 +546,14 @@
         set_up.sent = now()
         self.writer.write(line)
 
+    def _line(self, set_up: SetUp) -> bytes:
+        extras = f"dest:{self.random.choice(self.numbers)};width:1;via:-1"
+        fields = {"class": "voice", "left": str(int(set_up.left * 1000)), "key": set_up.id[:8], "extras": extras}
+        if set_up.tries:
+            fields["retry"] = "1"
+        line = {"type": "setup", "id": set_up.id, "fields": fields, "sdp": f"of {set_up.id}\r\n{SDP_TAIL}"}
+        return json.dumps(line).encode() + b"\n"
+
     def _give_up(self, set_up: SetUp) -> None:
         if set_up.id in self.open and not self.writer.is_closing():
             set_up.given_up = now()
@@ -512,6 +596,8 @@
         elif line["type"] in ("answer", "release"):
             set_up.finals.append((at, line["type"], line.get("sdp", "")))
             self.open.pop(set_up.id, None)
+            if line["type"] == "release" and self.fault is CallerFault.EAGER:
+                self._try_again(set_up)
             if line["type"] == "answer" and self.random.random() < 0.2:
                 asyncio.get_running_loop().call_later(self.random.uniform(0.05, 0.4), self._end, set_up)
 
