--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -369,6 +369,7 @@
         if call is None:
             if id not in self.lately:  # from before this process began
                 self.lately[id] = now + REMEMBERED
+                self.wire.record("release-of-unknown-call", id, switch=self.ids[gw])
                 self.wire.to_caller(None, lines.release(id, cause))
         elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
             self.wire.to_caller(call.conn, lines.release(id, cause))
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -191,6 +191,7 @@
         if conn is not None and not_before <= now:
             conn.put(data)
             return
+        self.details("release-waits", callers=len(self.callers), known=conn is not None, line=data.decode().strip())
         self.untold.append(Untold(now, not_before, data))
         del self.untold[:-MOST_UNTOLD]
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -31,3 +31,21 @@
     for line, at in read:
         caller._came(line, at)
     assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
+# Guards against a check that overlooks a second word on the end of a call, or that blames a node for what another one says.
+@pytest.mark.parametrize(("nodes", "broken"), [(["n0"], False), (["n0", "n0"], True), (["n1", "n0"], False), (["n1", "n1"], True)])
+def test_a_node_tells_the_end_of_a_call_once(nodes, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, finals=[(1.0, "answer", ANSWER["sdp"])])})
+    for place, node in enumerate(nodes):
+        Caller(node, 0, Random(1), record.set_ups, CallerFault.NONE, [1])._came(RELEASE, 2.0 + place)
+    assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
+# Guards against a check that takes what another node was told of a refused call for a second final answer.
+def test_a_release_by_another_node_is_no_final_answer():
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, finals=[(1.0, "release", "")])})
+    Caller("n1", 0, Random(1), record.set_ups, CallerFault.NONE, [1])._came(RELEASE, 2.0)
+    assert broken_rules(record, {}, 9.0) == []
+    Caller("n0", 0, Random(1), record.set_ups, CallerFault.NONE, [1])._came(RELEASE, 3.0)
+    assert broken_rules(record, {}, 9.0)
