--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -323,3 +323,36 @@
     assert ack.call_id == A
     caller.next()
     assert "Traceback" not in (service.folder / "log").read_text()
+
+
+# Guards against a call left standing: its end came while the process ended, and the only connection left from callers had
+# said nothing whole yet.
+def test_a_release_at_the_end_goes_to_a_caller_in_mid_line_where_no_other_is_left(start):
+    service = start()
+    caller, other = service.caller(), service.caller()
+    caller.set_up(A)
+    assert caller.next()["type"] == "answer"
+    conn, _ = service.switches["s1"].next("INVITE")
+    other.sock.sendall(b'{"type":"setup","id":"')
+    caller.sock.shutdown(socket.SHUT_RDWR)
+    service.process.send_signal(scripted.signal.SIGTERM)
+    time.sleep(0.3)
+    conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    told = other.next()
+    assert told is not None and (told["type"], told["id"]) == ("release", A)
+
+
+# Guards against a release that a process near its end takes and can tell nobody: a switch sends it again on the next
+# connection, which must be one of the process that comes after.
+def test_a_process_at_its_end_opens_no_connections_to_switches_for_callers_that_have_said_nothing(start):
+    service = start()
+    silent = service.caller()
+    silent.sock.sendall(b'{"ty')
+    service.process.send_signal(scripted.signal.SIGTERM)
+    time.sleep(0.9)  # the listener is closed
+    switch = service.switches["s1"]
+    before = len(switch.conns)
+    for conn in list(switch.conns):
+        conn.shutdown(socket.SHUT_RDWR)
+    assert service.process.wait(scripted.WAIT) == 0
+    assert len(switch.conns) == before
