At the end a release goes to whoever is left, and no connection brings more that nobody hears

Callers saw: a call whose end they were never told, where the only connection left stood in mid line. Cause: a release waits for a caller that is known or has sent a set-up, and near the end none may come any more; and connections to switches were opened for as long as any caller's connection was open, so the process also took the copy that a switch sends on the next connection. Change: at the end such a release goes to whichever connection is left, rather one that has begun a line; the end waits for that while one is open; without a caller that can be told, no connection to a switch is opened. Traces tell which connection of a node a switch's release went to.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -185,7 +185,7 @@
         now = self.seconds()
         not_before = now
         if conn is None or conn.closed or conn.finishing:
-            if conn is not None and self.schedule is not None:  # its own connection is half closed, and may stand unread
+            if conn is not None and conn.finishing:  # its answer may stand unread
                 not_before = min(conn.answered_at + ANSWER_READ_WITHIN, now + LONGEST_HELD)
             conn = self._known_caller()
         if conn is not None and not_before <= now:
@@ -205,21 +205,26 @@
             return
         hurry = self.schedule is not None or now - due[0].since > UNTOLD_PATIENCE
         caller = self._known_caller() or (self._calling_caller() if hurry else None)
+        if caller is None and self.listener is None and (overdue or now - due[0].since > UNTOLD_PATIENCE):
+            caller = self._last_caller()
         if caller is None:
             return
         self.untold = [release for release in self.untold if release.not_before > latest]
         for release in due:
             caller.put(release.data)
 
-    def _a_release_is_held(self) -> bool:
+    def _a_release_waits(self) -> bool:
         """Whether a release waits for its time, and a connection is still open for it."""
-        now = self.seconds()
-        held = any(release.not_before > now for release in self.untold)
-        return held and any(not caller.finishing for caller in self.callers)
+        return bool(self.untold) and any(not caller.finishing for caller in self.callers)
 
     def _calling_caller(self) -> Caller | None:
         return next((caller for caller in reversed(self.callers) if caller.sent_set_up and not caller.finishing), None)
 
+    def _last_caller(self) -> Caller | None:
+        """Whoever is left at the end, rather one that has begun a line than one that may be a test of the front."""
+        left = [caller for caller in self.callers if not caller.finishing]
+        return max(left, key=lambda caller: (caller.spoken, len(caller.lines.held)), default=None)
+
     def served(self, conn: Caller) -> None:
         conn.known = True
         conn.answered_at = self.seconds()
@@ -250,6 +255,8 @@
     # --- the owner of the connections ---
 
     def link_up(self, link: SwitchConnection) -> None:
+        port = link.sock.getsockname()[1]
+        self.details("switch-connection-up", switch=self.calls.ids[link.switch.gw], own_port=port)
         self.calls.link_up(self.clock(), link)
 
     def link_lost(self, link: SwitchConnection, was_up: bool) -> None:
@@ -392,8 +399,8 @@
                 traceback.print_exc()
 
     def _look(self) -> None:
-        # Without callers a new connection to a switch would bring releases that nobody can be told.
-        nobody = self.schedule is not None and self.listener is None and all(caller.finishing for caller in self.callers)
+        # Then a new connection to a switch would bring releases that nobody can be told; the next process will hear them.
+        nobody = self.schedule is not None and self.listener is None and not (self._known_caller() or self._calling_caller())
         for switch in list(self.switches.values()):
             if not nobody:
                 switch.look()
@@ -464,7 +471,7 @@
         self._end_calls_of_the_dead()
         overdue = now >= self.schedule.close_by
         self._tell_untold(overdue)
-        if not overdue and (self._doubts_a_switch() or self._a_release_is_held()):
+        if not overdue and (self._doubts_a_switch() or self._a_release_waits()):
             return
         for caller in list(self.callers):
             if not caller.finishing and (overdue or caller.at_rest()):
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -245,6 +245,7 @@
     released: float = 0.0
     heard_bye: float = 0.0
     cut: bool = False  # with its machine, which sends no release
+    sent_on: list[tuple[float, int]] = field(default_factory=list)  # when its BYE was written, to which port of a node
 
 
 def sip(first: str, id: str, method: str, extra: str = "", body: str = "") -> bytes:
@@ -272,8 +273,8 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         state = f"Link-State: idle:{FREE_CIRCUITS};circuits:{FREE_CIRCUITS}\r\n"
         writer.write(sip("NOTIFY sip:x@net SIP/2.0", "0" * 16, "NOTIFY", state))
-        for _, data in self.unsent.values():
-            writer.write(data)
+        for call, data in self.unsent.values():
+            self._write_release(call, data, writer)
         self.unsent.clear()
         framer = Framer()
         try:
@@ -408,7 +409,13 @@
         self.unsent[call.id] = call, data
         carrier = writer if writer in self.writers else next(iter(self.writers), None)
         if carrier is not None:
-            carrier.write(data)
+            self._write_release(call, data, carrier)
+
+    @staticmethod
+    def _write_release(call: Standing, data: bytes, writer: asyncio.StreamWriter) -> None:
+        peer = writer.get_extra_info("peername")
+        call.sent_on.append((now(), peer[1] if peer else 0))
+        writer.write(data)
 
 
 # --- callers ---
