--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -356,3 +356,24 @@
         conn.shutdown(socket.SHUT_RDWR)
     assert service.process.wait(scripted.WAIT) == 0
     assert len(switch.conns) == before
+
+
+# Guards against a connection that comes up after it was given up: a switch would send releases on it, which nobody reads.
+def test_a_connection_that_is_given_up_while_it_opens_never_comes_up():
+    listener = green.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)  # one connection fits into the queue
+    waiting = green.create_connection(listener.getsockname())
+    stream = Stream(None, most_queued=1000, longest_write=1.0)
+    opening = gevent.spawn(stream.connect, listener.getsockname(), 5.0)
+    gevent.sleep(0.1)
+    stream.close(False, "given up")
+    accepted = [listener.accept()[0]]
+    listener.listen(50)
+    gevent.sleep(1.5)  # the kernel asks again a second after the first time
+    listener.settimeout(0)
+    with contextlib.suppress(OSError):
+        accepted.append(listener.accept()[0])
+    assert len(accepted) == 1
+    assert opening.get(timeout=scripted.WAIT) is False
+    waiting.close()
