A connection that is given up while it opens never comes up

Callers saw: a call whose end they were never told. Cause: closing a connection that was still being opened left its socket to the kernel, which asked again after a second; where the peer let it up then, it was closed unread, with the release that the switch had sent on it, as switches do on the next connection. Change: the socket belongs to the stream from before it connects, and closing the stream closes it.

--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -36,6 +36,7 @@
     """`most_queued` bytes may wait; a write that stands still for `longest_write` seconds ends the connection."""
 
     def __init__(self, sock: socket.socket | None, *, most_queued: int, longest_write: float) -> None:
+        self.opening: socket.socket | None = None  # while `connect` waits
         self.sock, self.most_queued, self.longest_write = sock, most_queued, longest_write
         self.queue: deque[bytes] = deque()
         self.queued = 0
@@ -54,15 +55,20 @@
 
     def connect(self, address: tuple[str, int], timeout: float, source: str = "") -> bool:
         """Open it, within seconds; what waits in the queue leaves then. Blocks its greenlet."""
+        sock = self.opening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock = socket.create_connection(address, timeout, source_address=(source, 0) if source else None)
+            sock.settimeout(timeout)
+            if source:
+                sock.bind((source, 0))
+            sock.connect(address)
         except OSError as error:
+            sock.close()
             self.nobody_listens = isinstance(error, ConnectionRefusedError)
             self.close(False, f"not connected: {error}")
             return False
         if self.closed:
-            sock.close()
             return False
+        self.opening = None
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
@@ -168,6 +174,7 @@
         self.closed = True
         self.close_reason = reason
         self.queue.clear()
-        if self.sock is not None:
-            self.sock.close()
+        for sock in (self.sock, self.opening):  # also one that opens: it would come up all the same, and nobody would read it
+            if sock is not None:
+                sock.close()
         self.ended(reset)
