--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -377,3 +377,38 @@
     assert len(accepted) == 1
     assert opening.get(timeout=scripted.WAIT) is False
     waiting.close()
+
+
+# Guards against a call left standing: a switch told its end to a process with no caller yet but one in mid line.
+def test_a_release_of_an_unknown_call_goes_to_a_caller_in_mid_line_before_its_second_is_over(start):
+    service = start()
+    caller = service.caller()
+    conn = service.switches["s1"].conns[0]
+    conn.sendall(scripted.sip("BYE sip:x@net SIP/2.0", A, "BYE", "Reason: Q.850;cause=16\r\n"))
+    time.sleep(0.3)
+    caller.sock.sendall(b'{"type":"setup","id":"')
+    told = caller.next()
+    assert told is not None and (told["type"], told["id"]) == ("release", A)
+
+
+# Guards against a release that a process near its end takes and can tell nobody, on a connection that came up late.
+def test_at_the_end_connections_to_switches_that_still_open_are_given_up(start):
+    queue = socket.socket()
+    queue.bind(("127.0.0.1", 0))
+    queue.listen(0)  # one connection fits into the queue
+    filler = socket.create_connection(queue.getsockname())
+    switch = scripted.Switch()
+    switch.address = f"127.0.0.1:{queue.getsockname()[1]}"
+    service = start(s1=switch)
+    silent = service.caller()
+    silent.sock.sendall(b'{"ty')
+    service.process.send_signal(scripted.signal.SIGTERM)
+    time.sleep(0.95)  # the listener is closed; the process waits for the line that is begun
+    queue.listen(50)
+    queue.accept()[0].close()
+    assert service.process.wait(scripted.WAIT) == 0
+    queue.settimeout(0)
+    with pytest.raises(BlockingIOError):
+        queue.accept()
+    filler.close()
+    queue.close()
