At the end connections to switches that still open are given up

Callers saw: a call whose end they were never told. Cause: without a caller that can be told no new connection is opened near the end, but those that were opening came up late and took the copy of a release, which belongs to the process that comes after. Change: they are closed as soon as nobody is left to be told.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -402,7 +402,9 @@
         # Then a new connection to a switch would bring releases that nobody can be told; the next process will hear them.
         nobody = self.schedule is not None and self.listener is None and not (self._known_caller() or self._calling_caller())
         for switch in list(self.switches.values()):
-            if not nobody:
+            if nobody:
+                switch.give_up_opening()
+            else:
                 switch.look()
             if not switch.wanted and not switch.links and not self.standing_at(switch):
                 del self.switches[switch.gw]
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -146,6 +146,12 @@
         self.waiting.append(data)
         del self.waiting[:-1000]
 
+    def give_up_opening(self) -> None:
+        """Close connections that are not up yet and for which no set-up waits."""
+        for link in list(self.links):
+            if not link.up and self.owner.link_busy(link) == 0:
+                link.close(False, "nobody is left to be told what it would bring")
+
     def _open(self) -> SwitchConnection:
         link = SwitchConnection(self)
         self.links.append(link)
