A release that nobody else can be told goes to a caller in mid line within its second

Callers saw: the end of a call told 1.35 s late, or not at all where their connection was closed for its half line meanwhile. Cause: a process that has just begun hears the ends of calls it does not know, and told them to no caller before its first whole set-up. Change: after 0.7 s such a release goes to a caller that stands in the middle of a line which begins as callers' lines do.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -42,6 +42,8 @@
 REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
 UNTOLD_PATIENCE = 0.4  # seconds a release waits for a caller that is known; it is owed within one second
+LAST_PATIENCE = 0.7  # and for one that has sent a set-up, before it goes to one that has begun a line
+LINE_BEGINS = b'{"type"'  # of a caller, as against a stranger's bytes
 MOST_UNTOLD = 1000
 ANSWER_SETTLES = 0.4  # seconds: most releases that come soon after an answer still go on the connection of the answer
 ANSWER_READ_WITHIN = 1.0  # seconds from an answer in which a release on another connection might be read before it
@@ -203,16 +205,24 @@
         due = [release for release in self.untold if release.not_before <= latest]
         if not due:
             return
-        hurry = self.schedule is not None or now - due[0].since > UNTOLD_PATIENCE
-        caller = self._known_caller() or (self._calling_caller() if hurry else None)
-        if caller is None and self.listener is None and (overdue or now - due[0].since > UNTOLD_PATIENCE):
-            caller = self._last_caller()
+        caller = self._caller_for(now - due[0].since, overdue)
         if caller is None:
             return
         self.untold = [release for release in self.untold if release.not_before > latest]
         for release in due:
             caller.put(release.data)
 
+    def _caller_for(self, waited: float, overdue: bool) -> Caller | None:
+        """Whom to tell a release that has waited for so many seconds; None: it waits on."""
+        caller = self._known_caller()
+        if caller is None and (self.schedule is not None or waited > UNTOLD_PATIENCE):
+            caller = self._calling_caller()
+        if caller is None and waited > LAST_PATIENCE:
+            caller = self._beginning_caller()
+        if caller is None and self.listener is None and (overdue or waited > UNTOLD_PATIENCE):
+            caller = self._last_caller()
+        return caller
+
     def _a_release_waits(self) -> bool:
         """Whether a release waits for its time, and a connection is still open for it."""
         return bool(self.untold) and any(not caller.finishing for caller in self.callers)
@@ -220,6 +230,11 @@
     def _calling_caller(self) -> Caller | None:
         return next((caller for caller in reversed(self.callers) if caller.sent_set_up and not caller.finishing), None)
 
+    def _beginning_caller(self) -> Caller | None:
+        """The latest that stands in the middle of a line which begins as callers' lines do."""
+        begun = (caller for caller in reversed(self.callers) if caller.lines.held.startswith(LINE_BEGINS))
+        return next((caller for caller in begun if not caller.finishing), None)
+
     def _last_caller(self) -> Caller | None:
         """Whoever is left at the end, rather one that has begun a line than one that may be a test of the front."""
         left = [caller for caller in self.callers if not caller.finishing]
