Connections that still open are given up with the last caller's connection, not a look later

Cause: the looks at connections are 0.1 s apart, and in between a connection came up 20 ms before the process was gone. Change: they are given up in the same step in which the last caller's connection is half closed.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -496,6 +496,8 @@
                 self.finished_at = self.seconds()
         if any(not caller.finishing for caller in self.callers):
             return
+        for switch in self.switches.values():
+            switch.give_up_opening()
         if self.callers and self.seconds() - self.finished_at < FINISH:
             return  # a caller that has not noticed yet may still end a call
         self._log_end()
