--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -5,26 +5,22 @@
 
 from __future__ import annotations
 
-import contextlib
 import gc
-import math
 import os
 import signal
 import sys
 import time
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 
-from ..callers.lines import BadCallerError, Lines
 from ..facts import BadFactError, Facts
 from ..host import GwState
 from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
-from ..transport.stream import Stream, listening
 from .belief import Belief
+from .caller_connections import FINISH, CallerConnection, CallerConnections
 from .calls import Calls
 from .configuration import Configuration, configuration_from_environment, read_configuration
 from .event_bus import EventBusClient
@@ -36,83 +32,8 @@
 LOOK = 10  # ticks between looks at connections
 COUNT = 1000  # ticks between lines of counts
 END_LINES = 50  # ticks between lines about an end
-MOST_QUEUED = 1 << 18  # bytes
-LONGEST_WRITE = 2.0
-SPEAK = 1.5  # seconds: a caller that has said nothing whole by then is closed, as is one that stops in mid line
-REST = 8.0  # seconds without a call before a caller's connection is closed; callers do it after four themselves
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
-UNTOLD_PATIENCE = 0.4  # seconds a release waits for a caller that is known; it is owed within one second
-LAST_PATIENCE = 0.7  # and for one that has sent a set-up, before it goes to one that has begun a line
-LINE_BEGINS = b'{"type"'  # of a caller, as against a stranger's bytes
-MOST_UNTOLD = 1000
-ANSWER_SETTLES = 0.4  # seconds: most releases that come soon after an answer still go on the connection of the answer
-ANSWER_READ_WITHIN = 1.0  # seconds from an answer in which a release on another connection might be read before it
-LONGEST_HELD = 0.6  # seconds that a release is held for that; it is owed within one second
-FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
-FINISH_SWITCHES = 0.1  # and switches theirs
-
-
-class Untold(NamedTuple):
-    """A release that waits for a caller's connection, and until `not_before`; times in seconds."""
-
-    since: float
-    not_before: float
-    data: bytes
-
-
-class Caller(Stream):
-    """One connection from callers."""
-
-    def __init__(self, process: Process, sock: socket.socket) -> None:
-        super().__init__(sock, most_queued=MOST_QUEUED, longest_write=LONGEST_WRITE)
-        self.process = process
-        self.lines = Lines(self)
-        self.since = self.said_at = process.seconds()
-        self.spoken = self.known = self.sent_set_up = False
-        self.answered_at = 0.0  # seconds: when the last call of it began to stand
-
-    def came(self, data: bytes) -> None:
-        self.said_at = self.process.seconds()
-        try:
-            self.lines.feed(data)
-        except BadCallerError as bad:
-            self.process.calls.count(f"closed: {str(bad)[:60]}")
-            self.close(True, str(bad)[:60])
-
-    def ended(self, reset: bool) -> None:
-        self.process.caller_gone(self)
-
-    def at_rest(self) -> bool:
-        """Nothing is owed on it and nothing of its peer waits to be read, so that it may be closed."""
-        if self.process.seconds() - self.answered_at < ANSWER_SETTLES:
-            return False
-        return not (self in self.process.calls.on_conn or self.queue or self.lines.held or self.readable())
-
-    # --- what the lines are ---
-
-    def set_up(self, id: str, *figures: Any) -> None:
-        self.spoken = True
-        if self.finishing:  # it crossed the close: its caller sends it again elsewhere
-            self.process.details("set-up-crossed-close", id=id)
-            return
-        self.sent_set_up = True
-        self.process.calls.set_up(self.process.clock(), self, id, *figures)
-
-    def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
-        self.spoken = self.known = True
-        self.process.calls.stands_at(self.process.clock(), self, id, kind, number, switch)
-
-    def released(self, id: str, cause: int) -> None:
-        self.spoken = True
-        self.process.calls.released(self.process.clock(), self, id, cause)
-
-    def pinged(self, id: str) -> None:
-        self.spoken = True
-        self.process.pinged(self, id)
-
-    def unusable(self, id: str, why: str) -> None:
-        self.spoken = True
-        self.process.calls.unusable(self.process.clock(), self, id, why)
+FINISH_SWITCHES = 0.1  # seconds at the end in which switches may close their side of connections that are half closed
 
 
 class Process:
@@ -121,17 +42,14 @@
     def __init__(self, path: Path, config: Configuration, belief: bool = False) -> None:
         self.path, self.config = path, config
         self.ahead = time.time_ns() - time.monotonic_ns()  # the Unix clock, without its steps
-        self.callers: dict[Caller, None] = {}
-        self.most_callers = config.sockets // 2
+        self.callers = CallerConnections(self, config.sockets // 2)
         self.switches: dict[int, SwitchConnections] = {}
         self.details = DetailLog(self.seconds)
-        self.untold: list[Untold] = []  # releases that no caller could be told yet
-        self.tests: list[tuple[Caller, str]] = []
+        self.tests: list[tuple[CallerConnection, str]] = []
         self.started = self.seconds()
         self.ready = False
         self.ending: float | None = None
         self.schedule: Schedule | None = None  # once told to end
-        self.finished_at: float | None = None  # when the last caller's connection was half closed
         self.over = Event()
         self.last = 0
         self.bus = EventBusClient(self, config.bus)
@@ -151,7 +69,7 @@
 
     def run(self) -> int:
         try:
-            self.listener = listening(self.config.listen)
+            self.callers.listen(self.config.listen)
         except OSError as error:
             print(f"LB_LISTEN: {self.config.listen[0]}:{self.config.listen[1]}: {error.strerror}", file=sys.stderr)
             return 2
@@ -160,7 +78,7 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.switches))
         self.bus.start()
-        self.acceptor = gevent.spawn(self._accept)
+        self.callers.start()
         ticker = gevent.spawn(self._tick)
         self.over.wait()
         self.bus.stop()
@@ -183,70 +101,11 @@
     def record(self, event: str, id: str, **fields: Any) -> None:
         self.details(event, id=id, **fields)
 
-    def to_caller(self, conn: Caller | None, data: bytes) -> None:
-        now = self.seconds()
-        not_before = now
-        if conn is None or conn.closed or conn.finishing:
-            if conn is not None and conn.finishing:  # its answer may stand unread
-                not_before = min(conn.answered_at + ANSWER_READ_WITHIN, now + LONGEST_HELD)
-            conn = self._known_caller()
-        if conn is not None and not_before <= now:
-            conn.put(data)
-            return
-        self.details("release-waits", callers=len(self.callers), known=conn is not None, line=data.decode().strip())
-        self.untold.append(Untold(now, not_before, data))
-        del self.untold[:-MOST_UNTOLD]
-
-    def _tell_untold(self, overdue: bool = False) -> None:
-        """Releases that waited go to a known caller; failing that, when time runs out, to one that has sent a set-up.
-        `overdue`: callers' connections are about to close, so nothing waits any longer."""
-        now = self.seconds()
-        latest = math.inf if overdue else now
-        due = [release for release in self.untold if release.not_before <= latest]
-        if not due:
-            return
-        caller = self._caller_for(now - due[0].since, overdue)
-        if caller is None:
-            return
-        self.untold = [release for release in self.untold if release.not_before > latest]
-        for release in due:
-            caller.put(release.data)
-
-    def _caller_for(self, waited: float, overdue: bool) -> Caller | None:
-        """Whom to tell a release that has waited for so many seconds; None: it waits on."""
-        caller = self._known_caller()
-        if caller is None and (self.schedule is not None or waited > UNTOLD_PATIENCE):
-            caller = self._calling_caller()
-        if caller is None and waited > LAST_PATIENCE:
-            caller = self._beginning_caller()
-        if caller is None and self.listener is None and (overdue or waited > UNTOLD_PATIENCE):
-            caller = self._last_caller()
-        return caller
-
-    def _a_release_waits(self) -> bool:
-        """Whether a release waits for its time, and a connection is still open for it."""
-        return bool(self.untold) and any(not caller.finishing for caller in self.callers)
-
-    def _calling_caller(self) -> Caller | None:
-        return next((caller for caller in reversed(self.callers) if caller.sent_set_up and not caller.finishing), None)
-
-    def _beginning_caller(self) -> Caller | None:
-        """The latest that stands in the middle of a line which begins as callers' lines do."""
-        begun = (caller for caller in reversed(self.callers) if caller.lines.held.startswith(LINE_BEGINS))
-        return next((caller for caller in begun if not caller.finishing), None)
-
-    def _last_caller(self) -> Caller | None:
-        """Whoever is left at the end, rather one that has begun a line than one that may be a test of the front."""
-        left = [caller for caller in self.callers if not caller.finishing]
-        return max(left, key=lambda caller: (caller.spoken, len(caller.lines.held)), default=None)
-
-    def served(self, conn: Caller) -> None:
-        conn.known = True
-        conn.answered_at = self.seconds()
-
-    def _known_caller(self) -> Caller | None:
-        """The latest connection on which calls stood; any other may be anybody's."""
-        return next((caller for caller in reversed(self.callers) if caller.known and not caller.finishing), None)
+    def to_caller(self, conn: CallerConnection | None, data: bytes) -> None:
+        self.callers.tell(conn, data)
+
+    def served(self, conn: CallerConnection) -> None:
+        self.callers.served(conn)
 
     def link_to(self, gw: int, used: set[Any]) -> SwitchConnection | None:
         switch = self.switches.get(gw)
@@ -294,69 +153,12 @@
     def spoilt_by(self, link: SwitchConnection, why: str) -> None:
         self.calls.count(f"link closed: {why[:60]}")
 
-    def caller_gone(self, caller: Caller) -> None:
-        self.callers.pop(caller, None)
-        held = self.calls.on_conn.get(caller, ())
-        if held or caller.queue or caller.lines.held:
-            self.details("caller-closed", why=caller.close_reason, set_ups=",".join(held) or "none", partial=len(caller.lines.held))
-        self.calls.conn_gone(self.clock(), caller)
-
-    def pinged(self, caller: Caller, id: str) -> None:
+    def pinged(self, caller: CallerConnection, id: str) -> None:
         if self.ready:
             self.calls.pinged(self.clock(), caller, id, self.ending is None)
         else:
             self.tests.append((caller, id))
 
-    # --- callers' connections ---
-
-    def _accept(self) -> None:
-        while self.listener is not None:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:  # no descriptor may be left: whoever rests makes room
-                self._make_room()
-                gevent.sleep(0.05)
-                continue
-            self._accepted(sock)
-
-    def _accepted(self, sock: socket.socket) -> None:
-        if len(self.callers) >= self.most_callers and not self._make_room():
-            sock.close()
-            return
-        caller = Caller(self, sock)
-        self.callers[caller] = None
-        gevent.spawn(caller.read)
-
-    def _stop_listening(self) -> None:
-        """Take what the machine has accepted by now, then refuse connections."""
-        listener, self.listener = self.listener, None
-        self.acceptor.kill(block=False)
-        listener.settimeout(0)
-        with contextlib.suppress(OSError):
-            while True:
-                self._accepted(listener.accept()[0])
-        listener.close()
-
-    def _make_room(self) -> bool:
-        """Close the oldest that has said nothing, else the one that rests longest; those on which calls stood last,
-        since what ends a call can be told only on them."""
-        resting = [caller for caller in self.callers if not (caller in self.calls.on_conn or caller.queue or caller.readable())]
-        if not resting:
-            return False
-        min(resting, key=lambda caller: (caller.known, caller.spoken, caller.said_at)).close(True, "room for another")
-        return True
-
-    def _look_at_callers(self) -> None:
-        now = self.seconds()
-        for caller in list(self.callers):
-            quiet = now - caller.said_at
-            if quiet <= SPEAK:
-                if not caller.spoken and now - caller.since > 2 * SPEAK:
-                    caller.close(True, "bytes and no line")
-                continue
-            if caller not in self.calls.on_conn and (not caller.spoken or caller.lines.held or quiet > REST):
-                caller.close(True, "nothing whole in time" if caller.lines.held or not caller.spoken else "at rest")
-
     # --- the list ---
 
     def listed(self, number: int, whole: bool, entries: list[Line]) -> None:
@@ -415,7 +217,7 @@
 
     def _look(self) -> None:
         # Then a new connection to a switch would bring releases that nobody can be told; the next process will hear them.
-        nobody = self.schedule is not None and self.listener is None and not (self._known_caller() or self._calling_caller())
+        nobody = self.ends() and self.callers.listener is None and not self.callers.any_to_tell()
         for switch in list(self.switches.values()):
             if nobody:
                 switch.give_up_opening()
@@ -423,8 +225,8 @@
                 switch.look()
             if not switch.wanted and not switch.links and not self.standing_at(switch):
                 del self.switches[switch.gw]
-        self._look_at_callers()
-        self._tell_untold()
+        self.callers.look()
+        self.callers.tell_pending()
         if not self.ready and (
             self.seconds() - self.started > READY
             or all(switch.main is not None and switch.main.state for switch in self.switches.values())
@@ -446,6 +248,10 @@
         log("configuration-read", bus=f"{config.bus[0]}:{config.bus[1]}")
         self.bus.move_to(config.bus)
 
+    def ends(self) -> bool:
+        """Whether it has been told to end."""
+        return self.schedule is not None
+
     def end(self) -> None:
         """SIGTERM: go on until nothing new can come, answer what was taken, then end."""
         if self.ending is None:
@@ -454,7 +260,7 @@
             # Whatever may go wrong in the steps of an end, it has a bound of its own.
             latest = (self.schedule.close_by - self.clock()) / 10_000 + FINISH + FINISH_SWITCHES
             gevent.spawn_later(max(0.0, latest), self.over.set)
-            log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.untold))
+            log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.callers.pending))
 
     def _log_end(self) -> None:
         """Who still waits while the process ends: the oldest set-ups by id, and what stands in queues."""
@@ -464,8 +270,8 @@
             after_s=round(self.seconds() - self.ending, 2),
             set_ups=len(waiting),
             oldest=",".join(waiting[:3]) or "none",
-            queued=sum(caller.queued for caller in self.callers),
-            untold=len(self.untold),
+            queued=sum(caller.queued for caller in self.callers.open),
+            untold=len(self.callers.pending),
         )
 
     def _end_calls_of_the_dead(self) -> None:
@@ -483,23 +289,19 @@
         now = self.clock()
         if now < self.schedule.refuse_from:
             return
-        if self.listener is not None:
-            self._stop_listening()
+        self.callers.stop_listening()
         self._end_calls_of_the_dead()
         overdue = now >= self.schedule.close_by
-        self._tell_untold(overdue)
-        if not overdue and (self._doubts_a_switch() or self._a_release_waits()):
+        self.callers.tell_pending(overdue)
+        if not overdue and (self._doubts_a_switch() or self.callers.release_waits()):
             return
-        for caller in list(self.callers):
-            if not caller.finishing and (overdue or caller.at_rest()):
-                caller.finish(FINISH)
-                self.finished_at = self.seconds()
-        if any(not caller.finishing for caller in self.callers):
+        self.callers.half_close(overdue)
+        if not self.callers.all_finishing():
             return
         for switch in self.switches.values():
             switch.give_up_opening()
-        if self.callers and self.seconds() - self.finished_at < FINISH:
-            return  # a caller that has not noticed yet may still end a call
+        if self.callers.may_still_speak():
+            return
         self._log_end()
         links = [link for switch in self.switches.values() for link in switch.links]
         for link in links:
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -265,7 +265,8 @@
 
     class Failing(module.Process):
         def __init__(self):
-            self.over, self.ending, self.schedule, self.callers, self.untold = module.Event(), None, None, {}, []
+            self.over, self.ending, self.schedule = module.Event(), None, None
+            self.callers = module.CallerConnections(self, 1)
             self.calls = type("Calls", (), {"by_dialog": {}, "shut_down": lambda self, now: module.Schedule(now, now, now + 10)})()
             self.ahead = 0
 
