Known red: SIGHUP during the start ends the process; new configurations during an end hold

Found by reading: the handler is set after settings and list are read, so a SIGHUP before that has its default effect.

--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -446,3 +446,44 @@
         and m.split(".")[1]
         in ("store", "trace", "settings", "cli", "edge", "standins", "emulator", "duties", "membership", "benchlink")
     }
+
+
+class EarlyReload(Service):
+    """Its process hears SIGHUP while it reads its first configuration; the next one names another bus."""
+
+    def write(self):
+        self.next_bus = Bus()
+        os.mkfifo(self.path)
+        threading.Thread(target=self._reload, daemon=True).start()
+
+    def _reload(self):
+        with self.path.open("w") as pipe:  # the process has begun to read
+            while not hasattr(self, "process"):
+                pass
+            self.process.send_signal(signal.SIGHUP)
+            self.path.unlink()
+            self.path.write_text(json.dumps({**self.config, "bus": self.next_bus.address}))
+            pipe.write(json.dumps(self.config))
+
+
+# Guards against a process that SIGHUP kills while it starts, and against a configuration that it misses then.
+def test_a_new_configuration_that_comes_during_the_start_is_read(tmp_path):
+    service = EarlyReload(tmp_path)
+    assert service.next_bus.asked.get(timeout=WAIT) == 1
+    service.next_bus.close()
+    service.close()
+
+
+# Guards against an end that new configurations disturb.
+def test_new_configurations_during_an_end_change_nothing_for_callers(start):
+    service = start(s2=Switch(lambda id: None))
+    caller = service.caller()
+    caller.set_up(A, far=2, left=1500)
+    service.switches["s2"].next("INVITE")
+    service.process.send_signal(signal.SIGTERM)
+    for _ in range(5):
+        service.process.send_signal(signal.SIGHUP)
+    caller.set_up(B)
+    assert {caller.next()["id"], caller.next()["id"]} == {A, B}
+    assert caller.next() is None
+    assert service.process.wait(WAIT) == 0
