SIGHUP during the start neither ends the process nor is lost

Users saw, or could: a process that ends by SIGHUP (status -1) where a new configuration comes while it starts. Cause: SIGHUP has its default effect until the process has read settings and list. Change: SIGHUP is noted before anything is loaded, and the file is read once more when the process begins. The interpreter's own start, some hundredths of a second before that, stays open to it.

--- a/gingergap/__main__.py
+++ b/gingergap/__main__.py
@@ -3,6 +3,10 @@
 import sys
 
 if sys.argv[1:2] == ["serve"] and set(sys.argv[2:]) <= {"--belief"}:
+    from .service import early_signals
+
+    early_signals.note()
+
     from .service.process import main
 
     sys.exit(main("--belief" in sys.argv))
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -19,6 +19,7 @@
 from ..facts import BadFactError, Facts
 from ..host import GwState
 from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
+from . import early_signals
 from .belief import Belief
 from .caller_connections import FINISH, CallerConnection, CallerConnections
 from .calls import Calls
@@ -78,6 +79,8 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         log("serving", name=self.config.name, listen=self.config.listen[0], switches=len(self.switches))
         self.bus.start()
+        if early_signals.reload_came():
+            self.reload()
         self.callers.start()
         ticker = gevent.spawn(self._tick)
         self.over.wait()
