--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -4,7 +4,7 @@
 
 import pytest
 from trial import Record, broken_rules
-from trial_peers import Caller, CallerFault, SetUp
+from trial_peers import Caller, CallerFault, SetUp, Standing
 
 ID = "a" * 16
 ANSWER = {"type": "answer", "id": ID, "sdp": f"of {ID}\r\n"}
@@ -49,3 +49,16 @@
     assert broken_rules(record, {}, 9.0) == []
     Caller("n0", 0, Random(1), record.set_ups, CallerFault.NONE, [1])._came(RELEASE, 3.0)
     assert broken_rules(record, {}, 9.0)
+
+
+# Guards against a check that loses the end of a call, heard on another node before the call's own caller has read the answer.
+@pytest.mark.parametrize(("heard", "broken"), [(True, False), (False, True)])
+def test_the_end_of_a_call_counts_as_told_also_before_its_answer_is_read(heard, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5)})
+    record.calls = [Standing(ID, "s-1", since=1.0, released=1.4)]
+    if heard:
+        Caller("n1", 0, Random(1), record.set_ups, CallerFault.NONE, [1])._came(RELEASE, 1.5)
+    caller = Caller("n0", 0, Random(1), record.set_ups, CallerFault.NONE, [1])
+    caller.random = Random(5)
+    caller._came(ANSWER, 1.1)
+    assert bool(broken_rules(record, {}, 9.0)) is broken
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -154,6 +154,7 @@
     """The world of one trial; a scenario drives it, `judged` says what broke."""
 
     def __init__(self, seed: int, folder: Path) -> None:
+        self.seed = seed
         self.random = Random(seed)
         self.folder = folder
         self.record = Record()
@@ -423,7 +424,7 @@
         await self.end()
         broken = broken_rules(self.record, self.told, now())
         if broken and "TRIAL_TRACE" in os.environ:
-            trace(self.record, broken, Path(os.environ["TRIAL_TRACE"]) / f"trial-{os.getpid()}-{int(began)}.txt")
+            trace(self.record, broken, Path(os.environ["TRIAL_TRACE"]) / f"trial-{self.seed}-{os.getpid()}-{int(began)}.txt")
         return broken
 
     @property
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -609,10 +609,10 @@
         answered = any(kind == "answer" for _, kind, _ in set_up.finals)
         if line["type"] == "answer":
             self._put_in_order_of_arrival(set_up, at)
-        if line["type"] == "release" and answered:
+        if line["type"] == "release" and (answered or self.name != set_up.node):
+            # A switch tells the end of any call to any node. That node can't know what the set-up's own node refused, and
+            # its caller may hear of it before the call's own caller has read the answer.
             set_up.releases.append((at, self.name))
-        elif line["type"] == "release" and self.name != set_up.node:
-            return  # a switch tells the end of any call to any node, which can't know what the set-up's own node refused
         elif line["type"] in ("answer", "release"):
             set_up.finals.append((at, line["type"], line.get("sdp", "")))
             self.open.pop(set_up.id, None)
@@ -624,7 +624,7 @@
     def _put_in_order_of_arrival(self, set_up: SetUp, answered_at: float) -> None:
         """A release that was read first, on another connection, but came after the answer is the end of the call."""
         for final in set_up.finals:
-            if final[1] == "release" and final[0] > answered_at and not set_up.releases:
+            if final[1] == "release" and final[0] > answered_at and self.name not in [by for _, by in set_up.releases]:
                 set_up.releases.append((final[0], self.name))
                 set_up.finals.remove(final)
                 return
