A connection for which no descriptor is left counts as not made

Callers would see set-ups wait for a connection until its time is over, with a traceback in the log, where descriptors run out. Cause: made the socket outside the part of connect that catches errors. Change: the socket is made where errors count as not connected. Measured: the test of this name failed with the error before and passes now.

--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -55,14 +55,13 @@
 
     def connect(self, address: tuple[str, int], timeout: float, source: str = "") -> bool:
         """Open it, within seconds; what waits in the queue leaves then. Blocks its greenlet."""
-        sock = self.opening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
+            sock = self.opening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.settimeout(timeout)
             if source:
                 sock.bind((source, 0))
             sock.connect(address)
         except OSError as error:
-            sock.close()
             self.nobody_listens = isinstance(error, ConnectionRefusedError)
             self.close(False, f"not connected: {error}")
             return False
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -413,3 +413,20 @@
         queue.accept()
     filler.close()
     queue.close()
+
+
+# Guards against a connection that is neither up nor closed, for want of a descriptor.
+def test_a_connection_for_which_there_is_no_descriptor_counts_as_not_made(monkeypatch):
+    ended = []
+
+    class Noted(Stream):
+        def ended(self, reset):
+            ended.append(reset)
+
+    def none_left(*args):
+        raise OSError(24, "Too many open files")
+
+    monkeypatch.setattr("gingergap.transport.stream.socket.socket", none_left)
+    stream = Noted(None, most_queued=1000, longest_write=1.0)
+    assert stream.connect(("127.0.0.1", 9), 1.0) is False
+    assert ended == [False] and not stream.nobody_listens
