A connection that was given up before it begins to open is not opened

Switches could see a connection that nobody reads, which may take the copy of a release. Cause: connect opened a socket for a stream that had been closed already, and since nothing closed it. Found by reading the change again; no run showed it. Change: connect does nothing for a closed stream. Measured: the test of this name failed before and passes now.

--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -55,6 +55,8 @@
 
     def connect(self, address: tuple[str, int], timeout: float, source: str = "") -> bool:
         """Open it, within seconds; what waits in the queue leaves then. Blocks its greenlet."""
+        if self.closed:
+            return False
         try:
             sock = self.opening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.settimeout(timeout)
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -430,3 +430,16 @@
     stream = Noted(None, most_queued=1000, longest_write=1.0)
     assert stream.connect(("127.0.0.1", 9), 1.0) is False
     assert ended == [False] and not stream.nobody_listens
+
+
+# Guards against a connection that is opened although it was given up before that began.
+def test_a_connection_that_was_given_up_before_it_opens_is_not_opened():
+    listener = green.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(5)
+    stream = Stream(None, most_queued=1000, longest_write=1.0)
+    stream.close(False, "given up")
+    assert stream.connect(listener.getsockname(), 1.0) is False
+    listener.settimeout(0.1)
+    with pytest.raises(OSError):
+        listener.accept()
