--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -54,10 +54,12 @@
 class CallerConnection(Stream):
     """One connection from callers."""
 
-    def __init__(self, group: CallerConnections, sock: socket.socket) -> None:
+    def __init__(self, group: CallerConnections, sock: socket.socket, port: int) -> None:
+        """`port` is the peer's, by which logs name the connection."""
         super().__init__(sock, most_queued=MOST_QUEUED, longest_write=LONGEST_WRITE)
         self.group, self.owner = group, group.owner
         self.lines = Lines(self)
+        self.port = port
         self.since = self.said_at = self.owner.seconds()
         self.spoken = self.known = self.sent_set_up = False
         self.answered_at = 0.0  # when the last call of it began to stand
@@ -122,9 +124,14 @@
     def gone(self, caller: CallerConnection) -> None:
         self.open.pop(caller, None)
         held = self.owner.calls.on_conn.get(caller, ())
-        if held or caller.queue or caller.lines.held:
-            partial = len(caller.lines.held)
-            self.owner.details("caller-closed", why=caller.close_reason, set_ups=",".join(held) or "none", partial=partial)
+        self.owner.details(
+            "caller-closed",
+            port=caller.port,
+            why=caller.close_reason,
+            set_ups=",".join(held) or "none",
+            partial=len(caller.lines.held),
+            queued=caller.queued,
+        )
         self.owner.calls.conn_gone(self.owner.clock(), caller)
 
     # --- accepting ---
@@ -139,18 +146,19 @@
     def _accept(self) -> None:
         while self.listener is not None:
             try:
-                sock, _ = self.listener.accept()
+                sock, address = self.listener.accept()
             except OSError:  # no descriptor may be left: whoever rests makes room
                 self._make_room()
                 gevent.sleep(0.05)
                 continue
-            self._accepted(sock)
+            self._accepted(sock, address[1])
 
-    def _accepted(self, sock: socket.socket) -> None:
+    def _accepted(self, sock: socket.socket, port: int) -> None:
         if len(self.open) >= self.most and not self._make_room():
+            self.owner.details("caller-turned-away", port=port, callers=len(self.open))
             sock.close()
             return
-        caller = CallerConnection(self, sock)
+        caller = CallerConnection(self, sock, port)
         self.open[caller] = None
         gevent.spawn(caller.read)
 
@@ -163,7 +171,8 @@
         listener.settimeout(0)
         with contextlib.suppress(OSError):
             while True:
-                self._accepted(listener.accept()[0])
+                sock, address = listener.accept()
+                self._accepted(sock, address[1])
         listener.close()
 
     def _make_room(self) -> bool:
@@ -267,6 +276,7 @@
         for caller in list(self.open):
             if not caller.finishing and (overdue or caller.at_rest()):
                 caller.finish(FINISH)
+                self.owner.details("caller-half-closed", port=caller.port, why="overdue" if overdue else "nothing is owed on it")
                 self.finished_at = self.owner.seconds()
 
     def all_finishing(self) -> bool:
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -217,6 +217,7 @@
         self.by_id[id] = self.by_dialog[call.dialog] = call
         self.on_conn.setdefault(conn, {})[id] = call
         self.lately.pop(id, None)
+        self.wire.record("set-up-taken", id, dest=far, left_ms=left)
         self.controller.dialog_came(
             now, call.dialog, place, far, width, number, left * MS, transit, redialled, cut, -1 if transit else advised
         )
@@ -254,8 +255,10 @@
         self.now = now
         call = self.by_id.get(id)
         if call is None:
+            self.wire.record("release-of-unknown-set-up", id, cause=cause)
             return
         if call.stands:
+            self.wire.record("call-ended", id, by="caller", cause=cause, switch=self.ids[call.gw])
             self.wire.to_caller(conn, lines.released(id))
             self.wire.to_switch(call.gw, messages.bye(call.number, id, call.legs + 1, cause))
             self._ended(call, LegEnd.ENDED)
@@ -322,6 +325,7 @@
             off = self.called_off.pop((id, link), None)
             if off is not None:  # it crossed the CANCEL, and stands at the switch
                 self.count("crossed answers released")
+                self.wire.record("answer-after-cancel", id, switch=self.ids[gw], leg=off[1])
                 goodbye = messages.ack(off[2], id, off[1]) + messages.bye(off[2], id, off[1] + 1, NORMAL)
                 if not self.wire.to_link(link, goodbye):
                     self.wire.to_switch(off[0], goodbye)
@@ -331,6 +335,7 @@
         self._off_conn(call)
         call.stands, call.link = True, None
         took = now - call.sent_at
+        self.wire.record("set-up-answered", id, switch=self.ids[gw], leg=call.legs, after_ms=took // MS)
         if self.belief is not None:
             self.belief.answered(gw, took)
             dialog = self.controller.dialogs.get(call.dialog)
@@ -372,6 +377,7 @@
                 self.wire.record("release-of-unknown-call", id, switch=self.ids[gw])
                 self.wire.to_caller(None, lines.release(id, cause))
         elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
+            self.wire.record("call-ended", id, by="switch", cause=cause, switch=self.ids[gw])
             self.wire.to_caller(call.conn, lines.release(id, cause))
             self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
         elif self._leg_on(link, id) is call:
@@ -473,6 +479,7 @@
 
     def _invite(self, call: Call) -> None:
         call.sent_at = self.now
+        self.wire.record("leg-sent", call.id, switch=self.ids[call.gw], leg=call.legs)
         within = max(1, (call.until - self.now) // MS)
         self.wire.to_link(call.link, messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
 
@@ -487,6 +494,7 @@
         if call.sent_at < 0:
             return False
         self.called_off[call.id, link] = call.gw, call.legs, call.number
+        self.wire.record("leg-called-off", call.id, switch=self.ids[call.gw], leg=call.legs, after_ms=self._leg_age(call))
         self.wire.to_link(link, messages.cancel(call.number, call.id, call.legs))
         return True
 
--- a/gingergap/service/log.py
+++ b/gingergap/service/log.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-MOST_DETAILS = 100  # lines a second: a flood of bad requests must not become a flood of lines
+MOST_DETAILS = 300  # lines a second: a flood of bad requests must not become a flood of lines
 
 
 def log(event: str, **fields: Any) -> None:
