The rule checker no longer takes a drop after the next leg for the end of the one before

The next leg had been read 19 and 9 ms before the drop was noted; the slack between two stamps was granted although a drop is noted by the exchange that makes it, before it makes it, so that no leg can follow a drop that is noted later. A kill is noted after it was made, and keeps the slack. Test: failed before in one of two cases.

--- a/gingergap/standins/checker.py
+++ b/gingergap/standins/checker.py
@@ -390,9 +390,12 @@
         """When a leg that another one followed at `by` was over. What came after that can't have ended it."""
         if leg.end is not None and leg.end[0] <= by + SLACK:
             return leg.end
-        over = [*self.stops.get(leg.target, ()), *(self.resets.get(leg.target, ()) if leg.stream else ())]
-        # What was sent on a connection that is just being dropped is read, and noted, a moment after the drop.
-        stopped = min((at for at in over if leg.at - SLACK <= at <= by + SLACK), default=None)
+        # What was sent on a connection that is just being dropped is read, and noted, a moment after the drop. A drop is
+        # noted before it is made, so one noted after the next leg can't be what that leg followed; a kill is noted after.
+        over = [at for at in self.stops.get(leg.target, ()) if leg.at - SLACK <= at <= by + SLACK]
+        if leg.stream:
+            over += [at for at in self.resets.get(leg.target, ()) if leg.at - SLACK <= at <= by]
+        stopped = min(over, default=None)
         if stopped is not None:
             return stopped, "reset", leg.line
         if leg.provisional is not None and leg.provisional <= by - SLACK:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -226,6 +226,25 @@
         assert judge(tmp_path, datagrams).broken[2] == 1  # the drop was nothing to it: it was still out
 
 
+# Guards against a check that takes a drop for the end of a leg although the next leg had come before it.
+@pytest.mark.parametrize(("reset_at", "broken"), [(1.49, 1), (1.52, 0)])
+def test_a_drop_after_the_next_leg_did_not_end_the_one_before(tmp_path, reset_at, broken):
+    def over_tcp(line):
+        return dict(line, message=line["message"].replace("SIP/2.0/UDP 127.0.0.1:7000", "SIP/2.0/TCP 127.0.0.1:7000"))
+
+    lines = [
+        *NOTES,
+        invite(1.0),
+        over_tcp(leg(1.01, "z9hG4bKa")),
+        over_tcp(leg(1.51, "z9hG4bKb")),
+        {"at": reset_at, "note": "reset", "address": X1},
+        leg_answer(2.0, 200, "z9hG4bKb"),
+        final(2.0, 200),
+    ]
+    lines.sort(key=lambda line: line["at"])
+    assert judge(tmp_path, lines).broken[5] == broken
+
+
 def test_what_was_sent_on_a_connection_being_dropped_ended_with_it(tmp_path):
     def over_tcp(line):
         return dict(line, message=line["message"].replace("SIP/2.0/UDP 127.0.0.1:7000", "SIP/2.0/TCP 127.0.0.1:7000"))
