The release guard begins anew when a leg that was given up loses its connection later

The module now has leg_cut_late, told by the proxy for a leg given up on a connection that is lost, and by the service where a CANCEL may stand unread. Tests in test_rules and test_edge_proxy: failed before.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -342,7 +342,7 @@
                 self._decline(dialog, d)
             elif what == "silent" and d.leg_to is not None:
                 self._end_silent(dialog, d, d.leg_to)
-            elif what == "again" and d.leg_to is None and not d.waits:
+            elif what == "again" and d.leg_to is None and not d.waits and now >= d.not_before:
                 self._route(dialog, d)
         while self.first_tried:
             key = next(iter(self.first_tried))
@@ -498,6 +498,16 @@
         else:
             self._route(dialog, d)
 
+    def leg_cut_late(self, now: int, dialog: int) -> None:
+        """The connection of a leg that was given up is lost only now, so that the leg may have been out until now: the
+        release guard begins anew, unless another leg has been sent."""
+        self.now = now
+        d = self.dialogs.get(dialog)
+        if d is None or d.answered or d.stands or d.leg_to is not None:
+            return
+        d.not_before = now + self.release_guard
+        heappush(self.due, (d.not_before, dialog, "again"))
+
     def dialog_gone(self, now: int, dialog: int) -> None:
         self.now = now
         d = self.dialogs.get(dialog)
--- a/gingergap/edge/proxy.py
+++ b/gingergap/edge/proxy.py
@@ -324,6 +324,8 @@
         owner = client.owner
         if type(owner) is Leg:
             if owner.over:
+                if how == Lost.RESET and owner.given_up and not owner.call.answered:
+                    self.controller.leg_cut_late(now, owner.call.index)
                 return
             end = {Lost.TIMEOUT: LegEnd.NO_ANSWER, Lost.UNREACHABLE: LegEnd.UNREACHABLE, Lost.RESET: LegEnd.CUT}[how]
             self.soon.append((owner, end, 0))
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -316,8 +316,15 @@
         self.on_link.pop(link, None)
         for key in [key for key in self.called_off if key[1] == link]:
             del self.called_off[key]  # a set-up is given up with its connection
+            self._cut_late(key[0])
         self._tell_later()
 
+    def _cut_late(self, id: str) -> None:
+        """A switch may not have read the CANCEL that stood on a connection."""
+        call = self.by_id.get(id)
+        if call is not None and not call.over:
+            self.controller.leg_cut_late(self.now, call.dialog)
+
     def answered(self, now: int, gw: int, link: Link, id: str, sdp: str) -> None:
         self.now = now
         call = self._leg_on(link, id)
--- a/tests/test_edge_proxy.py
+++ b/tests/test_edge_proxy.py
@@ -179,7 +179,8 @@
     assert peers.finals(invite.call_id) == [200]
 
 
-def test_the_release_guard_passes_before_a_dialog_is_sent_again(peers):
+def over_tcp(peers):
+    """The leg of an INVITE to an exchange that is reached over TCP, with its hop, and the INVITE."""
     tcp = [("x1", "ready", 0.0)]
     peers.notify(
         "exchange-list",
@@ -203,6 +204,11 @@
     invite = peers.invite()
     ((leg, hop),) = peers.legs(invite.call_id)
     assert hop.transport == "TCP"
+    return invite, leg, hop
+
+
+def test_the_release_guard_passes_before_a_dialog_is_sent_again(peers):
+    invite, leg, hop = over_tcp(peers)
     peers.answer((leg, hop), 100)
     peers.proxy.hop_failed(peers.now, Hop("TCP", "127.0.0.1", 7101, 5), True)
     peers.pass_time(1_950)
@@ -211,6 +217,19 @@
     assert len(peers.legs(invite.call_id)) == 2
 
 
+# Guards against a leg within the release guard of one that was given up unheard, so that no CANCEL could be sent, and whose
+# connection was dropped meanwhile.
+def test_the_release_guard_begins_anew_when_the_connection_of_a_leg_given_up_is_dropped(peers):
+    invite, _, _ = over_tcp(peers)
+    peers.proxy.cancel_leg(next(iter(peers.proxy.calls)), 0)
+    peers.pass_time(1_500)
+    peers.proxy.hop_failed(peers.now, Hop("TCP", "127.0.0.1", 7101, 5), True)
+    peers.pass_time(3_450)
+    assert len(peers.legs(invite.call_id)) == 1
+    peers.pass_time(4_100)
+    assert len(peers.legs(invite.call_id)) == 2
+
+
 def test_nobody_there_is_told_apart_from_silence(peers):
     invite = peers.invite()
     peers.proxy.hop_failed(peers.now, Hop("UDP", "127.0.0.1", 7101), False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -57,6 +57,17 @@
     assert len([leg for leg in mesh.host.asked("send_leg") if leg[1] == 1]) == 9
 
 
+# Guards against a leg within the release guard of one that was given up and lost its connection only later.
+def test_the_release_guard_begins_anew_when_a_leg_given_up_loses_its_connection(mesh):
+    mesh.came(0)
+    ended(mesh, 0, 1, LegEnd.CANCELLED, 1_000)
+    mesh.controller.leg_cut_late(2_600, 0)
+    mesh.beats(4_600, 2_800)
+    assert len(mesh.host.asked("send_leg")) == 1
+    mesh.beats(5_000, 4_600)
+    assert len(mesh.host.asked("send_leg")) == 2
+
+
 def test_the_release_guard_passes_before_the_next_leg(mesh):
     mesh.came(0)
     ended(mesh, 0, 1, LegEnd.CUT, 1_000)
