--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,10 +1,13 @@
 """The trials' own judgement, on records by hand."""
 
+import asyncio
 from random import Random
 
 import pytest
 from trial import Record, broken_rules
-from trial_peers import Caller, CallerFault, SetUp, Standing
+from trial_peers import Caller, CallerFault, Reply, SetUp, Standing, Switch, now, sip
+
+from gingergap.sip.framing import Framer
 
 ID = "a" * 16
 ANSWER = {"type": "answer", "id": ID, "sdp": f"of {ID}\r\n"}
@@ -62,3 +65,57 @@
     caller.random = Random(5)
     caller._came(ANSWER, 1.1)
     assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
+# Guards against a check that loses sight of one of two legs of a call at one switch (soak seed 17), or blames the caller's
+# process for the one that was given up.
+@pytest.mark.parametrize(("told", "broken"), [(2.6, False), (0.0, True)])
+def test_of_two_legs_of_a_call_at_one_switch_the_later_ones_end_is_told(told, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, finals=[(1.8, "answer", ANSWER["sdp"])])})
+    record.calls = [Standing(ID, "s-1", since=1.0, released=1.4, began=0.6), Standing(ID, "s-1", 1.7, released=2.5, began=1.6)]
+    if told:
+        record.set_ups[ID].releases.append((told, "n0"))
+    assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
+# Guards against a check that overlooks a call that its process ended at the switch and never towards its caller.
+@pytest.mark.parametrize(("told", "by_caller", "broken"), [(2.6, 0.0, False), (0.0, 2.4, False), (0.0, 0.0, True)])
+def test_a_call_that_was_ended_at_its_switch_is_over_for_its_caller_too(told, by_caller, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, finals=[(1.8, "answer", ANSWER["sdp"])])})
+    record.set_ups[ID].ended_by_caller = by_caller
+    record.calls = [Standing(ID, "s-1", since=1.7, heard_bye=2.5, began=1.6)]
+    if told:
+        record.set_ups[ID].releases.append((told, "n0"))
+    assert bool(broken_rules(record, {}, 12.0)) is broken
+
+
+class NotedWriter:
+    """A connection of a switch; keeps what is written."""
+
+    def __init__(self):
+        self.written = []
+
+    def write(self, data):
+        self.written.append(data)
+
+    def get_extra_info(self, name):
+        return None
+
+
+# Guards against a stand-in that forgets one of two legs of a call that stand at it, whose release then never came (soak seed 17).
+def test_a_switch_releases_each_of_two_legs_of_a_call():
+    async def play():
+        switch = Switch("s-1", 1, Random(1), [Reply.ANSWER])
+        switch.hold = 0.1
+        connections = [NotedWriter(), NotedWriter()]
+        switch.writers.update(connections)
+        for writer in connections:
+            switch._came(next(iter(Framer().feed(sip("INVITE sip:x@net SIP/2.0", ID, "INVITE")))), writer, False)
+        began = now()
+        while now() - began < 5.0 and sum(call.released > 0 for call in switch.calls) < 2:
+            await asyncio.sleep(0.01)
+        return [call.released > 0 for call in switch.calls], connections
+
+    released, connections = asyncio.run(play())
+    assert released == [True, True]
+    assert [sum(data.startswith(b"BYE") for data in writer.written) for writer in connections] == [1, 1]
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -335,6 +335,12 @@
     for call in record.calls:
         set_up = record.set_ups[call.id]
         answered = any(kind == "answer" for _, kind, _ in set_up.finals)
+        if any(other.id == call.id and other.uid == call.uid and other.began > call.began for other in record.calls):
+            continue  # an earlier leg of the call, which was given up: its caller is told of the last one's end
+        if call.heard_bye and answered and not set_up.ended_by_caller and not set_up.released:
+            if call.heard_bye + RELEASED_AT_LATEST + SLACK < end:
+                found.append(f"standing: {call.id} was ended at {call.uid}, its caller was never told")
+            continue
         if call.heard_bye or not answered and set_up.finals:
             if call.released == 0.0 and not call.heard_bye and end - call.since > RELEASED_AT_LATEST:
                 found.append(f"standing: {call.id} refused to its caller, and stands at {call.uid}")
