A BYE for an earlier leg of a call no longer ends the later one at the same switch

Callers saw, or would have seen, a call that stood for them and was cut at its switch, never told: a switch knows calls by their id alone, so the BYE that follows an answer which crossed its CANCEL ended the leg that was out or stood there by then. Such an answer is now acknowledged, and the BYE waits until no other leg of the call is at that switch; between two legs it is sent at once and the release guard begins anew. And a call that ends by its switch's BYE sends one of its own where an earlier leg of it may still stand there, since the two can't be told apart. Four tests failed before. One test expected the BYE while a third leg was out at the switch: it now expects none until that leg is over, and then one.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Hashable
 from heapq import heappop, heappush
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from ..brain import CallController
 from ..callers import lines
@@ -60,6 +60,14 @@
         """Nothing new on this connection: a set-up on it was never answered."""
 
 
+class CalledOffLeg(NamedTuple):
+    """A leg that CANCEL was sent for; its answer may still come. `leg` is its number within its call, from 1."""
+
+    gw: int
+    leg: int
+    number: str
+
+
 class Call:
     """A call from its set-up to its last word."""
 
@@ -79,6 +87,8 @@
         "stands",
         "over",
         "width",
+        "doubtful",
+        "unreleased",
     )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, kind: str, number: str, sdp: str, width: int) -> None:
@@ -91,6 +101,8 @@
         self.sent_at = -1  # when the leg was written; -1 while its connection is opening
         self.until = 0
         self.stands = self.over = False
+        self.doubtful: set[int] = set()  # switches (gw) where a leg that was given up may stand
+        self.unreleased: list[CalledOffLeg] = []  # answered after they were called off, at the switch of a later leg
 
 
 class Calls:
@@ -121,7 +133,7 @@
         self.on_conn: dict[Conn, dict[str, Call]] = {}
         self.standing: dict[int, dict[str, Call]] = {}  # gw: calls that stand there
         self.lately: dict[str, int] = {}  # ids that are over: when they are forgotten
-        self.called_off: dict[tuple[str, Link], tuple[int, int, str]] = {}  # gw, leg, number of a leg given up
+        self.called_off: dict[tuple[str, Link], CalledOffLeg] = {}
         self.due: list[tuple[int, int, int]] = []  # a leg's time: (when, dialog, leg)
         self.dialogs = 0
         self.later: deque[tuple[Call, int, LegEnd]] = deque()
@@ -312,6 +324,8 @@
         self.now = now
         for call in list(self.on_link.get(link, {}).values()):
             self.count("legs cut with their connection" if was_up else "legs to nobody")
+            if call.sent_at >= 0:
+                call.doubtful.add(call.gw)
             self._leg_over(call, LegEnd.CUT if was_up and call.sent_at >= 0 else LegEnd.UNREACHABLE)
         self.on_link.pop(link, None)
         for key in [key for key in self.called_off if key[1] == link]:
@@ -330,12 +344,8 @@
         call = self._leg_on(link, id)
         if call is None:
             off = self.called_off.pop((id, link), None)
-            if off is not None:  # it crossed the CANCEL, and stands at the switch
-                self.count("crossed answers released")
-                self.wire.record("answer-after-cancel", id, switch=self.ids[gw], leg=off[1])
-                goodbye = messages.ack(off[2], id, off[1]) + messages.bye(off[2], id, off[1] + 1, NORMAL)
-                if not self.wire.to_link(link, goodbye):
-                    self.wire.to_switch(off[0], goodbye)
+            if off is not None:
+                self._answered_after_cancel(id, link, off)
             return
         self.wire.to_link(link, messages.ack(call.number, id, call.legs))
         del self.on_link[link][id]
@@ -351,9 +361,31 @@
         self.wire.served(call.conn)
         self.wire.to_caller(call.conn, lines.answer(id, sdp))
         call.sdp, call.used = "", set()
+        self._release_earlier_legs(call, [leg for leg in call.unreleased if leg.gw != gw])
         self.controller.dialog_stands(now, call.dialog, took)
         self._tell_later()
 
+    def _answered_after_cancel(self, id: str, link: Link, leg: CalledOffLeg) -> None:
+        """The answer crossed the CANCEL, and the leg stands at its switch. Switches know calls by their id alone, so a BYE
+        would end a later leg of the call there as well: then it waits for the end of that one."""
+        self.count("crossed answers released")
+        self.wire.record("answer-after-cancel", id, switch=self.ids[leg.gw], leg=leg.leg)
+        ack = messages.ack(leg.number, id, leg.leg)
+        call = self.by_id.get(id)
+        if call is not None and call.gw == leg.gw and (call.link is not None or call.stands):
+            call.unreleased.append(leg)
+            self.wire.to_link(link, ack)
+            return
+        goodbye = ack + messages.bye(leg.number, id, leg.leg + 1, NORMAL)
+        if not self.wire.to_link(link, goodbye):
+            self.wire.to_switch(leg.gw, goodbye)
+        self._cut_late(id)
+
+    def _release_earlier_legs(self, call: Call, legs: list[CalledOffLeg]) -> None:
+        for leg in legs:
+            call.unreleased.remove(leg)
+            self.wire.to_switch(leg.gw, messages.bye(leg.number, call.id, leg.leg + 1, NORMAL))
+
     def refused(self, now: int, gw: int, link: Link, id: str, status: int, word: str, report: dict[str, float]) -> None:
         self.now = now
         self.called_off.pop((id, link), None)
@@ -386,6 +418,8 @@
         elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
             self.wire.record("call-ended", id, by="switch", cause=cause, switch=self.ids[gw])
             self.wire.to_caller(call.conn, lines.release(id, cause))
+            if gw in call.doubtful and not call.unreleased:  # which of its legs there has ended can't be told
+                call.unreleased.append(CalledOffLeg(gw, call.legs, call.number))
             self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
         elif self._leg_on(link, id) is call:
             # It may end an earlier leg, which stood there unknown to this proxy; this one may be out still.
@@ -500,7 +534,8 @@
         call.link = None
         if call.sent_at < 0:
             return False
-        self.called_off[call.id, link] = call.gw, call.legs, call.number
+        self.called_off[call.id, link] = CalledOffLeg(call.gw, call.legs, call.number)
+        call.doubtful.add(call.gw)
         self.wire.record("leg-called-off", call.id, switch=self.ids[call.gw], leg=call.legs, after_ms=self._leg_age(call))
         self.wire.to_link(link, messages.cancel(call.number, call.id, call.legs))
         return True
@@ -559,6 +594,7 @@
         """A call's ids go once it is over, no leg of it is out, and no end of one is still to be told."""
         if not call.over or call.link is not None:
             return
+        self._release_earlier_legs(call, list(call.unreleased))
         if self.by_id.get(call.id) is call:
             del self.by_id[call.id]
             self.lately[call.id] = self.now + REMEMBERED
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -182,8 +182,62 @@
         calls.beat(now)
     assert len(wire.sent("INVITE")) == 3
     calls.answered(START + 6000, 1, second, "a" * 16, "x\r\n")  # it crosses the CANCEL
-    assert len(wire.sent("BYE")) == 1
+    assert not wire.sent("BYE")  # it would end the third leg as well
     assert not wire.told("a" * 16)
+    calls.conn_gone(START + 6100, "c1")
+    assert len(wire.sent("BYE")) == 1
+
+
+def with_two_legs(wire):
+    """Calls with one call: its first leg at switch 1 was called off, the second is out there; the links of both."""
+    calls = made(wire)
+    came(calls)
+    first = wire.sent("INVITE")[0][0]
+    calls.cancel_leg(calls.by_id["a" * 16].dialog, 0)
+    calls._tell_later()
+    for now in range(START, START + 3000, 100):
+        calls.beat(now)
+    assert len(wire.sent("INVITE")) == 2 and len(wire.sent("CANCEL")) == 1
+    return calls, first, wire.sent("INVITE")[1][0]
+
+
+# Guards against a call that is cut at its switch and stands for its caller: a switch knows calls by their id, and the BYE for
+# an earlier leg, whose answer had crossed its CANCEL, ended the later one.
+@pytest.mark.parametrize("late", ["while the second is out", "once the second stands"])
+def test_an_answer_of_an_earlier_leg_is_not_released_while_another_leg_is_at_that_switch(late):
+    wire = NotedWire()
+    calls, first, second = with_two_legs(wire)
+    if late == "while the second is out":
+        calls.answered(START + 3100, 1, first, "a" * 16, "x\r\n")
+        calls.answered(START + 3200, 1, second, "a" * 16, "x\r\n")
+    else:
+        calls.answered(START + 3200, 1, second, "a" * 16, "x\r\n")
+        calls.answered(START + 3300, 1, first, "a" * 16, "x\r\n")
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer"]
+    assert len(wire.sent("ACK")) == 2 and not wire.sent("BYE")
+    calls.call_released(START + 9000, 1, second, "a" * 16, 16, {})
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer", "release"]
+    assert len(wire.sent("BYE")) == 1  # so that the earlier leg does not stay
+
+
+# Guards against a leg left standing at a switch: the call that the caller had there came to its end, and what another leg of
+# it may have left there was not ended.
+def test_the_end_of_a_call_ends_what_an_earlier_leg_may_have_left_at_its_switch():
+    wire = NotedWire()
+    calls, first, second = with_two_legs(wire)
+    calls.answered(START + 3200, 1, second, "a" * 16, "x\r\n")
+    calls.call_released(START + 4000, 1, first, "a" * 16, 16, {})
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer", "release"]
+    assert len(wire.sent("BYE")) == 1 and not calls.by_id
+
+
+# Guards against the release of an earlier leg that is put off for ever, since the call came to stand elsewhere.
+def test_an_answer_of_an_earlier_leg_at_another_switch_is_released_at_once():
+    wire = NotedWire()
+    calls, first, second = with_two_legs(wire)
+    calls.by_id["a" * 16].gw = 2
+    calls.answered(START + 3100, 1, first, "a" * 16, "x\r\n")
+    assert len(wire.sent("BYE")) == 1
 
 
 # Guards against a caller that is told that its call is over, and a call left standing: one that an earlier leg had left at
