A set-up that is over for its caller is not taken again when its line comes again

Cause: what is over was forgotten at once, and an id in no list of open ones was new. The times of ids that had ended were kept for switches' releases only, and a set-up struck its id off that list. Set-ups that are over are now kept for 10 s (service/ended_set_ups.py), with how they ended. The same line on the same connection changes nothing; on another one it is refused, unless its connection ended before it was forwarded: then it is taken, once. One that had been forwarded is answered as failed, since it may have run. By reading: the line of a call that stands was answered with a release, which tells its caller that the call is over; now nothing, or the connection that brings it is half closed.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -103,6 +103,10 @@
         self.spoken = True
         self.owner.pinged(self, id)
 
+    def withdrawn(self, id: str) -> None:
+        self.spoken = True
+        self.owner.calls.withdrawn(self.owner.clock(), self, id)
+
     def unusable(self, id: str, why: str) -> None:
         self.spoken = True
         self.owner.calls.unusable(self.owner.clock(), self, id, why)
@@ -271,6 +275,12 @@
             if caller not in self.owner.calls.on_conn and (not caller.spoken or caller.lines.held or quiet > REST):
                 caller.close(True, "nothing whole in time" if caller.lines.held or not caller.spoken else "at rest")
 
+    def turn_away(self, caller: CallerConnection) -> None:
+        """Half close it, unless set-ups are open on it."""
+        if caller not in self.owner.calls.on_conn:
+            self.owner.details("caller-half-closed", port=caller.port, why="the id of a call that stands came again")
+            caller.finish(FINISH)
+
     def half_close(self, overdue: bool) -> None:
         """Half close each on which nothing is owed, and all when `overdue`."""
         for caller in list(self.open):
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -19,11 +19,11 @@
 from ..switches import messages
 from . import shutdown
 from .belief import Belief
+from .ended_set_ups import EndedSetUps, EndOfSetUp
 from .shutdown import Schedule
 
 MS = 10  # tenths of a millisecond
 SECOND = 10_000
-REMEMBERED = 10 * SECOND  # for how long an id that ended is known, so that words that come twice change nothing
 DECLINED, ABORTED = 34, 41  # causes of Q.850: no circuit available, temporary failure
 USELESS = 100  # Q.850: invalid information element contents
 NORMAL = 16
@@ -42,6 +42,9 @@
     def to_caller(self, conn: Conn | None, data: bytes) -> None:
         """None: any caller that may be told, now or when there is one."""
 
+    def turn_away(self, conn: Conn) -> None:
+        """Close a caller's connection, unless set-ups are open on it."""
+
     def served(self, conn: Conn) -> None:
         """A call of this connection stands, so its far end is one of the callers that may be told of calls' ends."""
 
@@ -87,6 +90,9 @@
         "stands",
         "over",
         "width",
+        "how_ended",
+        "taken_again",
+        "forwarded",
         "doubtful",
         "unreleased",
     )
@@ -101,6 +107,9 @@
         self.sent_at = -1  # when the leg was written; -1 while its connection is opening
         self.until = 0
         self.stands = self.over = False
+        self.how_ended = EndOfSetUp.ANSWERED
+        self.taken_again = False  # its connection had ended before its answer, and it came once more
+        self.forwarded = False  # to a switch, on whatever leg
         self.doubtful: set[int] = set()  # switches (gw) where a leg that was given up may stand
         self.unreleased: list[CalledOffLeg] = []  # answered after they were called off, at the switch of a later leg
 
@@ -132,7 +141,7 @@
         self.on_link: dict[Link, dict[str, Call]] = {}
         self.on_conn: dict[Conn, dict[str, Call]] = {}
         self.standing: dict[int, dict[str, Call]] = {}  # gw: calls that stand there
-        self.lately: dict[str, int] = {}  # ids that are over: when they are forgotten
+        self.ended = EndedSetUps()
         self.called_off: dict[tuple[str, Link], CalledOffLeg] = {}
         self.due: list[tuple[int, int, int]] = []  # a leg's time: (when, dialog, leg)
         self.dialogs = 0
@@ -208,6 +217,8 @@
         sdp: str,
     ) -> None:
         self.now = now
+        if self._is_known(conn, id):
+            return
         place = self.kinds.get(kind)
         if place is None:
             self.unusable(now, conn, id, "field class names no traffic type")
@@ -216,46 +227,79 @@
         if left * MS > self.types[place].no_answer_time + MS or width > most or far not in self.controller.by_number:
             self.unusable(now, conn, id, "field left, width or dest is out of range")
             return
-        if id in self.by_id:
-            self._taken_twice(conn, self.by_id[id])
-            return
         if len(self.by_dialog) >= self.most_open:
-            self.count("refused: too many open")
-            self.wire.record("set-up-refused", id, why="too many open")
-            self.wire.to_caller(conn, lines.release(id, DECLINED, self.controller.longest_hold_off // MS))
+            self._refuse_untaken(conn, id, "too many open", DECLINED, self.controller.longest_hold_off // MS)
             return
         call = Call(id, self.dialogs, conn, kind, number, sdp, width)
+        call.taken_again = id in self.ended
+        self.ended.remove(id)
         self.dialogs += 1
         self.by_id[id] = self.by_dialog[call.dialog] = call
         self.on_conn.setdefault(conn, {})[id] = call
-        self.lately.pop(id, None)
         self.wire.record("set-up-taken", id, dest=far, left_ms=left)
         self.controller.dialog_came(
             now, call.dialog, place, far, width, number, left * MS, transit, redialled, cut, -1 if transit else advised
         )
         self._tell_later()
 
-    def _taken_twice(self, conn: Conn, call: Call) -> None:
-        """An id that is open already. On another connection that one is turned away; on the same one nobody can tell
-        which of the two an answer would be for, so neither gets one that says it stands."""
+    def unusable(self, now: int, conn: Conn, id: str, why: str) -> None:
+        """A set-up that makes no sense, or whose id comes with another at once."""
+        self.now = now
+        if not self._is_known(conn, id):
+            self._refuse_untaken(conn, id, why, USELESS, 0)
+
+    def withdrawn(self, now: int, conn: Conn, id: str) -> None:
+        """A set-up came together with its release, so that nobody waits for it any more."""
+        self.now = now
+        if id not in self.by_id and id not in self.ended:
+            self.wire.record("set-up-withdrawn", id)
+            self.ended.add(now, id, EndOfSetUp.GIVEN_UP, conn)
+
+    def _refuse_untaken(self, conn: Conn, id: str, why: str, cause: int, wait: int) -> None:
+        self.count(f"refused: {why}")
+        self.wire.record("set-up-refused", id, why=why)
+        self.wire.to_caller(conn, lines.release(id, cause, wait))
+        self.ended.add(self.now, id, EndOfSetUp.ANSWERED, conn)
+
+    def _is_known(self, conn: Conn, id: str) -> bool:
+        """Whether a set-up with this id is open, or over and not to be taken again; then it has been dealt with."""
+        call = self.by_id.get(id)
+        if call is not None:
+            self._open_already(conn, call)
+            return True
+        ended = self.ended.get(id)
+        if ended is None or ended.how == EndOfSetUp.ELSEWHERE:
+            return False
+        if conn in ended.connections:
+            self.count("set-ups that came again")
+            self.wire.record("set-up-came-again", id, after=ended.how.name)
+            return True
+        if ended.how == EndOfSetUp.CONNECTION_GONE and not ended.forwarded:
+            return False
+        # What may have run at a switch must not run again.
+        self._refuse_untaken(conn, id, "came again", ABORTED if ended.how == EndOfSetUp.CONNECTION_GONE else USELESS, 0)
+        self.ended.get(id).connections |= ended.connections
+        return True
+
+    def _open_already(self, conn: Conn, call: Call) -> None:
+        """On another connection the second one is turned away; on the same one nobody can tell which of the two an answer
+        would be for, so neither gets one that says it stands. A release of a call that stands would end it."""
         self.count("refused: id is open already")
         self.wire.record("set-up-refused", call.id, why="id is open already")
-        if call.conn != conn or call.stands:
+        if call.stands:
+            if conn != call.conn:
+                self.wire.turn_away(conn)
+        elif call.conn != conn:
             self.wire.to_caller(conn, lines.release(call.id, USELESS))
         elif not call.over:
             self.wire.to_caller(conn, lines.release(call.id, USELESS))
-            self._give_up(call)
-
-    def unusable(self, now: int, conn: Conn, id: str, why: str) -> None:
-        self.count(f"refused: {why}")
-        self.wire.record("set-up-refused", id, why=why)
-        self.wire.to_caller(conn, lines.release(id, USELESS))
+            self._give_up(call, EndOfSetUp.ANSWERED)
 
     def stands_at(self, now: int, conn: Conn, id: str, kind: str, number: str, switch: str) -> None:
         """A call that stood before this process began; it may be known."""
         self.now = now
         gw = self.gw_of.get(switch)
-        if id in self.by_id or id in self.lately or gw is None:
+        if id in self.by_id or id in self.ended or gw is None:
             return
         call = Call(id, -1, conn, kind, number, "", 0)
         call.gw, call.stands, call.over, call.sent_at = gw, True, True, now
@@ -275,7 +319,7 @@
             self.wire.to_switch(call.gw, messages.bye(call.number, id, call.legs + 1, cause))
             self._ended(call, LegEnd.ENDED)
         elif call.conn == conn:
-            self._give_up(call)
+            self._give_up(call, EndOfSetUp.GIVEN_UP)
         self._tell_later()
 
     def shut_down(self, now: int) -> Schedule:
@@ -293,15 +337,15 @@
         for call in list(self.on_conn.pop(conn, {}).values()):
             call.conn = None
             if not call.stands:
-                self._give_up(call)
+                self._give_up(call, EndOfSetUp.GIVEN_UP if call.taken_again else EndOfSetUp.CONNECTION_GONE)
         self._tell_later()
 
-    def _give_up(self, call: Call) -> None:
+    def _give_up(self, call: Call, how: EndOfSetUp) -> None:
         """Nobody waits for it any more. Its leg is called off: it went well as far as anybody knows, so this must not
         count against the far end."""
         if call.over:
             return
-        call.over = True
+        call.over, call.how_ended = True, how
         self._off_conn(call)
         self.wire.record("set-up-given-up", call.id, legs=call.legs, connection="gone" if call.conn is None else "open")
         self.controller.dialog_gone(self.now, call.dialog)
@@ -411,8 +455,8 @@
         self._group_told(gw, free, size)
         call = self.by_id.get(id)
         if call is None:
-            if id not in self.lately:  # from before this process began
-                self.lately[id] = now + REMEMBERED
+            if id not in self.ended:  # from before this process began
+                self.ended.add(now, id, EndOfSetUp.ELSEWHERE)
                 self.wire.record("release-of-unknown-call", id, switch=self.ids[gw])
                 self.wire.to_caller(None, lines.release(id, cause))
         elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
@@ -502,11 +546,7 @@
                     self._leg_over(call, LegEnd.NO_ANSWER)
                 else:
                     self._leg_over(call, LegEnd.UNREACHABLE)  # its connection was not made: it never left
-        while self.lately:
-            id = next(iter(self.lately))
-            if self.lately[id] > now:
-                break
-            del self.lately[id]
+        self.ended.forget(now)
         if now >= self.beat_at:
             self.controller.beat(now)
         self._tell_later()
@@ -519,7 +559,7 @@
         self.counts[what] = self.counts.get(what, 0) + 1
 
     def _invite(self, call: Call) -> None:
-        call.sent_at = self.now
+        call.sent_at, call.forwarded = self.now, True
         self.wire.record("leg-sent", call.id, switch=self.ids[call.gw], leg=call.legs)
         within = max(1, (call.until - self.now) // MS)
         self.wire.to_link(call.link, messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
@@ -597,6 +637,6 @@
         self._release_earlier_legs(call, list(call.unreleased))
         if self.by_id.get(call.id) is call:
             del self.by_id[call.id]
-            self.lately[call.id] = self.now + REMEMBERED
+            self.ended.add(self.now, call.id, call.how_ended, call.conn, call.forwarded)
         if all(entry[0] is not call for entry in self.later):
             self.by_dialog.pop(call.dialog, None)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -107,6 +107,9 @@
     def to_caller(self, conn: CallerConnection | None, data: bytes) -> None:
         self.callers.tell(conn, data)
 
+    def turn_away(self, conn: CallerConnection) -> None:
+        self.callers.turn_away(conn)
+
     def served(self, conn: CallerConnection) -> None:
         self.callers.served(conn)
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -12,6 +12,7 @@
 from gingergap.facts import BadFactError
 from gingergap.host import GwState
 from gingergap.service.calls import Calls
+from gingergap.service.ended_set_ups import MOST_REMEMBERED, REMEMBERED, EndOfSetUp
 from gingergap.sip.framing import Framer
 
 SETTINGS = {
@@ -39,7 +40,10 @@
         self.links, self.up, self.retired = 0, set(), set()
         self.gw_of = {}
         self.nobody, self.opens = set(), True
-        self.served_conns = set()
+        self.served_conns, self.turned_away = set(), []
+
+    def turn_away(self, conn):
+        self.turned_away.append(conn)
 
     def record(self, event, id, **fields):
         pass
@@ -294,6 +298,67 @@
     assert len(wire.sent("CANCEL")) == 1
 
 
+# Guards against a set-up that comes back once it is over, or that runs at two switches; and against one that is left without a
+# word although its first connection had ended before it was forwarded.
+@pytest.mark.parametrize(
+    ("forwarded", "gone", "conn", "told", "invites"),
+    [
+        (False, True, "c2", [("release", 34)], 0),  # nobody is at the switch: taken anew, and refused
+        (True, True, "c2", [("release", 41)], 1),
+        (True, False, "c1", [], 1),
+        (True, False, "c2", [("release", 100)], 1),
+    ],
+)
+def test_a_set_up_that_was_given_up_comes_again(forwarded, gone, conn, told, invites):
+    wire = NotedWire()
+    wire.opens = forwarded
+    calls = made(wire)
+    came(calls)
+    calls.conn_gone(START + 10, "c1") if gone else calls.released(START + 10, "c1", "a" * 16, 16)
+    wire.nobody.add(1)
+    for _ in range(2):
+        came(calls, now=START + 20, conn=conn)
+        for now in range(START + 20, START + 20_000, 200):
+            calls.beat(now)
+    assert [(line["type"], line["cause"]) for line in wire.told("a" * 16)] == told
+    assert len(wire.sent("INVITE")) == invites
+
+
+# Guards against a caller that is told that its call is over, and a call left standing: its set-up's line came again.
+@pytest.mark.parametrize(("conn", "turned_away"), [("c1", []), ("c2", ["c2"])])
+def test_the_line_of_a_call_that_stands_comes_again(conn, turned_away):
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    calls.answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
+    came(calls, now=START + 300, conn=conn)
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer"]
+    assert "a" * 16 in calls.by_id and wire.turned_away == turned_away
+
+
+# Guards against a set-up that is left without an answer, since a switch had told here the end of a call with its id.
+def test_a_set_up_is_taken_although_a_switch_told_the_end_of_a_call_with_its_id():
+    wire = NotedWire()
+    calls = made(wire)
+    calls.call_released(START, 1, 5, "a" * 16, 16, {})
+    came(calls, now=START + 10)
+    assert len(wire.sent("INVITE")) == 1
+
+
+# Guards against memory that grows with the set-ups that are over.
+def test_set_ups_that_are_over_are_forgotten():
+    wire = NotedWire()
+    calls = made(wire)
+    for place in range(50):
+        came(calls, id=f"{place:016x}", kind="fax")
+    assert len(calls.ended.by_id) == 50
+    calls.beat(START + REMEMBERED)
+    assert not calls.ended.by_id
+    for place in range(MOST_REMEMBERED + 5):
+        calls.ended.add(START, f"{place:016x}", EndOfSetUp.ANSWERED)
+    assert len(calls.ended.by_id) == MOST_REMEMBERED
+
+
 @pytest.mark.parametrize("changes", [{"kind": "fax"}, {"left": 100_000}, {"far": 99}, {"width": 40}])
 def test_figures_out_of_the_deployments_range_never_reach_the_controller(changes):
     wire = NotedWire()
@@ -366,6 +431,7 @@
         self.ending = None
         self.count = 0
         self.given_up, self.seen = set(), set()
+        self.conn_of, self.conn_lost = {}, set()  # by id: the connection it came on; ids whose connection ended first
         self.doubt_until = defaultdict(int)
         self.read = 0
         self.out = defaultdict(dict)  # id: link of each leg that is out
@@ -380,6 +446,7 @@
                 assert not self.out[id], "two legs out"
                 assert self.wire.gw_of[link] in self.ready, "to a switch that drains"
                 assert not any(line["type"] in ("answer", "release") for line in self.wire.told(id)), "after its last word"
+                assert id not in self.given_up, "after it was given up"
                 self.out[id][link] = True
                 self.seen.add(id)
             elif message.method == "CANCEL":
@@ -397,10 +464,21 @@
     def set_up(self, conn, far, kind, left):
         self.count += 1
         id = f"{self.count:016x}"
+        self.conn_of[id] = conn
         came(self.calls, id, self.now, conn, far, kind, left, 2 if kind == "video" else 1)
         self.look()
         return id
 
+    @rule(id=ids, far=st.integers(0, 4))
+    def set_up_comes_again(self, id, far):
+        if id in self.conn_lost:
+            return
+        call = self.calls.by_id.get(id)
+        if call is not None and not call.stands and not call.over:
+            self.given_up.add(id)
+        came(self.calls, id, self.now, self.conn_of[id], far)
+        self.look()
+
     @rule(id=ids, gives=st.booleans(), conn=st.sampled_from(["c1", "c2"]))
     def caller_releases(self, id, gives, conn):
         call = self.calls.by_id.get(id)
@@ -411,7 +489,9 @@
 
     @rule(conn=st.sampled_from(["c1", "c2"]))
     def conn_ends(self, conn):
-        self.given_up |= {id for id, call in self.calls.by_id.items() if call.conn == conn and not call.stands}
+        lost = {id for id, call in self.calls.by_id.items() if call.conn == conn and not call.stands}
+        self.given_up |= lost
+        self.conn_lost |= lost
         self.calls.conn_gone(self.now, conn)
         self.look()
 
