A caller that shuts down its sending side still gets its answer

Cause: the end of a peer's bytes was taken for the end of its connection, which gave its set-ups up. The end of the bytes looks the same for a caller that has closed both sides, so its connection is now sent a progress, which means nothing: a caller that has gone answers it with a reset, seen within a tick, and its legs are called off. Meanwhile a leg that is out may be answered, and no other is sent (caller_done in the module): a caller that has gone must cause no more traffic.

--- a/gingergap/brain.py
+++ b/gingergap/brain.py
@@ -230,6 +230,7 @@
         "not_before",
         "answered",
         "doubt",
+        "last_leg",
         "tried",
         "waits",
         "stands",
@@ -260,6 +261,7 @@
         self.leg_to: Exchange | None = None
         self.not_before = 0
         self.answered = self.doubt = self.stands = self.waits = False
+        self.last_leg = False  # no leg follows the one that is out
         self.tried: set[int] = set()
 
 
@@ -489,6 +491,8 @@
             del self.dialogs[dialog]
         elif d.stands:
             self._abort(dialog, d)
+        elif d.last_leg:
+            self._decline(dialog, d)
         elif how == LegEnd.BUSY and (rsn != Rsn.NONE or ex.faults > 0.9):
             # Busy lines stay so. A fault in signalling need not: the way is tried again, for as long as any
             # legs stand there; else each dialog would cost a broken far end all its legs.
@@ -508,6 +512,16 @@
         d.not_before = now + self.release_guard
         heappush(self.due, (d.not_before, dialog, "again"))
 
+    def caller_done(self, now: int, dialog: int) -> None:
+        """The caller sends nothing more, and may have gone: a leg that is out may still be answered, but no other is sent."""
+        self.now = now
+        d = self.dialogs.get(dialog)
+        if d is None or d.answered or d.stands:
+            return
+        d.last_leg = True
+        if d.leg_to is None:
+            self._decline(dialog, d)
+
     def dialog_gone(self, now: int, dialog: int) -> None:
         self.now = now
         d = self.dialogs.get(dialog)
@@ -716,7 +730,13 @@
         slow far end, which looks the same from here."""
         later = self.legs_sent - self.legs_out[dialog]
         silent = list(reversed(self.legs_out)).index(dialog)
-        if self.may_cancel and later > 1 and 2 * silent <= later and self.now - ex.out.get(dialog, 0) > 3 * self.pace:
+        if (
+            self.may_cancel
+            and not d.last_leg
+            and later > 1
+            and 2 * silent <= later
+            and self.now - ex.out.get(dialog, 0) > 3 * self.pace
+        ):
             self.host.cancel_leg(dialog, d.legs - 1)
 
     def _decline(self, dialog: int, d: Dialog) -> None:
--- a/gingergap/callers/lines.py
+++ b/gingergap/callers/lines.py
@@ -221,6 +221,10 @@
     return _write({"type": "release", "id": id, "fields": {"wait": str(wait)} if wait else {}, "cause": cause}) + b"\n"
 
 
+def progress(id: str) -> bytes:
+    return _write({"type": "progress", "id": id, "fields": {}}) + b"\n"
+
+
 def released(id: str) -> bytes:
     return _write({"type": "released", "id": id, "fields": {}}) + b"\n"
 
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -62,6 +62,7 @@
         self.port = port
         self.since = self.said_at = self.owner.seconds()
         self.spoken = self.known = self.sent_set_up = False
+        self.done = False  # its peer has shut down its sending side, and set-ups are open on it
         self.answered_at = 0.0  # when the last call of it began to stand
 
     def came(self, data: bytes) -> None:
@@ -72,6 +73,20 @@
             self.owner.calls.count(f"closed: {str(bad)[:60]}")
             self.close(True, str(bad)[:60])
 
+    def stays_open(self) -> bool:
+        if self.finishing or self not in self.owner.calls.on_conn:
+            return False
+        self.done = True
+        self.group.done[self] = None
+        self.owner.calls.caller_done(self.owner.clock(), self)
+        self.finish_when_done()
+        return True
+
+    def finish_when_done(self) -> None:
+        """Half close it where its peer sends nothing more and has all its answers."""
+        if self.done and self not in self.owner.calls.on_conn:
+            self.finish(FINISH)
+
     def ended(self, reset: bool) -> None:
         self.group.gone(self)
 
@@ -118,6 +133,7 @@
     def __init__(self, owner: Owner, most: int) -> None:
         self.owner, self.most = owner, most
         self.open: dict[CallerConnection, None] = {}
+        self.done: dict[CallerConnection, None] = {}  # of these, whose peers have shut down their sending side
         self.pending: list[PendingRelease] = []
         self.listener: socket.socket | None = None
         self.finished_at = 0.0  # when the last of them was half closed
@@ -127,6 +143,7 @@
 
     def gone(self, caller: CallerConnection) -> None:
         self.open.pop(caller, None)
+        self.done.pop(caller, None)
         held = self.owner.calls.on_conn.get(caller, ())
         self.owner.details(
             "caller-closed",
@@ -201,6 +218,7 @@
             conn = self._known()
         if conn is not None and not_before <= now:
             conn.put(data)
+            conn.finish_when_done()
             return
         self.owner.details("release-waits", callers=len(self), known=conn is not None, line=data.decode().strip())
         self.pending.append(PendingRelease(now, not_before, data))
@@ -246,10 +264,12 @@
 
     def _known(self) -> CallerConnection | None:
         """The latest connection on which calls stood; any other may be anybody's."""
-        return next((caller for caller in reversed(self.open) if caller.known and not caller.finishing), None)
+        return next((caller for caller in reversed(self.open) if caller.known and not (caller.finishing or caller.done)), None)
 
     def _calling(self) -> CallerConnection | None:
-        return next((caller for caller in reversed(self.open) if caller.sent_set_up and not caller.finishing), None)
+        return next(
+            (caller for caller in reversed(self.open) if caller.sent_set_up and not (caller.finishing or caller.done)), None
+        )
 
     def _beginning(self) -> CallerConnection | None:
         """The latest that stands in the middle of a line which begins as callers' lines do."""
@@ -263,6 +283,12 @@
 
     # --- closing ---
 
+    def look_at_done(self) -> None:
+        """Close those whose peers have not only shut down their sending side but gone: what was written to them came back."""
+        for caller in list(self.done):
+            if not caller.finishing and caller.hung_up():
+                caller.close(True, "closed by its peer")
+
     def look(self) -> None:
         """From time to time: close callers that say nothing whole, and those without calls for long."""
         now = self.owner.seconds()
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -332,6 +332,16 @@
     def pinged(self, now: int, conn: Conn, id: str, passed: bool) -> None:
         self.wire.to_caller(conn, lines.pong(id, passed))
 
+    def caller_done(self, now: int, conn: Conn) -> None:
+        """A caller has shut down its sending side. Whether it still reads shows in what becomes of the progress it is sent."""
+        self.now = now
+        for call in list(self.on_conn.get(conn, {}).values()):
+            self.wire.record("caller-done", call.id, leg=call.legs if call.link is not None else 0)
+            self.controller.caller_done(now, call.dialog)
+        self._tell_later()
+        for id in self.on_conn.get(conn, ()):
+            self.wire.to_caller(conn, lines.progress(id))
+
     def conn_gone(self, now: int, conn: Conn) -> None:
         self.now = now
         for call in list(self.on_conn.pop(conn, {}).values()):
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -206,6 +206,7 @@
             gevent.sleep(TICK)
             ticks += 1
             try:
+                self.callers.look_at_done()
                 self.calls.beat(self.clock())
                 if ticks % LOOK == 0 or not self.ready:
                     self._look()
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -50,6 +50,10 @@
     def came(self, data: bytes) -> None:
         """Bytes have come."""
 
+    def stays_open(self) -> bool:
+        """The peer sends nothing more. Whether the connection is kept for what is still to be written; its user ends it."""
+        return False
+
     def ended(self, reset: bool) -> None:
         """The connection is over, once. `reset`: it had been up, so what was under way on it is in doubt."""
 
@@ -130,6 +134,7 @@
     def read(self) -> None:
         """Read until the end; runs in a greenlet of its own."""
         turn = 0
+        kept = False
         reason = "an event failed"
         try:
             while not self.closed and (data := self.sock.recv(READ)):
@@ -139,10 +144,20 @@
                     turn = 0
                     gevent.sleep(PAUSE)
             reason = "closed by its peer"
+            kept = not self.closed and self.stays_open()
         except OSError as error:
             reason = f"read failed: {error}"
         finally:  # also where an event failed: nobody would read on, and what waits here would never end
-            self.close(True, reason)
+            if not kept:
+                self.close(True, reason)
+
+    def hung_up(self) -> bool:
+        """Whether the connection has been reset, or both sides of it are closed."""
+        if self.closed or self.sock is None:
+            return self.closed
+        poll = select.poll()
+        poll.register(self.sock.fileno(), 0)
+        return bool(poll.poll(0))
 
     def readable(self) -> bool:
         """Whether bytes, or the peer's close, wait to be read."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -375,3 +375,20 @@
     assert len(mesh.host.asked("send_leg")) == 1
     mesh.beats(3_000, 2_400)
     assert len(mesh.host.asked("send_leg")) == 2
+
+
+# Guards against a leg for a caller that has gone, and against a leg given up that could still be answered.
+def test_once_its_caller_sends_nothing_more_a_dialog_keeps_its_leg_and_gets_no_other(mesh):
+    mesh.came(0)
+    mesh.controller.caller_done(100, 0)
+    ended(mesh, 0, 1, LegEnd.FULL, 200)
+    mesh.beats(4_000, 200)
+    assert len(mesh.host.asked("send_leg")) == 1
+    assert len(mesh.host.asked("decline")) == 1
+    mesh.gws[1].group.told(0, 20)
+    mesh.came(1)
+    mesh.controller.caller_done(4_000, 1)
+    mesh.came(2, far=3, now=4_000)
+    mesh.controller.caller_done(4_000, 2)
+    mesh.controller.dialog_stands(4_100, 2, 100)
+    assert mesh.controller.dialogs[2].stands
--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -126,3 +126,32 @@
     caller.sock.shutdown(socket.SHUT_WR)
     said = said_within(caller, scripted.WAIT)
     assert [type for type, _ in said if type != "progress"] == ["answer"]
+
+
+# Guards against a leg that goes on after its caller has gone, now that a caller may shut down one side alone.
+def test_a_caller_that_closes_its_connection_has_its_leg_called_off(start):
+    service = start(s1=scripted.Switch(lambda id: None))
+    caller = service.caller()
+    caller.sock.sendall(set_up_line(A))
+    switch = service.switches["s1"]
+    switch.next("INVITE")
+    caller.file.close()
+    caller.sock.close()
+    assert switch.next("CANCEL")[1].call_id == A
+    time.sleep(SETTLES)
+    assert methods_at(switch).count("INVITE") == 0
+
+
+# Guards against a retry for a caller that sends nothing more and may have gone; it is answered at once instead.
+def test_a_caller_that_has_shut_down_its_sending_side_gets_no_further_leg(start):
+    def full(id):
+        time.sleep(0.2)
+        return scripted.sip("SIP/2.0 503 Full", id, "INVITE")
+
+    service = start(s1=scripted.Switch(full))
+    caller = service.caller()
+    caller.sock.sendall(set_up_line(A))
+    caller.sock.shutdown(socket.SHUT_WR)
+    said = said_within(caller, scripted.WAIT)
+    assert [entry for entry in said if entry[0] != "progress"] == [("release", 34)]
+    assert methods_at(service.switches["s1"]).count("INVITE") == 1
