At an end callers' connections stay open while callers send, until the earliest kill is near

Cause: a connection was half closed as soon as nothing was owed on it, from 0.75 s on; its caller noticed that when it had read what stood before it, and what it sent meanwhile was read and could not be answered. The process ends without the interpreter's own end, which took part of that. Where callers are quiet the end comes as early as before, by a test.

--- a/gingergap/__main__.py
+++ b/gingergap/__main__.py
@@ -1,5 +1,6 @@
 """`python -m gingergap`: the same as the `gingergap` command. `serve` loads only what the service needs."""
 
+import os
 import sys
 
 if sys.argv[1:2] == ["serve"] and set(sys.argv[2:]) <= {"--belief"}:
@@ -9,7 +10,9 @@
 
     from .service.process import main
 
-    sys.exit(main("--belief" in sys.argv))
+    status = main("--belief" in sys.argv)
+    sys.stderr.flush()
+    os._exit(status)  # the interpreter's own end would take part of the time that is left before SIGKILL
 else:
     from .cli.main import main
 
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -24,6 +24,8 @@
 ANSWER_READ_WITHIN = 1.0  # seconds from an answer in which a release on another connection might be read before it
 LONGEST_HELD = 0.6  # seconds that a release is held for that; it is owed within one second
 FINISH = 0.2  # seconds at the end in which callers may close their side of connections that are half closed
+FINISH_OVERDUE = 0.1  # the same where the earliest kill is near
+CALLERS_QUIET = 1.0  # seconds without a word from any caller after which they have left; a slow one pauses for half of that
 
 
 class Owner(Protocol):
@@ -98,8 +100,12 @@
 
     # --- what the lines are ---
 
-    def set_up(self, id: str, *figures: Any) -> None:
+    def _spoke(self) -> None:
         self.spoken = True
+        self.group.spoke_at = self.owner.seconds()
+
+    def set_up(self, id: str, *figures: Any) -> None:
+        self._spoke()
         if self.finishing:  # it crossed the close: its caller sends it again elsewhere
             self.owner.details("set-up-crossed-close", id=id)
             return
@@ -111,7 +117,7 @@
         self.owner.calls.stands_at(self.owner.clock(), self, id, kind, number, switch)
 
     def released(self, id: str, cause: int) -> None:
-        self.spoken = True
+        self._spoke()
         self.owner.calls.released(self.owner.clock(), self, id, cause)
 
     def pinged(self, id: str) -> None:
@@ -119,11 +125,11 @@
         self.owner.pinged(self, id)
 
     def withdrawn(self, id: str) -> None:
-        self.spoken = True
+        self._spoke()
         self.owner.calls.withdrawn(self.owner.clock(), self, id)
 
     def unusable(self, id: str, why: str) -> None:
-        self.spoken = True
+        self._spoke()
         self.owner.calls.unusable(self.owner.clock(), self, id, why)
 
 
@@ -136,7 +142,8 @@
         self.done: dict[CallerConnection, None] = {}  # of these, whose peers have shut down their sending side
         self.pending: list[PendingRelease] = []
         self.listener: socket.socket | None = None
-        self.finished_at = 0.0  # when the last of them was half closed
+        self.spoke_at = -math.inf  # when any of them last spoke of a call
+        self.may_speak_until = 0.0  # callers whose connections were half closed may not have noticed it before
 
     def __len__(self) -> int:
         return len(self.open)
@@ -309,15 +316,21 @@
 
     def half_close(self, overdue: bool) -> None:
         """Half close each on which nothing is owed, and all when `overdue`."""
+        within = FINISH_OVERDUE if overdue else FINISH
         for caller in list(self.open):
             if not caller.finishing and (overdue or caller.at_rest()):
-                caller.finish(FINISH)
+                caller.finish(within)
                 self.owner.details("caller-half-closed", port=caller.port, why="overdue" if overdue else "nothing is owed on it")
-                self.finished_at = self.owner.seconds()
+                self.may_speak_until = self.owner.seconds() + within
+
+    def go_on(self) -> bool:
+        """Whether callers still use their connections. One that reads slowly does not notice at once that its connection was
+        half closed, and what it sends until then would have no answer."""
+        return self.owner.seconds() - self.spoke_at < CALLERS_QUIET
 
     def all_finishing(self) -> bool:
         return all(caller.finishing for caller in self.open)
 
     def may_still_speak(self) -> bool:
         """Whether one that has not noticed its half close yet may still end a call."""
-        return bool(self.open) and self.owner.seconds() - self.finished_at < FINISH
+        return bool(self.open) and self.owner.seconds() < self.may_speak_until
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -21,7 +21,7 @@
 from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
 from . import early_signals
 from .belief import Belief
-from .caller_connections import FINISH, CallerConnection, CallerConnections
+from .caller_connections import FINISH_OVERDUE, CallerConnection, CallerConnections
 from .calls import Calls
 from .configuration import Configuration, configuration_from_environment, read_configuration
 from .event_bus import EventBusClient
@@ -34,7 +34,7 @@
 COUNT = 1000  # ticks between lines of counts
 END_LINES = 50  # ticks between lines about an end
 READY = 0.7  # seconds at most that tests are held after the start until switches have told of their groups
-FINISH_SWITCHES = 0.1  # seconds at the end in which switches may close their side of connections that are half closed
+FINISH_SWITCHES = 0.05  # seconds at the end in which switches may close their side of connections that are half closed
 
 
 class Process:
@@ -265,7 +265,7 @@
             self.ending = self.seconds()
             self.schedule = self.calls.shut_down(self.clock())
             # Whatever may go wrong in the steps of an end, it has a bound of its own.
-            latest = (self.schedule.close_by - self.clock()) / 10_000 + FINISH + FINISH_SWITCHES
+            latest = (self.schedule.close_by - self.clock()) / 10_000 + FINISH_OVERDUE + FINISH_SWITCHES
             gevent.spawn_later(max(0.0, latest), self.over.set)
             log("ending", open=len(self.calls.by_dialog), callers=len(self.callers), untold=len(self.callers.pending))
 
@@ -300,7 +300,7 @@
         self._end_calls_of_the_dead()
         overdue = now >= self.schedule.close_by
         self.callers.tell_pending(overdue)
-        if not overdue and (self._doubts_a_switch() or self.callers.release_waits()):
+        if not overdue and (self.callers.go_on() or self._doubts_a_switch() or self.callers.release_waits()):
             return
         self.callers.half_close(overdue)
         if not self.callers.all_finishing():
@@ -312,7 +312,7 @@
         self._log_end()
         links = [link for switch in self.switches.values() for link in switch.links]
         for link in links:
-            link.finish(FINISH)
+            link.finish(FINISH_SWITCHES)
         until = self.seconds() + FINISH_SWITCHES
         while self.seconds() < until and not all(link.closed for link in links):
             gevent.sleep(TICK)
--- a/gingergap/service/shutdown.py
+++ b/gingergap/service/shutdown.py
@@ -10,7 +10,7 @@
 LONGEST_COUNTED = 3 * SECOND
 KILL_AFTER = 7 * SECOND // 10
 TAKES_FOR = 3 * SECOND // 4  # new connections come for 0.4 s, set-ups on them for 0.2 s more
-CLOSES_BEFORE_KILL = 55 * SECOND // 100  # for what is queued, peers' closes, and the end of the interpreter
+CLOSES_BEFORE_KILL = 3 * SECOND // 10  # for what is queued, peers' closes, and the end of the process
 
 
 class Schedule(NamedTuple):
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from pathlib import Path
+from random import Random
 
 import gevent
 import pytest
@@ -443,3 +444,69 @@
     listener.settimeout(0.1)
     with pytest.raises(OSError):
         listener.accept()
+
+
+class SlowReader(scripted.threading.Thread):
+    """A caller that sends on for some seconds and pauses up to half a second between reads, on a connection of its own."""
+
+    def __init__(self, address, seed, seconds):
+        super().__init__(daemon=True)
+        host, port = address.split(":")
+        self.sock = socket.create_connection((host, int(port)), scripted.WAIT)
+        self.random, self.until = Random(seed), time.monotonic() + seconds
+        self.sent, self.answered = {}, set()  # ids, with the time of their last byte
+
+    def run(self):
+        reading = scripted.threading.Thread(target=self._read, daemon=True)
+        reading.start()
+        while reading.is_alive() and time.monotonic() < self.until:
+            id = f"{self.random.getrandbits(64):016x}"
+            try:
+                self.sock.sendall(scripted_set_up(id))
+            except OSError:
+                return
+            self.sent[id] = time.monotonic()
+            time.sleep(self.random.uniform(0.05, 0.25))
+        reading.join()
+
+    def _read(self):
+        held = b""
+        with contextlib.suppress(OSError):
+            while data := self.sock.recv(400):
+                *whole, held = (held + data).split(b"\n")
+                self.answered |= {json.loads(line)["id"] for line in whole}
+                if time.monotonic() < self.until:
+                    time.sleep(self.random.uniform(0.0, 0.5))
+
+
+def scripted_set_up(id):
+    extras = {"class": "voice", "left": "1500", "key": id[:8], "extras": "dest:2;width:1;via:-1"}
+    return json.dumps({"type": "setup", "id": id, "fields": extras, "sdp": SDP}).encode() + b"\n"
+
+
+# Guards against set-ups that are read and left without an answer, since their connection had been half closed while their
+# caller, which reads slowly, was still sending.
+def test_callers_that_read_slowly_are_answered_for_as_long_as_they_send(start):
+    service = start()
+    callers = [SlowReader(service.address, seed, 3.0) for seed in range(6)]
+    for caller in callers:
+        caller.start()
+    service.process.send_signal(scripted.signal.SIGTERM)
+    assert service.process.wait(KILL_AFTER) == 0
+    for caller in callers:
+        caller.join(scripted.WAIT)
+    assert [id for caller in callers for id in caller.sent if id not in caller.answered] == []
+    assert sum(len(caller.sent) for caller in callers) > 6 * 10
+
+
+# Guards against an end that lasts until the earliest kill although nobody sends any more.
+def test_a_process_ends_soon_once_its_callers_are_quiet(start):
+    service = start()
+    caller = service.caller()
+    caller.set_up(A)
+    assert caller.next()["type"] == "answer"
+    began = time.monotonic()
+    service.process.send_signal(scripted.signal.SIGTERM)
+    assert caller.next() is None
+    assert time.monotonic() - began < KILL_AFTER - 1.0
+    assert service.process.wait(scripted.WAIT) == 0
