No later leg leaves while what its caller has written stands unread

Cause: after a pause the loop's wait is interrupted without news of sockets, and timers act first. After a late tick the process now lets sockets be read, and a leg that leaves later than its set-up came, a retry or one whose connection came up late, first asks whether its caller has written; then it waits one beat.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -98,6 +98,10 @@
             return False
         return not (self in self.owner.calls.on_conn or self.queue or self.lines.held or self.readable())
 
+    def has_unread(self) -> bool:
+        """Whether its peer has written, or gone, and that has not been read yet."""
+        return self.hung_up() if self.done else self.readable()
+
     # --- what the lines are ---
 
     def _spoke(self) -> None:
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -42,6 +42,9 @@
     def to_caller(self, conn: Conn | None, data: bytes) -> None:
         """None: any caller that may be told, now or when there is one."""
 
+    def has_unread(self, conn: Conn) -> bool:
+        """Whether something of a caller stands unread: it may have given up."""
+
     def turn_away(self, conn: Conn) -> None:
         """Close a caller's connection, unless set-ups are open on it."""
 
@@ -93,6 +96,7 @@
         "how_ended",
         "taken_again",
         "forwarded",
+        "came_at",
         "doubtful",
         "unreleased",
     )
@@ -106,6 +110,7 @@
         self.used: set[Link] = set()
         self.sent_at = -1  # when the leg was written; -1 while its connection is opening
         self.until = 0
+        self.came_at = -1
         self.stands = self.over = False
         self.how_ended = EndOfSetUp.ANSWERED
         self.taken_again = False  # its connection had ended before its answer, and it came once more
@@ -144,6 +149,7 @@
         self.ended = EndedSetUps()
         self.called_off: dict[tuple[str, Link], CalledOffLeg] = {}
         self.due: list[tuple[int, int, int]] = []  # a leg's time: (when, dialog, leg)
+        self.held: list[tuple[Call, int]] = []  # legs, by their numbers, that leave once their callers' bytes are read
         self.dialogs = 0
         self.later: deque[tuple[Call, int, LegEnd]] = deque()
         self.now = self.beat_at = now
@@ -168,7 +174,7 @@
         call.used.add(link)
         self.on_link.setdefault(link, {})[call.id] = call
         if self.wire.is_up(link):
-            self._invite(call)
+            self._invite(call) if call.came_at == self.now else self._invite_once_read(call)
 
     def cancel_leg(self, dialog: int, leg: int) -> None:
         call = self.by_dialog.get(dialog)
@@ -231,6 +237,7 @@
             self._refuse_untaken(conn, id, "too many open", DECLINED, self.controller.longest_hold_off // MS)
             return
         call = Call(id, self.dialogs, conn, kind, number, sdp, width)
+        call.came_at = now
         call.taken_again = id in self.ended
         self.ended.remove(id)
         self.dialogs += 1
@@ -371,7 +378,7 @@
         self.now = now
         for call in list(self.on_link.get(link, {}).values()):
             if call.sent_at < 0:
-                self._invite(call)
+                self._invite_once_read(call)
 
     def link_lost(self, now: int, link: Link, was_up: bool) -> None:
         """A connection is over, or was never made: set-ups on it are in doubt, or never ran."""
@@ -546,6 +553,7 @@
     def beat(self, now: int) -> None:
         """Whatever is due by now."""
         self.now = now
+        self._invite_held()
         while self.due and self.due[0][0] <= now:
             _, dialog, leg = heappop(self.due)
             call = self.by_dialog.get(dialog)
@@ -574,6 +582,19 @@
         within = max(1, (call.until - self.now) // MS)
         self.wire.to_link(call.link, messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
 
+    def _invite_once_read(self, call: Call) -> None:
+        """Some time has passed since the set-up came. What its caller has written since is read first: for one beat."""
+        if self.wire.has_unread(call.conn):
+            self.held.append((call, call.legs))
+        else:
+            self._invite(call)
+
+    def _invite_held(self) -> None:
+        held, self.held = self.held, []
+        for call, leg in held:
+            if call.link is not None and call.legs == leg and call.sent_at < 0 and self.wire.is_up(call.link):
+                self._invite(call)
+
     def _leg_on(self, link: Link, id: str) -> Call | None:
         return self.on_link.get(link, {}).get(id)
 
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -19,6 +19,7 @@
 from ..facts import BadFactError, Facts
 from ..host import GwState
 from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
+from ..transport.stream import PAUSE
 from . import early_signals
 from .belief import Belief
 from .caller_connections import FINISH_OVERDUE, CallerConnection, CallerConnections
@@ -110,6 +111,9 @@
     def turn_away(self, conn: CallerConnection) -> None:
         self.callers.turn_away(conn)
 
+    def has_unread(self, conn: CallerConnection) -> bool:
+        return conn.has_unread()
+
     def served(self, conn: CallerConnection) -> None:
         self.callers.served(conn)
 
@@ -203,7 +207,10 @@
     def _tick(self) -> None:
         ticks = 0
         while True:
+            slept_at = self.seconds()
             gevent.sleep(TICK)
+            if self.seconds() - slept_at > 2 * TICK:
+                gevent.sleep(PAUSE)  # the process stood still: what was written to it meanwhile is read before timers act
             ticks += 1
             try:
                 self.callers.look_at_done()
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -40,7 +40,10 @@
         self.links, self.up, self.retired = 0, set(), set()
         self.gw_of = {}
         self.nobody, self.opens = set(), True
-        self.served_conns, self.turned_away = set(), []
+        self.served_conns, self.turned_away, self.unread = set(), [], set()
+
+    def has_unread(self, conn):
+        return conn in self.unread
 
     def turn_away(self, conn):
         self.turned_away.append(conn)
@@ -336,6 +339,33 @@
     assert "a" * 16 in calls.by_id and wire.turned_away == turned_away
 
 
+# Guards against a leg that leaves although what its caller wrote before, unread, gives the set-up up; and against one that is
+# held back for good by a caller that writes on and on.
+@pytest.mark.parametrize("gives_up", [True, False])
+@pytest.mark.parametrize("late", ["retry", "connection"])
+def test_what_its_caller_wrote_is_read_before_a_later_leg_leaves(late, gives_up):
+    wire = NotedWire()
+    wire.opens = late == "retry"
+    calls = made(wire)
+    came(calls)
+    wire.unread.add("c1")
+    if late == "retry":
+        calls.link_lost(START + 100, wire.sent("INVITE")[0][0], True)
+        for now in range(START + 100, START + 1300, 100):
+            calls.beat(now)
+            if wire.links == 2:
+                break
+    else:
+        wire.up.add(1)
+        calls.link_up(START + 1000, 1)
+    before = len(wire.sent("INVITE"))
+    assert wire.links == 2 or late == "connection"
+    if gives_up:
+        calls.released(START + 1300, "c1", "a" * 16, 16)
+    calls.beat(START + 1400)
+    assert len(wire.sent("INVITE")) == before + (not gives_up)
+
+
 # Guards against a set-up that is left without an answer, since a switch had told here the end of a call with its id.
 def test_a_set_up_is_taken_although_a_switch_told_the_end_of_a_call_with_its_id():
     wire = NotedWire()
--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -7,6 +7,7 @@
 import json
 import queue
 import socket
+import struct
 import time
 
 import pytest
@@ -155,3 +156,38 @@
     said = said_within(caller, scripted.WAIT)
     assert [entry for entry in said if entry[0] != "progress"] == [("release", 34)]
     assert methods_at(service.switches["s1"]).count("INVITE") == 1
+
+
+def resetting(conn):
+    """End a switch's connection with a reset."""
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    conn.shutdown(socket.SHUT_RD)
+    conn.close()
+
+
+def ended_unread(service, caller, how):
+    """While the process stands still its caller ends the set-up, and the process has everything to read at once."""
+    service.process.send_signal(scripted.signal.SIGSTOP)
+    if how == "release":
+        caller.sock.sendall(release_line(A))
+    elif how == "close":
+        caller.file.close()
+        caller.sock.close()
+    time.sleep(0.15)  # the retry is due by now
+    service.process.send_signal(scripted.signal.SIGCONT)
+
+
+# Guards against a retry of a set-up whose caller had given it up before, unread: timers came before what had been written.
+@pytest.mark.parametrize(("how", "retries"), [("release", 0), ("close", 0), ("nothing", 1)])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_retry_does_not_leave_while_the_callers_end_stands_unread(start, how, retries, seed):
+    service = start(s1=scripted.Switch(lambda id: None))
+    switch = service.switches["s1"]
+    caller = service.caller()
+    caller.sock.sendall(set_up_line(A))
+    conn, _ = switch.next("INVITE")
+    resetting(conn)
+    time.sleep(0.01 + 0.01 * seed)  # the process has seen it, and waits for the release guard
+    ended_unread(service, caller, how)
+    time.sleep(SETTLES)
+    assert methods_at(switch).count("INVITE") == retries
