--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -309,7 +309,8 @@
                 if not caller.spoken and now - caller.since > 2 * SPEAK:
                     caller.close(True, "bytes and no line")
                 continue
-            if caller not in self.owner.calls.on_conn and (not caller.spoken or caller.lines.held or quiet > REST):
+            owes = caller in self.owner.calls.on_conn or caller.readable()  # it may have spoken while the process stood still
+            if not owes and (not caller.spoken or caller.lines.held or quiet > REST):
                 caller.close(True, "nothing whole in time" if caller.lines.held or not caller.spoken else "at rest")
 
     def turn_away(self, caller: CallerConnection) -> None:
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -209,7 +209,7 @@
                 # thousands was over without its caller being told.
                 link.finish(FINISH)
                 self._choose_main()
-            elif link.up and link.reader.partial and now - link.heard_at > STALLED:
+            elif link.up and link.reader.partial and now - link.heard_at > STALLED and not link.readable():
                 self.owner.spoilt_by(link, "a message stands half")
                 link.close(True, "a message stands half")
         standing = self.owner.standing_at(self)
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -1,8 +1,10 @@
 """The connections to one switch: which one a set-up gets, and when new ones are opened."""
 
+import socket
+
 import pytest
 
-from gingergap.service.switch_connections import AGAIN, LOST, MOST_LINKS, SILENT, SwitchConnections
+from gingergap.service.switch_connections import AGAIN, LOST, MOST_LINKS, SILENT, STALLED, SwitchConnections
 
 
 class NotedOwner:
@@ -142,3 +144,21 @@
     link.up = True
     switch.came_up(link)
     assert switch.link_to(set()) is link
+
+
+# Guards against answers thrown away unread: the process had stood still, and a message seemed to have stalled.
+def test_a_connection_with_the_rest_of_a_message_to_be_read_is_not_closed_as_stalled(switch):
+    link = switch.link_to(set())
+    up(switch)
+    ours, peer = socket.socketpair()
+    link.sock = ours
+    link.reader.feed(b"SIP/2.0 200 OK\r\nCall-ID: ")
+    link.heard_at = switch.now()
+    switch.owner.now += 2 * STALLED
+    peer.sendall(b"the rest")
+    switch.look()
+    assert not link.closed
+    ours.recv(100)
+    switch.look()
+    assert link.closed
+    peer.close()
