An answer to a set-up goes to its own connection or to nobody

Answers now go to their connection alone; where that has broken, the call is ended at its switch. And the set-ups of a connection that can't be written are given up at once, not 0.1 s later when it is closed: until then they could be sent on. The tests failed before, or call what was not there.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -89,6 +89,14 @@
         if self.done and self not in self.owner.calls.on_conn:
             self.finish(FINISH)
 
+    def _write_failed(self, error: OSError) -> None:
+        super()._write_failed(error)
+        gevent.spawn(self._give_up)  # not from within whatever was writing
+
+    def _give_up(self) -> None:
+        """Nobody reads answers here any more; what the peer wrote before may still be read."""
+        self.owner.calls.conn_gone(self.owner.clock(), self)
+
     def ended(self, reset: bool) -> None:
         self.group.gone(self)
 
@@ -98,6 +106,13 @@
             return False
         return not (self in self.owner.calls.on_conn or self.queue or self.lines.held or self.readable())
 
+    def say(self, data: bytes) -> bool:
+        """Write a line; whether the connection can still be written."""
+        self.put(data)
+        heard = not (self.closed or self.finishing)
+        self.finish_when_done()
+        return heard
+
     def has_unread(self) -> bool:
         """Whether its peer has written, or gone, and that has not been read yet."""
         return self.hung_up() if self.done else self.readable()
@@ -219,7 +234,7 @@
 
     # --- the ends of calls ---
 
-    def tell(self, conn: CallerConnection | None, data: bytes) -> None:
+    def tell_end(self, conn: CallerConnection | None, data: bytes) -> None:
         """On a caller's connection, or on any other where it has gone; later, where there is none. None: any."""
         now = self.owner.seconds()
         not_before = now
@@ -228,8 +243,7 @@
                 not_before = min(conn.answered_at + ANSWER_READ_WITHIN, now + LONGEST_HELD)
             conn = self._known()
         if conn is not None and not_before <= now:
-            conn.put(data)
-            conn.finish_when_done()
+            conn.say(data)
             return
         self.owner.details("release-waits", callers=len(self), known=conn is not None, line=data.decode().strip())
         self.pending.append(PendingRelease(now, not_before, data))
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -39,8 +39,11 @@
     def record(self, event: str, id: str, **fields: object) -> None:
         """A line for the log about one call: why it was refused, how a leg of it ended, that another was sent."""
 
-    def to_caller(self, conn: Conn | None, data: bytes) -> None:
-        """None: any caller that may be told, now or when there is one."""
+    def to_caller(self, conn: Conn, data: bytes) -> bool:
+        """On that connection alone; whether it can still be written there."""
+
+    def tell_end(self, conn: Conn | None, data: bytes) -> None:
+        """That a call which stood is over: on that connection, or to any caller that may be told, now or when there is one."""
 
     def has_unread(self, conn: Conn) -> bool:
         """Whether something of a caller stands unread: it may have given up."""
@@ -420,12 +423,21 @@
             self.belief.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), "200")
         self.standing.setdefault(gw, {})[id] = call
         self.wire.served(call.conn)
-        self.wire.to_caller(call.conn, lines.answer(id, sdp))
+        heard = self.wire.to_caller(call.conn, lines.answer(id, sdp))
         call.sdp, call.used = "", set()
         self._release_earlier_legs(call, [leg for leg in call.unreleased if leg.gw != gw])
         self.controller.dialog_stands(now, call.dialog, took)
+        if not heard:
+            self._end_unheard(call)
         self._tell_later()
 
+    def _end_unheard(self, call: Call) -> None:
+        """Its caller's connection went before the answer could be written: nobody knows that it stands."""
+        self.wire.record("call-ended", call.id, by="lost connection", cause=NORMAL, switch=self.ids[call.gw])
+        self.wire.to_switch(call.gw, messages.bye(call.number, call.id, call.legs + 1, NORMAL))
+        call.how_ended = EndOfSetUp.CONNECTION_GONE
+        self._ended(call, LegEnd.ENDED)
+
     def _answered_after_cancel(self, id: str, link: Link, leg: CalledOffLeg) -> None:
         """The answer crossed the CANCEL, and the leg stands at its switch. Switches know calls by their id alone, so a BYE
         would end a later leg of the call there as well: then it waits for the end of that one."""
@@ -475,10 +487,10 @@
             if id not in self.ended:  # from before this process began
                 self.ended.add(now, id, EndOfSetUp.ELSEWHERE)
                 self.wire.record("release-of-unknown-call", id, switch=self.ids[gw])
-                self.wire.to_caller(None, lines.release(id, cause))
+                self.wire.tell_end(None, lines.release(id, cause))
         elif call.stands and call.gw == gw:  # by another switch: the end of an earlier leg, unknown to this proxy
             self.wire.record("call-ended", id, by="switch", cause=cause, switch=self.ids[gw])
-            self.wire.to_caller(call.conn, lines.release(id, cause))
+            self.wire.tell_end(call.conn, lines.release(id, cause))
             if gw in call.doubtful and not call.unreleased:  # which of its legs there has ended can't be told
                 call.unreleased.append(CalledOffLeg(gw, call.legs, call.number))
             self._ended(call, LegEnd.ENDED if cause == NORMAL else LegEnd.CUT)
@@ -516,7 +528,7 @@
         for call in calls:
             self.count("calls cut with their machine")
             self.wire.record("call-cut", call.id, switch=self.ids[gw])
-            self.wire.to_caller(call.conn, lines.release(call.id, ABORTED))
+            self.wire.tell_end(call.conn, lines.release(call.id, ABORTED))
             self._ended(call, LegEnd.CUT)
 
     def listed(self, now: int, whole: bool, entries: list[tuple[str, int, GwState, int]]) -> None:
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -105,8 +105,11 @@
     def record(self, event: str, id: str, **fields: Any) -> None:
         self.details(event, id=id, **fields)
 
-    def to_caller(self, conn: CallerConnection | None, data: bytes) -> None:
-        self.callers.tell(conn, data)
+    def to_caller(self, conn: CallerConnection, data: bytes) -> bool:
+        return conn.say(data)
+
+    def tell_end(self, conn: CallerConnection | None, data: bytes) -> None:
+        self.callers.tell_end(conn, data)
 
     def turn_away(self, conn: CallerConnection) -> None:
         self.callers.turn_away(conn)
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -1,7 +1,9 @@
 """Connections from callers, without a process: when they are closed."""
 
+import struct
 from types import SimpleNamespace
 
+import gevent
 import pytest
 from gevent import socket
 
@@ -34,6 +36,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     peer = socket.create_connection(listener.getsockname())
     group = CallerConnections(NotedOwner(), 10)
+    group.listening = listener
     caller = CallerConnection(group, listener.accept()[0], 1)
     group.open[caller] = None
     yield caller, peer, group
@@ -55,3 +58,37 @@
     caller.sock.recv(100)
     group.look()
     assert caller.closed
+
+
+# Guards against an answer that is written on another connection than its set-up's, which had broken.
+def test_an_answer_goes_to_its_own_connection_or_to_nobody(connected):
+    caller, peer, group = connected
+    other_peer = socket.create_connection(caller.sock.getsockname())
+    other = CallerConnection(group, group.listening.accept()[0], 2)
+    other.known = True
+    group.open[other] = None
+    caller.finishing = True
+    assert caller.say(b"answer\n") is False
+    group.tell_pending()
+    gevent.sleep(0)
+    assert not group.pending
+    other_peer.settimeout(0.1)
+    with pytest.raises(TimeoutError):
+        other_peer.recv(10)
+    other_peer.close()
+    other.close()
+
+
+# Guards against set-ups of a caller that are still retried although writing to it has failed.
+def test_set_ups_of_a_connection_that_can_not_be_written_are_given_up_at_once(connected):
+    caller, peer, group = connected
+    gone = []
+    group.owner.calls.conn_gone = lambda now, conn: gone.append(conn)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    gevent.sleep(0.01)
+    for _ in range(2):
+        caller.say(b"line\n")
+    assert not gone  # nothing is decided from within a decision
+    gevent.sleep(0)
+    assert gone == [caller]
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -41,6 +41,7 @@
         self.gw_of = {}
         self.nobody, self.opens = set(), True
         self.served_conns, self.turned_away, self.unread = set(), [], set()
+        self.broken = set()  # connections on which writing fails
 
     def has_unread(self, conn):
         return conn in self.unread
@@ -52,6 +53,12 @@
         pass
 
     def to_caller(self, conn, data):
+        if conn in self.broken:
+            return False
+        self.to_callers.append((conn, json.loads(data)))
+        return True
+
+    def tell_end(self, conn, data):
         self.to_callers.append((conn, json.loads(data)))
 
     def served(self, conn):
@@ -339,6 +346,17 @@
     assert "a" * 16 in calls.by_id and wire.turned_away == turned_away
 
 
+# Guards against a call that stands for nobody: its caller's connection had broken when the answer came.
+def test_a_call_whose_answer_can_not_be_written_is_ended_at_its_switch():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    wire.broken.add("c1")
+    calls.answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
+    assert [len(wire.sent(method)) for method in ("ACK", "BYE")] == [1, 1]
+    assert not calls.by_id and not calls.controller.dialogs and not wire.to_callers
+
+
 # Guards against a leg that leaves although what its caller wrote before, unread, gives the set-up up; and against one that is
 # held back for good by a caller that writes on and on.
 @pytest.mark.parametrize("gives_up", [True, False])
