A set-up that waits for a switch which has stopped reading is taken back when its caller gives up

By reading (hypothesis A): an INVITE that stood in the queue of a connection whose switch had stopped reading was followed by a CANCEL and left with it when the switch read on, after its caller had given up. What has not begun to leave is now taken out of the queue, and the connection gets nothing new. Tests on the queue and on the host: they failed before.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -62,6 +62,9 @@
     def to_link(self, link: Link, data: bytes) -> bool:
         """Whether it can still be written there."""
 
+    def take_back(self, link: Link, data: bytes) -> bool:
+        """Whether what was to be written there waits still, and now is not written."""
+
     def to_switch(self, gw: int, data: bytes) -> None:
         """On any connection there, or the next that is opened."""
 
@@ -100,6 +103,7 @@
         "taken_again",
         "forwarded",
         "came_at",
+        "invite",
         "doubtful",
         "unreleased",
     )
@@ -114,6 +118,7 @@
         self.sent_at = -1  # when the leg was written; -1 while its connection is opening
         self.until = 0
         self.came_at = -1
+        self.invite = b""  # of the leg that is out
         self.stands = self.over = False
         self.how_ended = EndOfSetUp.ANSWERED
         self.taken_again = False  # its connection had ended before its answer, and it came once more
@@ -424,7 +429,7 @@
         self.standing.setdefault(gw, {})[id] = call
         self.wire.served(call.conn)
         heard = self.wire.to_caller(call.conn, lines.answer(id, sdp))
-        call.sdp, call.used = "", set()
+        call.sdp, call.invite, call.used = "", b"", set()
         self._release_earlier_legs(call, [leg for leg in call.unreleased if leg.gw != gw])
         self.controller.dialog_stands(now, call.dialog, took)
         if not heard:
@@ -592,7 +597,8 @@
         call.sent_at, call.forwarded = self.now, True
         self.wire.record("leg-sent", call.id, switch=self.ids[call.gw], leg=call.legs)
         within = max(1, (call.until - self.now) // MS)
-        self.wire.to_link(call.link, messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp))
+        call.invite = messages.invite(call.number, call.id, call.legs, call.kind, within, call.sdp)
+        self.wire.to_link(call.link, call.invite)
 
     def _invite_once_read(self, call: Call) -> None:
         """Some time has passed since the set-up came. What its caller has written since is read first: for one beat."""
@@ -611,12 +617,17 @@
         return self.on_link.get(link, {}).get(id)
 
     def _call_off(self, call: Call) -> bool:
-        """Take a leg off its connection, with CANCEL where it had left; whether it had."""
+        """Take a leg off its connection, with CANCEL where it had left; whether it had. One that waits for a switch that has
+        stopped reading has not."""
         link = call.link
         self.on_link[link].pop(call.id, None)
         call.link = None
         if call.sent_at < 0:
             return False
+        if self.wire.take_back(link, call.invite):
+            call.sent_at = -1
+            self.wire.spoilt(link)
+            return False
         self.called_off[call.id, link] = CalledOffLeg(call.gw, call.legs, call.number)
         call.doubtful.add(call.gw)
         self.wire.record("leg-called-off", call.id, switch=self.ids[call.gw], leg=call.legs, after_ms=self._leg_age(call))
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -131,6 +131,9 @@
         link.put(data)
         return not link.closed and not link.finishing
 
+    def take_back(self, link: SwitchConnection, data: bytes) -> bool:
+        return link.take_back(data)
+
     def to_switch(self, gw: int, data: bytes) -> None:
         switch = self.switches.get(gw)
         if switch is not None:
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -104,6 +104,16 @@
         if self.sock is not None and self.writer is None:
             self.writer = gevent.spawn(self._drain)
 
+    def take_back(self, data: bytes) -> bool:
+        """Whether something that was put waits still and has now been taken out of the queue. The first that waits may be
+        being written."""
+        for place, waiting in enumerate(self.queue):
+            if waiting is data and (place > 0 or self.sock is None):
+                del self.queue[place]
+                self.queued -= len(data)
+                return True
+        return False
+
     def _drain(self) -> None:
         try:
             while self.queue and not self.closed:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -41,6 +41,7 @@
         self.gw_of = {}
         self.nobody, self.opens = set(), True
         self.served_conns, self.turned_away, self.unread = set(), [], set()
+        self.stopped_reading = set()  # links on which what is written waits
         self.broken = set()  # connections on which writing fails
 
     def has_unread(self, conn):
@@ -80,6 +81,11 @@
         self.to_switches += [(link, message) for message in Framer().feed(data)]
         return True
 
+    def take_back(self, link, data):
+        if link in self.stopped_reading:
+            self.to_switches = [entry for entry in self.to_switches if entry[0] != link or entry[1].method != "INVITE"]
+        return link in self.stopped_reading
+
     def to_switch(self, gw, data):
         self.to_switches += [(gw, message) for message in Framer().feed(data)]
 
@@ -346,6 +352,17 @@
     assert "a" * 16 in calls.by_id and wire.turned_away == turned_away
 
 
+# Guards against a set-up that reaches a switch, which reads on again, after its caller had given it up.
+def test_a_set_up_that_waits_for_a_switch_which_has_stopped_reading_is_taken_back():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    wire.stopped_reading.add(wire.sent("INVITE")[0][0])
+    calls.released(START + 100, "c1", "a" * 16, 16)
+    assert not wire.sent("INVITE") and not wire.sent("CANCEL")
+    assert not calls.by_id and not calls.called_off
+
+
 # Guards against a call that stands for nobody: its caller's connection had broken when the answer came.
 def test_a_call_whose_answer_can_not_be_written_is_ended_at_its_switch():
     wire = NotedWire()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -207,3 +207,24 @@
     theirs.sendall(b"a last word")
     theirs.close()
     assert over.wait(10) and b"".join(came) == b"a last word"
+
+
+# Guards against what is written to a peer that reads on again although it had been taken back meanwhile; and against half of
+# something taken back.
+def test_what_waits_for_a_peer_that_does_not_read_can_be_taken_back():
+    ours, peer = socket.socketpair()
+    stream = Stream(None, most_queued=1 << 24, longest_write=5.0)
+    stream.sock = ours
+    first, second, third = b"1" * 4_000_000, b"2" * 1000, b"3" * 1000
+    for data in (first, second, third):
+        stream.put(data)
+    gevent.sleep(0)
+    assert not stream.take_back(first)  # some of it has gone
+    assert stream.take_back(second) and not stream.take_back(second)
+    got = bytearray()
+    with gevent.Timeout(20):
+        while len(got) < len(first) + len(third):
+            got += peer.recv(1 << 20)
+    assert bytes(got) == first + third
+    stream.close()
+    peer.close()
