A set-up whose caller had closed its connection when it was read is not forwarded

Cause: bytes are read before the end behind them. A set-up now asks first whether its connection has been reset; where its caller has shut down its sending side, it waits until the progress that this caller is sent has not come back.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent import socket
 
+from ..callers import lines
 from ..callers.lines import BadCallerError, Lines
 from ..transport.stream import Stream, listening
 
@@ -20,6 +21,7 @@
 CALLING_PATIENCE = 0.7  # and for one that has sent a set-up, before it goes to one that has begun a line
 LINE_BEGINS = b'{"type"'  # of a caller, as against a stranger's bytes
 MOST_PENDING = 1000
+PROGRESS_COMES_BACK = 50  # tenths of a millisecond in which a caller that has gone answers a progress with a reset
 ANSWER_SETTLES = 0.4  # seconds: most releases that come soon after an answer still go on the connection of the answer
 ANSWER_READ_WITHIN = 1.0  # seconds from an answer in which a release on another connection might be read before it
 LONGEST_HELD = 0.6  # seconds that a release is held for that; it is owed within one second
@@ -53,6 +55,24 @@
     data: bytes
 
 
+class HeldSetUp(NamedTuple):
+    """A set-up that is not taken before it is clear whether its caller is there. `left` in milliseconds, `came_at` in tenths
+    of one; the rest as `Calls.set_up` takes it."""
+
+    came_at: int
+    id: str
+    kind: str
+    left: int
+    number: str
+    far: int
+    width: int
+    advised: int
+    transit: bool
+    redialled: bool
+    cut: bool
+    sdp: str
+
+
 class CallerConnection(Stream):
     """One connection from callers."""
 
@@ -64,6 +84,7 @@
         self.port = port
         self.since = self.said_at = self.owner.seconds()
         self.spoken = self.known = self.sent_set_up = False
+        self.held_set_ups: list[HeldSetUp] = []
         self.done = False  # its peer has shut down its sending side, and set-ups are open on it
         self.answered_at = 0.0  # when the last call of it began to stand
 
@@ -76,7 +97,7 @@
             self.close(True, str(bad)[:60])
 
     def stays_open(self) -> bool:
-        if self.finishing or self not in self.owner.calls.on_conn:
+        if self.finishing or not (self.held_set_ups or self in self.owner.calls.on_conn):
             return False
         self.done = True
         self.group.done[self] = None
@@ -86,7 +107,7 @@
 
     def finish_when_done(self) -> None:
         """Half close it where its peer sends nothing more and has all its answers."""
-        if self.done and self not in self.owner.calls.on_conn:
+        if self.done and not self.held_set_ups and self not in self.owner.calls.on_conn:
             self.finish(FINISH)
 
     def _write_failed(self, error: OSError) -> None:
@@ -129,7 +150,30 @@
             self.owner.details("set-up-crossed-close", id=id)
             return
         self.sent_set_up = True
-        self.owner.calls.set_up(self.owner.clock(), self, id, *figures)
+        if self.hung_up():
+            self.owner.details("set-up-of-gone-caller", id=id)
+        elif self.shut_by_peer():
+            self._hold(HeldSetUp(self.owner.clock(), id, *figures))
+        else:
+            self.owner.calls.set_up(self.owner.clock(), self, id, *figures)
+
+    def _hold(self, set_up: HeldSetUp) -> None:
+        """Its caller sends nothing more, and may have gone: it is sent a progress, and the set-up taken if that does not come
+        back within a look."""
+        self.held_set_ups.append(set_up)
+        self.put(lines.progress(set_up.id))
+
+    def take_held(self) -> None:
+        """Take the set-ups that were held until it was clear that their caller reads on."""
+        now = self.owner.clock()
+        due = [held for held in self.held_set_ups if now - held.came_at >= PROGRESS_COMES_BACK]
+        self.held_set_ups = self.held_set_ups[len(due) :]
+        for held in due:
+            _, id, kind, left, *more = held
+            self.owner.calls.set_up(now, self, id, kind, max(1, left - (now - held.came_at) // 10), *more)
+        if due:
+            self.owner.calls.caller_done(now, self)
+            self.finish_when_done()
 
     def stands_at(self, id: str, kind: str, number: str, switch: str) -> None:
         self.spoken = self.known = True
@@ -137,6 +181,9 @@
 
     def released(self, id: str, cause: int) -> None:
         self._spoke()
+        if any(held.id == id for held in self.held_set_ups):
+            self.held_set_ups = [held for held in self.held_set_ups if held.id != id]
+            self.owner.calls.withdrawn(self.owner.clock(), self, id)
         self.owner.calls.released(self.owner.clock(), self, id, cause)
 
     def pinged(self, id: str) -> None:
@@ -311,8 +358,12 @@
     def look_at_done(self) -> None:
         """Close those whose peers have not only shut down their sending side but gone: what was written to them came back."""
         for caller in list(self.done):
-            if not caller.finishing and caller.hung_up():
+            if caller.finishing:
+                continue
+            if caller.hung_up():
                 caller.close(True, "closed by its peer")
+            else:
+                caller.take_held()
 
     def look(self) -> None:
         """From time to time: close callers that say nothing whole, and those without calls for long."""
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -163,19 +163,23 @@
 
     def hung_up(self) -> bool:
         """Whether the connection has been reset, or both sides of it are closed."""
-        if self.closed or self.sock is None:
-            return self.closed
-        poll = select.poll()
-        poll.register(self.sock.fileno(), 0)
-        return bool(poll.poll(0))
+        return self.closed or bool(self._polled(0))
+
+    def shut_by_peer(self) -> bool:
+        """Whether the peer has shut down its sending side, be it read or not."""
+        return bool(self._polled(select.POLLRDHUP))
 
     def readable(self) -> bool:
         """Whether bytes, or the peer's close, wait to be read."""
+        return bool(self._polled(select.POLLIN))
+
+    def _polled(self, events: int) -> int:
+        """Which of the events are there now; a reset, and both sides closed, always count. 0 where it is not up."""
         if self.closed or self.sock is None:
-            return False
+            return 0
         poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        poll.register(self.sock.fileno(), events)
+        return next((found for _, found in poll.poll(0)), 0)
 
     def finish(self, within: float) -> None:
         """Write what is queued and no more, and read on until the far end has closed too, `within` seconds at most: what
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -92,3 +92,26 @@
     assert not gone  # nothing is decided from within a decision
     gevent.sleep(0)
     assert gone == [caller]
+
+
+# Guards against a set-up that is taken after its release, since it had been held until its caller was known to read on.
+def test_a_set_up_that_is_held_can_be_released(connected):
+    caller, peer, group = connected
+    events = []
+    group.owner.calls = SimpleNamespace(
+        on_conn={},
+        conn_gone=lambda *args: None,
+        withdrawn=lambda now, conn, id: events.append(("withdrawn", id)),
+        released=lambda now, conn, id, cause: None,
+        set_up=lambda now, conn, id, *figures: events.append(("set_up", id)),
+        caller_done=lambda now, conn: None,
+    )
+    peer.shutdown(socket.SHUT_WR)
+    gevent.sleep(0.01)
+    for id in ("a" * 16, "b" * 16):
+        caller.set_up(id, "voice", 1500, "7f", 1, 1, -1, False, False, False, "x")
+    assert peer.recv(1000).count(b"progress") == 2 and not events
+    caller.released("a" * 16, 16)
+    group.owner.now += 1
+    caller.take_held()
+    assert events == [("withdrawn", "a" * 16), ("set_up", "b" * 16)]
--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -191,3 +191,20 @@
     ended_unread(service, caller, how)
     time.sleep(SETTLES)
     assert methods_at(switch).count("INVITE") == retries
+
+
+# Guards against a set-up that is forwarded although its caller had closed its connection before it was read.
+@pytest.mark.parametrize("how", ["reset", "close", "nothing"])
+def test_a_set_up_whose_caller_had_gone_when_it_was_read_reaches_no_switch(start, how):
+    service = start()
+    caller = service.caller()
+    service.process.send_signal(scripted.signal.SIGSTOP)
+    caller.sock.sendall(set_up_line(A))
+    if how == "reset":
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if how != "nothing":
+        caller.file.close()
+        caller.sock.close()
+    service.process.send_signal(scripted.signal.SIGCONT)
+    time.sleep(SETTLES)
+    assert methods_at(service.switches["s1"]).count("INVITE") == (how == "nothing")
