Trials: callers repeat lines, take set-ups back at once, shut down one side; processes pause

New judgement: no set-up reaches a switch that was over for its caller 0.1 s before, or whose release came with it.

--- a/tests/trial.py
+++ b/tests/trial.py
@@ -23,6 +23,7 @@
     BusFault,
     Caller,
     CallerFault,
+    Habit,
     Leg,
     Reply,
     SetUp,
@@ -163,6 +164,7 @@
         self.nodes: list[Node] = []
         self.callers: list[Caller | BadCaller] = []
         self.tasks: list[asyncio.Task] = []
+        self.habits: list[Habit] = []  # that callers may have
 
     async def begin(self, replies: list[list[Reply]], delay: float = 0.3, sockets: int = 128, nodes: int = 1) -> None:
         """One switch a list of replies, numbered from 1; the events of a second bus go on where the first's end."""
@@ -203,6 +205,8 @@
         node = self.nodes[len(self.callers) % len(self.nodes)]
         caller = Caller(node.name, node.port, Random(self.random.random()), self.record.set_ups, fault, numbers)
         caller.rate = rate
+        caller.habit_random = Random(f"{self.seed} {len(self.callers)}")
+        caller.habits = {habit for habit in self.habits if caller.habit_random.random() < 0.4}
         self.run(caller)
         return caller
 
@@ -310,10 +314,23 @@
     return any(begin - MEASURING < at < end + MEASURING for at in times for begin, end in record.stalls)
 
 
+def _forwarded_after_its_end(set_up: SetUp, leg: Leg) -> str:
+    """What is wrong with a leg of a set-up that was over for its caller; empty where nothing is."""
+    if set_up.taken_back:
+        return f"forwarded: {leg.id}, whose release had come with it"
+    over = min((at for at in (set_up.given_up, *(at for at, _, _ in set_up.finals)) if at), default=float("inf"))
+    if leg.began - over > SLACK + MEASURING and not (set_up.crossed or set_up.sent_again):
+        return f"forwarded: {leg.id} to {leg.uid} {leg.began - over:.3f} s after it was over for its caller"
+    return ""
+
+
 def _legs_broken(record: Record, told: dict[str, float]) -> list[str]:
     found = []
     last: dict[str, Leg] = {}
     for leg in record.legs:
+        late = _forwarded_after_its_end(record.set_ups[leg.id], leg)
+        if late and not leg.read_late and not _stalled(record, leg.began):
+            found.append(late)
         if leg.read_late or _stalled(record, leg.began, leg.ended):
             continue
         before = last.get(leg.id)
@@ -409,6 +426,7 @@
 
     async def play(self) -> list[str]:
         draw = self.random
+        self.habits = list(Habit)
         choices = [draw.choice([MIXED, SPOILT, HANGING, [Reply.ANSWER]]) for _ in range(draw.randint(4, 6))]
         await self.begin(
             choices, delay=draw.choice([0.3, 1.0, 3.5]), sockets=draw.choice([64, 128, 256]), nodes=draw.choice([1, 1, 2, 3])
@@ -420,6 +438,8 @@
             self.run(BadCaller(self.node.port, Random(draw.random())))
         if draw.random() < 0.3:
             self.tasks.append(asyncio.ensure_future(self._crowd(self.node)))
+        if Random(f"{self.seed} pauses").random() < 0.4:
+            self.tasks += [asyncio.ensure_future(self._pauses(node)) for node in self.nodes]
         stops = [self._stops(node) for node in self.nodes]
         scripts = [self._bus_faults(), self._drains(), self._reloads(), self._switch_faults()]
         stopping = [asyncio.ensure_future(script) for script in stops]
@@ -534,6 +554,19 @@
                 case SwitchFault.RESETS_ALL:
                     switch.reset_all()
 
+    async def _pauses(self, node: Node) -> None:
+        """The process stands still now and then, shorter than any bound, and has everything to read at once."""
+        draw = Random(f"{self.seed} {node.name}")
+        while True:
+            await asyncio.sleep(draw.uniform(0.2, 1.0))
+            if node.ready and node.process.returncode is None:
+                node.process.send_signal(signal.SIGSTOP)
+                try:
+                    await asyncio.sleep(draw.uniform(0.02, 0.15))
+                finally:
+                    with contextlib.suppress(ProcessLookupError):
+                        node.process.send_signal(signal.SIGCONT)
+
     async def _crowd(self, node: Node) -> None:
         """Connections that say nothing, more than the process may hold."""
         held = []
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -438,6 +438,8 @@
     connection_ended: float = 0.0
     crossed: bool = False  # it crossed the close of its connection
     sent_again: bool = False
+    taken_back: bool = False  # its release came with it
+    repeated_at: float = 0.0  # when its line came again
     tries: int = 0  # refusals that came before, of a caller that tries again at once
 
     @property
@@ -456,6 +458,14 @@
     SLOW_WRITER = "stops in the middle of lines, for up to a second"
 
 
+class Habit(Enum):
+    """What a caller does now and then, beside its fault."""
+
+    REPEATS = "sends the line of a set-up again, once or twice"
+    TAKES_BACK = "sends a set-up and its release in one segment"
+    SHUTS_DOWN = "shuts down its sending side after a set-up, and reads on"
+
+
 class NotingProtocol(asyncio.StreamReaderProtocol):
     """Knows when lines and the peer's close have come, however late the reader gets to them."""
 
@@ -485,6 +495,9 @@
         self.numbers = numbers
         self.rate = 8.0  # set-ups a second
         self.stopping = False
+        self.habits: set[Habit] = set()
+        self.habit_random = Random(0)  # of its own, so that a seed's other draws do not depend on habits
+        self.shut_down = False
         self.closed_at: list[float] = []  # when it closed a connection itself: what came then it has not read
         self.mid_line, self.held_back = False, b""  # a line stands half: what else is to be said waits
         self.open: dict[str, SetUp] = {}
@@ -500,12 +513,12 @@
                 continue
             reading = asyncio.ensure_future(self._read())
             again = [set_up for set_up in self.open.values() if set_up.crossed]
-            self.open, self.mid_line, self.held_back = {}, False, b""
+            self.open, self.mid_line, self.held_back, self.shut_down = {}, False, b"", False
             with contextlib.suppress(OSError):
                 for set_up in again:
                     await self._send(set_up)
                 await self._send_on(reading) if not self.stopping else await self._send_one()
-            if not self.stopping:
+            if not (self.stopping or self.shut_down):
                 reading.cancel()
             await asyncio.wait([reading])
             self.writer.close()
@@ -531,6 +544,10 @@
             set_up = SetUp(f"{self.random.getrandbits(64):016x}", self.name, self.random.choice([0.3, 1.0, 2.0, 3.0]))
             self.book[set_up.id] = set_up
             await self._send(set_up)
+            if self._acts_on_habit(Habit.SHUTS_DOWN, 0.05):
+                self.shut_down = True
+                self.writer.write_eof()
+                return
             if self.fault is CallerFault.GIVES_UP and self.random.random() < 0.4:
                 asyncio.get_running_loop().call_later(self.random.uniform(0.0, 0.3), self._give_up, set_up)
             if self.fault is CallerFault.CLOSES and self.random.random() < 0.1:
@@ -542,7 +559,7 @@
 
     def _try_again(self, refused: SetUp) -> None:
         """At once, whatever wait the refusal asked for; a retry has an id of its own."""
-        if refused.tries >= MOST_EAGER or self.stopping or self.writer.is_closing() or self.protocol.closing:
+        if refused.tries >= MOST_EAGER or self.stopping or self.shut_down or self.writer.is_closing() or self.protocol.closing:
             return
         again = SetUp(f"{self.random.getrandbits(64):016x}", self.name, refused.left, tries=refused.tries + 1)
         self.book[again.id] = again
@@ -550,8 +567,29 @@
         again.sent = now()
         self.writer.write(self._line(again))
 
+    def _acts_on_habit(self, habit: Habit, share: float) -> bool:
+        return (
+            habit in self.habits and not (self.writer.is_closing() or self.protocol.closing) and self.habit_random.random() < share
+        )
+
+    def _send_again(self, set_up: SetUp, line: bytes, writer: asyncio.StreamWriter) -> None:
+        """The same line on the same connection, whatever has become of the set-up."""
+        if writer is self.writer and not (writer.is_closing() or self.protocol.closing or self.shut_down or self.mid_line):
+            set_up.repeated_at = set_up.repeated_at or now()
+            writer.write(line)
+
     async def _send(self, set_up: SetUp) -> None:
         line = self._line(set_up)
+        whole = self.fault not in (CallerFault.PIECES, CallerFault.SLOW_WRITER) and not set_up.crossed
+        if whole and self._acts_on_habit(Habit.TAKES_BACK, 0.1):
+            set_up.sent = set_up.given_up = now()
+            set_up.taken_back = True
+            self.writer.write(line + self._release_line(set_up))
+            return
+        if whole and self._acts_on_habit(Habit.REPEATS, 0.2):
+            copies = line * self.habit_random.choice([1, 1, 2])
+            later = self.habit_random.choice([0.0, 0.01, self.habit_random.uniform(0.0, 0.8)])
+            asyncio.get_running_loop().call_later(later, self._send_again, set_up, copies, self.writer)
         if self.fault in (CallerFault.PIECES, CallerFault.SLOW_WRITER):
             cut = self.random.randrange(1, len(line))
             self.writer.write(line[:cut])
@@ -575,12 +613,18 @@
         return json.dumps(line).encode() + b"\n"
 
     def _give_up(self, set_up: SetUp) -> None:
-        if set_up.id in self.open and not self.writer.is_closing():
+        if set_up.id in self.open and not (self.writer.is_closing() or self.shut_down):
             set_up.given_up = now()
             self._release(set_up)
 
+    @staticmethod
+    def _release_line(set_up: SetUp) -> bytes:
+        return json.dumps({"type": "release", "id": set_up.id, "fields": {}, "cause": NORMAL_RELEASE}).encode() + b"\n"
+
     def _release(self, set_up: SetUp) -> None:
-        line = json.dumps({"type": "release", "id": set_up.id, "fields": {}, "cause": 16}).encode() + b"\n"
+        line = self._release_line(set_up)
+        if self.shut_down:
+            return
         if self.mid_line:
             self.held_back += line
         else:
@@ -632,7 +676,7 @@
                 return
 
     def _end(self, set_up: SetUp) -> None:
-        if set_up.released or self.writer.is_closing() or self.protocol.closing:
+        if set_up.released or self.writer.is_closing() or self.protocol.closing or self.shut_down:
             return
         set_up.ended_by_caller = now()
         self._release(set_up)
