A reset that stands unread counts before the same set-up on another connection

By reading (the same id on two connections, in either order): a set-up whose connection had been reset, and that comes again on another which is read first, was refused as open already. The reset is now taken first: the set-up is taken anew, or answered as failed where it had been forwarded. One poll a set-up tells whether its peer is there, done or gone (PeerState).

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -11,7 +11,7 @@
 
 from ..callers import lines
 from ..callers.lines import BadCallerError, Lines
-from ..transport.stream import Stream, listening
+from ..transport.stream import PeerState, Stream, listening
 
 MOST_QUEUED = 1 << 18  # bytes
 LONGEST_WRITE = 2.0
@@ -136,7 +136,7 @@
 
     def has_unread(self) -> bool:
         """Whether its peer has written, or gone, and that has not been read yet."""
-        return self.hung_up() if self.done else self.readable()
+        return self.peer_state() is PeerState.GONE if self.done else self.readable()
 
     # --- what the lines are ---
 
@@ -150,12 +150,14 @@
             self.owner.details("set-up-crossed-close", id=id)
             return
         self.sent_set_up = True
-        if self.hung_up():
-            self.owner.details("set-up-of-gone-caller", id=id)
-        elif self.shut_by_peer():
-            self._hold(HeldSetUp(self.owner.clock(), id, *figures))
-        else:
-            self.owner.calls.set_up(self.owner.clock(), self, id, *figures)
+        self.group.close_if_gone(id)
+        match self.peer_state():
+            case PeerState.GONE:
+                self.owner.details("set-up-of-gone-caller", id=id)
+            case PeerState.DONE:
+                self._hold(HeldSetUp(self.owner.clock(), id, *figures))
+            case PeerState.THERE:
+                self.owner.calls.set_up(self.owner.clock(), self, id, *figures)
 
     def _hold(self, set_up: HeldSetUp) -> None:
         """Its caller sends nothing more, and may have gone: it is sent a progress, and the set-up taken if that does not come
@@ -355,12 +357,18 @@
 
     # --- closing ---
 
+    def close_if_gone(self, id: str) -> None:
+        """Close the connection of an open set-up whose line comes again on another, where it has been reset, unread."""
+        call = self.owner.calls.by_id.get(id)
+        if call is not None and call.conn is not None and call.conn.peer_state() is PeerState.GONE:
+            call.conn.close(True, "its peer has gone, and its set-up came again elsewhere")
+
     def look_at_done(self) -> None:
         """Close those whose peers have not only shut down their sending side but gone: what was written to them came back."""
         for caller in list(self.done):
             if caller.finishing:
                 continue
-            if caller.hung_up():
+            if caller.peer_state() is PeerState.GONE:
                 caller.close(True, "closed by its peer")
             else:
                 caller.take_held()
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -8,6 +8,7 @@
 import os
 import select
 from collections import deque
+from enum import Enum
 
 import gevent
 from gevent import socket
@@ -32,6 +33,14 @@
     return listener
 
 
+class PeerState(Enum):
+    """Whether a connection's peer may still send and read."""
+
+    THERE = "no sign of its end"
+    DONE = "it has shut down its sending side, and may have closed both"
+    GONE = "the connection was reset, or both sides of it are closed"
+
+
 class Stream:
     """`most_queued` bytes may wait; a write that stands still for `longest_write` seconds ends the connection."""
 
@@ -161,13 +170,14 @@
             if not kept:
                 self.close(True, reason)
 
-    def hung_up(self) -> bool:
-        """Whether the connection has been reset, or both sides of it are closed."""
-        return self.closed or bool(self._polled(0))
-
-    def shut_by_peer(self) -> bool:
-        """Whether the peer has shut down its sending side, be it read or not."""
-        return bool(self._polled(select.POLLRDHUP))
+    def peer_state(self) -> PeerState:
+        """What is known of the peer now, be it read or not."""
+        if self.closed:
+            return PeerState.GONE
+        found = self._polled(select.POLLRDHUP)
+        if found & (select.POLLHUP | select.POLLERR):
+            return PeerState.GONE
+        return PeerState.DONE if found else PeerState.THERE
 
     def readable(self) -> bool:
         """Whether bytes, or the peer's close, wait to be read."""
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -100,6 +100,7 @@
     events = []
     group.owner.calls = SimpleNamespace(
         on_conn={},
+        by_id={},
         conn_gone=lambda *args: None,
         withdrawn=lambda now, conn, id: events.append(("withdrawn", id)),
         released=lambda now, conn, id, cause: None,
@@ -115,3 +116,24 @@
     group.owner.now += 1
     caller.take_held()
     assert events == [("withdrawn", "a" * 16), ("set_up", "b" * 16)]
+
+
+# Guards against a set-up that is refused as open already: its connection had been reset, unread, and its line came again here.
+def test_the_reset_of_a_connection_counts_before_its_set_up_comes_again_on_another(connected):
+    caller, peer, group = connected
+    other_peer = socket.create_connection(group.listening.getsockname())
+    other = CallerConnection(group, group.listening.accept()[0], 2)
+    events = []
+    group.owner.calls = SimpleNamespace(
+        on_conn={},
+        by_id={"a" * 16: SimpleNamespace(conn=caller)},
+        conn_gone=lambda now, conn: events.append("gone"),
+        set_up=lambda now, conn, id, *figures: events.append("set_up"),
+    )
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    gevent.sleep(0.01)
+    other.set_up("a" * 16, "voice", 1500, "7f", 1, 1, -1, False, False, False, "x")
+    assert events == ["gone", "set_up"]
+    other.close()
+    other_peer.close()
--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -208,3 +208,27 @@
     service.process.send_signal(scripted.signal.SIGCONT)
     time.sleep(SETTLES)
     assert methods_at(service.switches["s1"]).count("INVITE") == (how == "nothing")
+
+
+# Guards against a set-up that runs twice, or has no word: its connection was reset, and its line came again on another, which may
+# be read first.
+@pytest.mark.parametrize("second_is_older", [True, False])
+def test_a_set_up_that_comes_again_on_another_connection_is_answered_there_and_not_forwarded(start, second_is_older):
+    switch = scripted.Switch(lambda id: None)
+    service = start(s1=switch)
+    second = service.caller() if second_is_older else None
+    first = service.caller()
+    first.sock.sendall(set_up_line(A))
+    switch.next("INVITE")
+    second = second or service.caller()
+    second.sock.sendall(set_up_line(B, far=2))
+    assert second.next()["id"] == B  # accepted by now
+    service.process.send_signal(scripted.signal.SIGSTOP)
+    second.sock.sendall(set_up_line(A))
+    first.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    first.file.close()
+    first.sock.close()
+    service.process.send_signal(scripted.signal.SIGCONT)
+    said = second.next()
+    assert (said["id"], said["type"], said["cause"]) == (A, "release", 41)
+    assert methods_at(switch).count("INVITE") == 0
