--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -8,9 +8,9 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from ..brain import CallController
 from ..callers import lines
@@ -18,9 +18,11 @@
 from ..host import GwState, LegEnd, ListEntry, Rsn
 from ..switches import messages
 from . import shutdown
-from .belief import Belief
+from .call import Call, CalledOffLeg
+from .diagnostics import Diagnostics
 from .ended_set_ups import EndedSetUps, EndOfSetUp
 from .shutdown import Schedule
+from .wire import Conn, Link, Wire
 
 MS = 10  # tenths of a millisecond
 SECOND = 10_000
@@ -29,103 +31,6 @@
 NORMAL = 16
 BUSY = (486, 500)
 
-Conn = Hashable
-Link = Hashable
-
-
-class Wire(Protocol):
-    """What the owner of the sockets does for its calls. Nothing here blocks or calls back."""
-
-    def record(self, event: str, id: str, **fields: object) -> None:
-        """A line for the log about one call: why it was refused, how a leg of it ended, that another was sent."""
-
-    def to_caller(self, conn: Conn, data: bytes) -> bool:
-        """On that connection alone; whether it can still be written there."""
-
-    def tell_end(self, conn: Conn | None, data: bytes) -> None:
-        """That a call which stood is over: on that connection, or to any caller that may be told, now or when there is one."""
-
-    def has_unread(self, conn: Conn) -> bool:
-        """Whether something of a caller stands unread: it may have given up."""
-
-    def turn_away(self, conn: Conn) -> None:
-        """Close a caller's connection, unless set-ups are open on it."""
-
-    def served(self, conn: Conn) -> None:
-        """A call of this connection stands, so its far end is one of the callers that may be told of calls' ends."""
-
-    def link_to(self, gw: int, used: set[Link]) -> Link | None:
-        """A connection for a set-up, none of those used; perhaps still opening. None: there is no way there."""
-
-    def is_up(self, link: Link) -> bool: ...
-
-    def to_link(self, link: Link, data: bytes) -> bool:
-        """Whether it can still be written there."""
-
-    def take_back(self, link: Link, data: bytes) -> bool:
-        """Whether what was to be written there waits still, and now is not written."""
-
-    def to_switch(self, gw: int, data: bytes) -> None:
-        """On any connection there, or the next that is opened."""
-
-    def spoilt(self, link: Link) -> None:
-        """Nothing new on this connection: a set-up on it was never answered."""
-
-
-class CalledOffLeg(NamedTuple):
-    """A leg that CANCEL was sent for; its answer may still come. `leg` is its number within its call, from 1."""
-
-    gw: int
-    leg: int
-    number: str
-
-
-class Call:
-    """A call from its set-up to its last word."""
-
-    __slots__ = (
-        "id",
-        "dialog",
-        "conn",
-        "kind",
-        "number",
-        "sdp",
-        "gw",
-        "link",
-        "legs",
-        "used",
-        "sent_at",
-        "until",
-        "stands",
-        "over",
-        "width",
-        "how_ended",
-        "taken_again",
-        "forwarded",
-        "came_at",
-        "invite",
-        "doubtful",
-        "unreleased",
-    )
-
-    def __init__(self, id: str, dialog: int, conn: Conn | None, kind: str, number: str, sdp: str, width: int) -> None:
-        self.id, self.dialog, self.conn = id, dialog, conn
-        self.kind, self.number, self.sdp, self.width = kind, number, sdp, width
-        self.gw = -1
-        self.link: Link | None = None
-        self.legs = 0
-        self.used: set[Link] = set()
-        self.sent_at = -1  # when the leg was written; -1 while its connection is opening
-        self.until = 0
-        self.came_at = -1
-        self.invite = b""  # of the leg that is out
-        self.stands = self.over = False
-        self.how_ended = EndOfSetUp.ANSWERED
-        self.taken_again = False  # its connection had ended before its answer, and it came once more
-        self.forwarded = False  # to a switch, on whatever leg
-        self.doubtful: set[int] = set()  # switches (gw) where a leg that was given up may stand
-        self.unreleased: list[CalledOffLeg] = []  # answered after they were called off, at the switch of a later leg
-
 
 class Calls:
     """One proxy's calls. Raises BadFactError where the settings can't be read."""
@@ -137,9 +42,9 @@
         seed: int,
         settings: dict[str, Any],
         make: Callable[..., CallController] = CallController,
-        belief: Belief | None = None,
+        diagnostics: Diagnostics | None = None,
     ) -> None:
-        self.wire, self.belief = wire, belief
+        self.wire, self.diagnostics = wire, diagnostics
         start = Facts(settings, "settings")
         here, proxies, self.types, figures = controller_facts(start)
         self.kinds = {str(lane.get("Name", place)): place for place, lane in enumerate(start.get("Lanes", list))}
@@ -196,8 +101,8 @@
             self._over(call, LegEnd.UNREACHABLE)  # its connection was not made: it never left
 
     def decline(self, dialog: int, hold_off: int) -> None:
-        if self.belief is not None:
-            self.belief.dialog_declined(self.controller, dialog, self.now)
+        if self.diagnostics is not None:
+            self.diagnostics.dialog_declined(self.controller, dialog, self.now)
         self._answer(dialog, DECLINED, hold_off // MS)
 
     def abort(self, dialog: int) -> None:
@@ -422,10 +327,10 @@
         call.stands, call.link = True, None
         took = now - call.sent_at
         self.wire.record("set-up-answered", id, switch=self.ids[gw], leg=call.legs, after_ms=took // MS)
-        if self.belief is not None:
-            self.belief.answered(gw, took)
+        if self.diagnostics is not None:
+            self.diagnostics.answered(gw, took)
             dialog = self.controller.dialogs.get(call.dialog)
-            self.belief.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), "200")
+            self.diagnostics.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), "200")
         self.standing.setdefault(gw, {})[id] = call
         self.wire.served(call.conn)
         heard = self.wire.to_caller(call.conn, lines.answer(id, sdp))
@@ -475,9 +380,9 @@
         self.wire.to_link(link, messages.ack(call.number, id, call.legs))
         how = LegEnd.FULL if status == 503 else LegEnd.BUSY if status in BUSY else LegEnd.NOT_SENT if status == 480 else LegEnd.CUT
         self.count(f"legs refused {status} {word}")
-        if self.belief is not None:
+        if self.diagnostics is not None:
             dialog = self.controller.dialogs.get(call.dialog)
-            self.belief.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), f"{status} {word}")
+            self.diagnostics.leg_over(gw, dialog is not None and dialog.far == self.numbers.get(gw), f"{status} {word}")
         self._leg_over(call, how, NOTES.get(word, Rsn.NONE), free, size)
         self._tell_later()
 
@@ -508,8 +413,8 @@
     def reported(self, now: int, gw: int, report: dict[str, float]) -> None:
         self.now = now
         free, size = circuits_in(report)
-        if self.belief is not None:
-            self.belief.told(gw, free, size)
+        if self.diagnostics is not None:
+            self.diagnostics.reported(gw, free, size)
         self._group_told(gw, free, size)
 
     def _group_told(self, gw: int, free: int, size: int) -> None:
@@ -585,8 +490,8 @@
         if now >= self.beat_at:
             self.controller.beat(now)
         self._tell_later()
-        if self.belief is not None:
-            self.belief.beat(self, now)
+        if self.diagnostics is not None:
+            self.diagnostics.log_due(self, now)
 
     # --- inside ---
 
--- a/gingergap/service/belief.py
+++ b/gingergap/service/diagnostics.py
@@ -12,19 +12,19 @@
 MS = 10
 
 
-class Belief:
+class Diagnostics:
     """`log(event, **fields)` takes the lines."""
 
     def __init__(self, log: Any) -> None:
         self.log = log
         self.at = 0
-        self.reported: dict[int, tuple[int, int]] = {}
+        self.last_reported: dict[int, tuple[int, int]] = {}
         self.took: dict[int, list[int]] = {}
         self.ends: dict[int, Counter[str]] = {}
         self.declined: Counter[str] = Counter()
 
-    def told(self, gw: int, free: int, size: int) -> None:
-        self.reported[gw] = free, size
+    def reported(self, gw: int, free: int, size: int) -> None:
+        self.last_reported[gw] = free, size
 
     def answered(self, gw: int, took: int) -> None:
         self.took.setdefault(gw, []).append(took)
@@ -52,7 +52,7 @@
         )
         self.declined[f"{'transit' if d.transit else 'redialled' if d.redialled else 'first'}, {d.legs} legs, {why}"] += 1
 
-    def beat(self, calls: Any, now: int) -> None:
+    def log_due(self, calls: Any, now: int) -> None:
         if now < self.at:
             return
         self.at = now + SECOND
@@ -66,7 +66,7 @@
                 switch=calls.ids[gw],
                 number=ex.number,
                 free=ex.group.free,
-                reported=self.reported.get(gw),
+                reported=self.last_reported.get(gw),
                 expected_ms=ex.expected(now) // MS,
                 took_ms=[took[len(took) // 2] // MS, took[-1] // MS] if took else "-",
                 out=len(ex.out),
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -21,10 +21,11 @@
 from ..listfeed.poll import BadFeedError, Batch, Line, address_of, events_after, state_of
 from ..transport.stream import PAUSE
 from . import early_signals
-from .belief import Belief
-from .caller_connections import FINISH_OVERDUE, CallerConnection, CallerConnections
+from .caller_connection import CallerConnection
+from .caller_connections import FINISH_OVERDUE, CallerConnections
 from .calls import Calls
 from .configuration import Configuration, configuration_from_environment, read_configuration
+from .diagnostics import Diagnostics
 from .event_bus import EventBusClient
 from .log import DetailLog, log
 from .shutdown import Schedule
@@ -41,7 +42,7 @@
 class Process:
     """One running proxy; the Wire of its calls and the Owner of its connections."""
 
-    def __init__(self, path: Path, config: Configuration, belief: bool = False) -> None:
+    def __init__(self, path: Path, config: Configuration, diagnostics: bool = False) -> None:
         self.path, self.config = path, config
         self.ahead = time.time_ns() - time.monotonic_ns()  # the Unix clock, without its steps
         self.callers = CallerConnections(self, config.sockets // 2)
@@ -57,7 +58,7 @@
         self.bus = EventBusClient(self, config.bus)
         ceilings = Facts(config.settings, "settings").part("Ceilings")
         self.connect_timeout = ceilings.get("ConnectTimeout", int, 500_000) / 1e6
-        self.calls = Calls(self, self.clock(), config.seed, config.settings, belief=Belief(log) if belief else None)
+        self.calls = Calls(self, self.clock(), config.seed, config.settings, diagnostics=Diagnostics(log) if diagnostics else None)
         for number, whole, entries in events_after(0, config.known):
             self.listed(number, whole, entries)
         self.last = max(self.last, config.known.offset)
@@ -332,11 +333,11 @@
         self.over.set()
 
 
-def main(belief: bool = False) -> int:
+def main(diagnostics: bool = False) -> int:
     """Exit 2 with one line where the environment or the configuration is not as it should be."""
     try:
         path, config = configuration_from_environment(os.environ)
-        process = Process(path, config, belief)
+        process = Process(path, config, diagnostics)
     except (BadFactError, BadFeedError) as bad:
         print(bad, file=sys.stderr)
         return 2
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent import socket
 
-from gingergap.service.caller_connections import REST, SPEAK, CallerConnection, CallerConnections
+from gingergap.service.caller_connection import CallerConnection
+from gingergap.service.caller_connections import REST, SPEAK, CallerConnections
 
 
 class NotedOwner:
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -16,8 +16,9 @@
 import test_service_process as scripted
 from gevent import socket as green
 from test_service_calls import SDP
-from trial import HANGING, KILL_AFTER, MIXED, Trial, broken_rules, now
-from trial_peers import Reply
+from trial import HANGING, MIXED, Trial
+from trial_peers import Reply, now
+from trial_rules import KILL_AFTER, broken_rules
 
 from gingergap.transport.stream import Stream
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -4,8 +4,8 @@
 from random import Random
 
 import pytest
-from trial import Record, broken_rules
 from trial_peers import Caller, CallerFault, Reply, SetUp, Standing, Switch, now, sip
+from trial_rules import Record, broken_rules
 
 from gingergap.sip.framing import Framer
 
