At an end a caller that has shut down one side may be told the ends of calls

At an end such a connection now stays until all are half closed, and is told. Unit test: failed before.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -89,10 +89,15 @@
         return True
 
     def finish_when_done(self) -> None:
-        """Half close it where its peer sends nothing more and has all its answers."""
-        if self.done and not self.held_set_ups and self not in self.owner.calls.on_conn:
+        """Half close it where its peer sends nothing more and has all its answers. Not at an end: callers can't come back
+        then, and this one may be the last that can be told the ends of calls."""
+        if self.done and not (self.owner.ends() or self.held_set_ups or self in self.owner.calls.on_conn):
             self.finish(FINISH)
 
+    def may_be_told(self) -> bool:
+        """Whether the ends of calls may be told here, as far as the connection goes."""
+        return not self.finishing and (not self.done or self.owner.ends())
+
     def _write_failed(self, error: OSError) -> None:
         super()._write_failed(error)
         gevent.spawn(self._give_up)  # not from within whatever was writing
@@ -108,7 +113,7 @@
         """Nothing is owed on it and nothing of its peer waits to be read, so that it may be closed."""
         if self.owner.seconds() - self.answered_at < ANSWER_SETTLES:
             return False
-        return not (self in self.owner.calls.on_conn or self.queue or self.lines.held or self.readable())
+        return not (self in self.owner.calls.on_conn or self.queue or self.lines.held or not self.done and self.readable())
 
     def say(self, data: bytes) -> bool:
         """Write a line; whether the connection can still be written."""
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -169,12 +169,10 @@
 
     def _known(self) -> CallerConnection | None:
         """The latest connection on which calls stood; any other may be anybody's."""
-        return next((caller for caller in reversed(self.open) if caller.known and not (caller.finishing or caller.done)), None)
+        return next((caller for caller in reversed(self.open) if caller.known and caller.may_be_told()), None)
 
     def _calling(self) -> CallerConnection | None:
-        return next(
-            (caller for caller in reversed(self.open) if caller.sent_set_up and not (caller.finishing or caller.done)), None
-        )
+        return next((caller for caller in reversed(self.open) if caller.sent_set_up and caller.may_be_told()), None)
 
     def _beginning(self) -> CallerConnection | None:
         """The latest that stands in the middle of a line which begins as callers' lines do."""
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -1,5 +1,6 @@
 """Connections from callers, without a process: when they are closed."""
 
+import contextlib
 import struct
 from types import SimpleNamespace
 
@@ -15,7 +16,7 @@
     """The process: a clock that tests set, and no calls."""
 
     def __init__(self):
-        self.now = 1000.0
+        self.now, self.ending = 1000.0, False
         self.calls = SimpleNamespace(on_conn={}, conn_gone=lambda now, conn: None)
 
     def clock(self):
@@ -28,7 +29,7 @@
         pass
 
     def ends(self):
-        return False
+        return self.ending
 
 
 @pytest.fixture
@@ -138,3 +139,21 @@
     assert events == ["gone", "set_up"]
     other.close()
     other_peer.close()
+
+
+# Guards against ends of calls that are told to nobody at an end: the callers that were left had shut down their sending side and
+# were half closed once they had their answers, and no other could come.
+@pytest.mark.parametrize(("ending", "told"), [(True, b"end\n"), (False, b"")])
+def test_a_caller_with_one_side_shut_down_is_told_the_ends_of_calls_at_an_end(connected, ending, told):
+    caller, peer, group = connected
+    group.owner.ending = ending
+    caller.known = caller.done = True
+    caller.say(b"answer\n")
+    assert caller.finishing is not ending
+    group.tell_end(None, b"end\n")
+    peer.settimeout(0.1)
+    got = b""
+    with contextlib.suppress(TimeoutError):
+        while data := peer.recv(100):
+            got += data
+    assert got == b"answer\n" + told
