--- a/gingergap/switches/messages.py
+++ b/gingergap/switches/messages.py
@@ -14,6 +14,7 @@
 
 MOST_MESSAGE = 16_384
 ID = re.compile(r"[0-9a-f]{16}\Z")
+DESCRIPTION_LINE = re.compile(rb"[a-z]=")
 STATE = re.compile(rb"NOTIFY [^\r\n]* SIP/2\.0\r\n.*\r\nLink-State: ([^\r\n]*)\r\n", re.DOTALL)
 
 
@@ -72,6 +73,8 @@
             if isinstance(message, BadMessageError):
                 raise message
             if message is not None:
+                if message.body and DESCRIPTION_LINE.match(self.framer.held):
+                    raise BadMessageError("the description goes on behind its length", 400, message)
                 self._take(message)
         held = self.framer.held
         if held and not 65 <= held[0] <= 90:
@@ -103,6 +106,8 @@
     except UnicodeDecodeError:
         raise BadMessageError("the description is not text", 400, message) from None
     lines = text.split("\r\n")
+    if "SIP/2.0" in text:
+        raise BadMessageError("the description is cut, and the next message stands in it", 400, message)
     if len(lines) < 3 or lines[-1] or not text.isascii() or not all(lines[:-1]) or not text.replace("\r\n", "").isprintable():
         raise BadMessageError("the description is not whole", 400, message)
     return text
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -78,6 +78,23 @@
         told(damaged)
 
 
+# Guards against a caller that is given a description which its switch did not make: one cut by its length at the end of a line,
+# or cut on its way and filled up with the next message.
+@pytest.mark.parametrize(
+    "damaged",
+    [
+        response(200, length=SDP.index("m=")),
+        response(200)[: -len("NOTIFY sip:exchange@net SIP/2.0\r\n")] + notify(5),
+        response(200)[: -len("SIP/2.0 200 Word\r\n")] + response(200, "BYE"),
+    ],
+)
+def test_a_description_that_is_cut_is_never_passed_on(damaged):
+    noted = NotedHost()
+    with pytest.raises(BadMessageError):
+        Reader(noted).feed(damaged)
+    assert not [entry for entry in noted.done if entry[0] == "answered"]
+
+
 def test_what_came_whole_before_the_damage_counts():
     noted = NotedHost()
     with pytest.raises(BadMessageError):
