--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import structlog
 from hypothesis import strategies as st
 from known_red import pytest_addoption, pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401 - hooks
+from soak import Soak
 
 from gingergap.brain import CallController
 from gingergap.edge.serve import proxy_of
@@ -20,6 +21,19 @@
 from gingergap.sip.message import Message, parse, response
 from gingergap.sip.transactions import Hop
 
+
+def pytest_collection_finish(session):
+    """Begin the trials of the soak, so that they are played beside the other tests."""
+    seeds = [item.callspec.params["seed"] for item in session.items if item.path.name == "test_service_soak.py"]
+    if seeds and not session.config.option.collectonly:
+        session.config.soak = Soak(seeds)
+
+
+def pytest_unconfigure(config):
+    if hasattr(config, "soak"):
+        config.soak.close()
+
+
 EDGE = """
 (edge (name "p0") (listen "127.0.0.1:7000") (here 0) (exchange-list "127.0.0.1:7300") (tell-peers false)
   (exchange (number 0) (id "x0") (address "127.0.0.1:7100") (prefix "000"))
