--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -157,11 +157,11 @@
         """Take the set-ups that were held until it was clear that their caller reads on."""
         now = self.owner.clock()
         due = [held for held in self.held_set_ups if now - held.came_at >= PROGRESS_COMES_BACK]
-        self.held_set_ups = self.held_set_ups[len(due) :]
         for held in due:
             _, id, kind, left, *more = held
             self.owner.calls.set_up(now, self, id, kind, max(1, left - (now - held.came_at) // 10), *more)
         if due:
+            self.held_set_ups = self.held_set_ups[len(due) :]  # not before: with none left the first answer would end it
             self.owner.calls.caller_done(now, self)
             self.finish_when_done()
 
