The end of a call is not told on a connection whose peer has gone, unread

In the traces its release was written 55 to 81 ms after a caller had closed its connection, which the process had not read yet; a process that pauses does this for longer. Ends of calls, and answers, now look at whether their connection's peer is there.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -68,7 +68,8 @@
         self.since = self.said_at = self.owner.seconds()
         self.spoken = self.known = self.sent_set_up = False
         self.held_set_ups: list[HeldSetUp] = []
-        self.done = False  # its peer has shut down its sending side, and set-ups are open on it
+        self.done = False  # its peer has shut down its sending side, and set-ups were open on it
+        self.done_at = 0  # tenths of a millisecond
         self.answered_at = 0.0  # when the last call of it began to stand
 
     def came(self, data: bytes) -> None:
@@ -83,6 +84,7 @@
         if self.finishing or not (self.held_set_ups or self in self.owner.calls.on_conn):
             return False
         self.done = True
+        self.done_at = self.owner.clock()
         self.group.done[self] = None
         self.owner.calls.caller_done(self.owner.clock(), self)
         self.finish_when_done()
@@ -95,8 +97,16 @@
             self.finish(FINISH)
 
     def may_be_told(self) -> bool:
-        """Whether the ends of calls may be told here, as far as the connection goes."""
-        return not self.finishing and (not self.done or self.owner.ends())
+        """Whether the ends of calls may be told here: its peer reads on, as far as is known."""
+        if self.closed or self.finishing:
+            return False
+        match self.peer_state():
+            case PeerState.GONE:
+                return False
+            case PeerState.DONE:
+                return self.done and self.owner.clock() - self.done_at >= PROGRESS_COMES_BACK
+            case PeerState.THERE:
+                return True
 
     def _write_failed(self, error: OSError) -> None:
         super()._write_failed(error)
@@ -118,7 +128,7 @@
     def say(self, data: bytes) -> bool:
         """Write a line; whether the connection can still be written."""
         self.put(data)
-        heard = not (self.closed or self.finishing)
+        heard = not self.finishing and self.peer_state() is not PeerState.GONE
         self.finish_when_done()
         return heard
 
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -118,12 +118,11 @@
         """On a caller's connection, or on any other where it has gone; later, where there is none. None: any."""
         now = self.owner.seconds()
         not_before = now
-        if conn is None or conn.closed or conn.finishing:
+        if conn is None or not conn.may_be_told():
             if conn is not None and conn.finishing:  # its answer may stand unread
                 not_before = min(conn.answered_at + ANSWER_READ_WITHIN, now + LONGEST_HELD)
             conn = self._known()
-        if conn is not None and not_before <= now:
-            conn.say(data)
+        if conn is not None and not_before <= now and conn.say(data):
             return
         self.owner.details("release-waits", callers=len(self), known=conn is not None, line=data.decode().strip())
         self.pending.append(PendingRelease(now, not_before, data))
@@ -146,7 +145,7 @@
             return
         self.pending = [release for release in self.pending if release.not_before > latest]
         for release in due:
-            caller.put(release.data)
+            caller.say(release.data)
 
     def release_waits(self) -> bool:
         """Whether a release waits for its time, and a connection is still open for it."""
@@ -177,11 +176,11 @@
     def _beginning(self) -> CallerConnection | None:
         """The latest that stands in the middle of a line which begins as callers' lines do."""
         begun = (caller for caller in reversed(self.open) if caller.lines.held.startswith(LINE_BEGINS))
-        return next((caller for caller in begun if not caller.finishing), None)
+        return next((caller for caller in begun if caller.may_be_told()), None)
 
     def _last(self) -> CallerConnection | None:
         """Whoever is left at the end, rather one that has begun a line than one that may be a test of the front."""
-        left = [caller for caller in self.open if not caller.finishing]
+        left = [caller for caller in self.open if not (caller.finishing or caller.peer_state() is PeerState.GONE)]
         return max(left, key=lambda caller: (caller.spoken, len(caller.lines.held)), default=None)
 
     # --- closing ---
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -148,6 +148,7 @@
     caller, peer, group = connected
     group.owner.ending = ending
     caller.known = caller.done = True
+    group.owner.now += 1
     caller.say(b"answer\n")
     assert caller.finishing is not ending
     group.tell_end(None, b"end\n")
@@ -157,3 +158,47 @@
         while data := peer.recv(100):
             got += data
     assert got == b"answer\n" + told
+
+
+# Guards against the end of a call that is told to nobody: the caller's connection had been reset or closed, unread.
+@pytest.mark.parametrize("how", ["reset", "closed"])
+@pytest.mark.parametrize("own", [True, False])
+def test_the_end_of_a_call_is_not_told_on_a_connection_whose_peer_has_gone(connected, how, own):
+    caller, peer, group = connected
+    other_peer = socket.create_connection(group.listening.getsockname())
+    other = CallerConnection(group, group.listening.accept()[0], 2)
+    group.open = {other: None, caller: None}
+    caller.known = other.known = True
+    if how == "reset":
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    gevent.sleep(0.01)
+    group.tell_end(caller if own else None, b"end\n")
+    other_peer.settimeout(1.0)
+    assert other_peer.recv(100) == b"end\n"
+    other.close()
+    other_peer.close()
+
+
+# Guards against an answer that is swallowed: the first of two set-ups that had been held ended their connection.
+def test_all_set_ups_that_were_held_have_their_answers(connected):
+    caller, peer, group = connected
+    group.owner.calls = SimpleNamespace(
+        on_conn={},
+        by_id={},
+        conn_gone=lambda *args: None,
+        set_up=lambda now, conn, id, *figures: conn.say(id.encode() + b"\n"),
+        caller_done=lambda now, conn: None,
+    )
+    peer.shutdown(socket.SHUT_WR)
+    gevent.sleep(0.01)
+    for id in ("a" * 16, "b" * 16):
+        caller.set_up(id, "voice", 1500, "7f", 1, 1, -1, False, False, False, "x")
+    assert caller.stays_open()
+    group.owner.now += 1
+    caller.take_held()
+    peer.settimeout(1.0)
+    got = b""
+    while data := peer.recv(1000):
+        got += data
+    assert [line for line in got.split(b"\n") if b"progress" not in line] == [b"a" * 16, b"b" * 16, b""]
