A connection that has ended a call that stood is a caller's, and is told the ends of others

Only connections on which calls had come to stand, or set-ups had been sent, were told ends. One that ends a call which stands here knows its id, and is as surely a caller's. Test on a process: failed before, no word within 8 s.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -235,6 +235,7 @@
             return
         if call.stands:
             self.wire.record("call-ended", id, by="caller", cause=cause, switch=self.ids[call.gw])
+            self.wire.knows(conn)
             self.wire.to_caller(conn, lines.released(id))
             self.wire.to_switch(call.gw, messages.bye(call.number, id, call.legs + 1, cause))
             self._ended(call, LegEnd.ENDED)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -121,6 +121,9 @@
     def served(self, conn: CallerConnection) -> None:
         self.callers.served(conn)
 
+    def knows(self, conn: CallerConnection) -> None:
+        conn.known = True
+
     def link_to(self, gw: int, used: set[Any]) -> SwitchConnection | None:
         switch = self.switches.get(gw)
         return switch.link_to(used) if switch is not None else None
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -28,6 +28,9 @@
     def served(self, conn: Conn) -> None:
         """A call of this connection stands, so its far end is one of the callers that may be told of calls' ends."""
 
+    def knows(self, conn: Conn) -> None:
+        """This connection ended a call that stood, so its peer is one of the callers that may be told of calls' ends."""
+
     def link_to(self, gw: int, used: set[Link]) -> Link | None:
         """A connection for a set-up, none of those used; perhaps still opening. None: there is no way there."""
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -65,6 +65,9 @@
     def served(self, conn):
         self.served_conns.add(conn)
 
+    def knows(self, conn):
+        self.served_conns.add(conn)
+
     def link_to(self, gw, used):
         if gw in self.nobody:
             return None
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -487,3 +487,20 @@
     assert {caller.next()["id"], caller.next()["id"]} == {A, B}
     assert caller.next() is None
     assert service.process.wait(WAIT) == 0
+
+
+# Guards against the end of a call that is told to nobody: the only connection from callers had ended a call that stood, and
+# counted as anybody's.
+def test_a_connection_that_has_ended_a_call_is_told_the_ends_of_others(start):
+    service = start()
+    first, second = service.caller(), service.caller()
+    for id in (A, B):
+        first.set_up(id)
+        assert first.next()["type"] == "answer"
+    conn, _ = service.switches["s1"].next("INVITE")
+    first.file.close()
+    first.sock.close()
+    second.send("release", A, cause=16)
+    assert second.next()["type"] == "released"
+    conn.sendall(sip("BYE sip:x@net SIP/2.0", B, "BYE", "Reason: Q.850;cause=16\r\n"))
+    assert second.next() == {"type": "release", "id": B, "fields": {}, "cause": 16}
