A connection in place of a lost one is tried again when it is late or fails

Its switch had closed the connection under the release; the one opened in its place asked while no connection came up, and the kernel asked again after one and three seconds, while others were open and nothing else was tried. Unit tests: failed before.

--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -55,6 +55,7 @@
         self.switch = switch
         self.reader = Reader(self)
         self.up = self.retired = False
+        self.renews = False  # it was opened since another was lost, for what the switch had written to that one
         self.late = False  # not up within the time for a connection, and still tried
         self.opened_at = switch.now()
         self.heard_at = 0.0
@@ -155,7 +156,7 @@
     def _open(self) -> SwitchConnection:
         link = SwitchConnection(self)
         self.links.append(link)
-        self.renew = False
+        link.renews, self.renew = self.renew, False
         self.tried_at = self.now()
         gevent.spawn(link.open)
         return link
@@ -173,7 +174,7 @@
     def gone(self, link: SwitchConnection, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
-        self.renew = self.renew or was_up
+        self.renew = self.renew or was_up or link.renews and not link.late
         self.nobody_listens = not was_up and link.nobody_listens
         if not was_up and not self.failed_since:
             self.failed_since = self.now()
@@ -194,6 +195,7 @@
         for link in self.links:
             if not link.up and not link.late and now - link.opened_at > self.connect_timeout:
                 link.late = True
+                self.renew = self.renew or link.renews
                 self.failed_since = self.failed_since or now
                 self.owner.link_lost(link, False)
         late = [link for link in self.links if link.late]
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -94,6 +94,27 @@
     assert len(switch.links) == before
 
 
+# Guards against a release that is heard seconds late: the connection on which it would have come again was late or failed, and
+# no other was tried while some were open.
+@pytest.mark.parametrize("how", ["late", "failed"])
+def test_a_connection_in_place_of_a_lost_one_is_tried_again(switch, how):
+    switch.owner.standing = 1
+    first = switch.link_to(set())
+    up(switch)
+    switch.owner.busy[first] = 1
+    switch.link_to(set())
+    up(switch)
+    first.close(True)
+    switch.look()
+    renewal = switch.links[-1]
+    if how == "late":
+        switch.owner.now += switch.connect_timeout + 0.1
+    else:
+        renewal.close(False)
+    switch.look()
+    assert switch.links[-1] is not renewal and not switch.links[-1].up
+
+
 def test_a_silent_machine_is_asked_by_a_new_connection_and_lost_when_none_is_made(switch):
     switch.owner.standing = 1
     switch.look()
