--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from trial_peers import Caller, CallerFault, Reply, SetUp, Standing, Switch, now, sip
+from trial_peers import Caller, CallerFault, Leg, Reply, SetUp, Standing, Switch, now, sip
 from trial_rules import Record, broken_rules
 
 from gingergap.sip.framing import Framer
@@ -92,6 +92,27 @@
     assert bool(broken_rules(record, {}, 12.0)) is broken
 
 
+# Guards against a check that blames a process for a leg that it was sending when it was stopped; and against one that lets a leg
+# of a set-up pass that had been over before the process was stopped, or while it ran.
+@pytest.mark.parametrize(
+    ("over", "pause", "broken"),
+    [(0.51, (0.505, 0.65), False), (0.51, None, True), (0.58, (0.57, 0.65), True), (0.51, (0.4, 0.5), True)],
+)
+def test_a_leg_after_the_end_of_its_set_up_counts_unless_the_process_was_stopped_in_between(over, pause, broken):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, given_up=over)})
+    record.legs = [Leg(ID, "s-1", began=over + 0.14, ended=over + 0.15, how="cancelled")]
+    if pause is not None:
+        record.pauses["n0"] = [pause]
+    assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
+# Guards against a check that lets the leg of a set-up pass whose release had come with it.
+def test_a_leg_of_a_set_up_that_was_taken_back_at_once_counts():
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent=0.5, given_up=0.5, taken_back=True)})
+    record.legs = [Leg(ID, "s-1", began=0.501, ended=0.502, how="cancelled")]
+    assert broken_rules(record, {}, 9.0)
+
+
 class NotedWriter:
     """A connection of a switch; keeps what is written."""
 
@@ -104,6 +125,9 @@
     def get_extra_info(self, name):
         return None
 
+    def is_closing(self):
+        return False
+
 
 # Guards against a stand-in that forgets one of two legs of a call that stand at it, whose release then never came (soak seed 17).
 def test_a_switch_releases_each_of_two_legs_of_a_call():
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -373,12 +373,14 @@
         while True:
             await asyncio.sleep(draw.uniform(0.2, 1.0))
             if node.ready and node.process.returncode is None:
+                began = now()
                 node.process.send_signal(signal.SIGSTOP)
                 try:
                     await asyncio.sleep(draw.uniform(0.02, 0.15))
                 finally:
                     with contextlib.suppress(ProcessLookupError):
                         node.process.send_signal(signal.SIGCONT)
+                    self.record.pauses.setdefault(node.name, []).append((began, now()))
 
     async def _crowd(self, node: Node) -> None:
         """Connections that say nothing, more than the process may hold."""
--- a/tests/trial_peers.py
+++ b/tests/trial_peers.py
@@ -246,6 +246,7 @@
     heard_bye: float = 0.0
     cut: bool = False  # with its machine, which sends no release
     sent_on: list[tuple[float, int]] = field(default_factory=list)  # when its BYE was written, to which port of a node
+    delayed: bool = False  # no connection was open when it was over, so that its release went on the next one
     began: float = 0.0  # when the INVITE of its leg came
 
 
@@ -409,7 +410,9 @@
         call.released = now()
         data = sip("BYE sip:x@net SIP/2.0", call.id, "BYE", f"Reason: Q.850;cause={NORMAL_RELEASE}\r\n")
         self.unsent.append((call, data))
-        carrier = writer if writer in self.writers else next(iter(self.writers), None)
+        open_now = [other for other in (writer, *self.writers) if other in self.writers and not other.is_closing()]
+        carrier = open_now[0] if open_now else None
+        call.delayed = carrier is None
         if carrier is not None:
             self._write_release(call, data, carrier)
 
--- a/tests/trial_rules.py
+++ b/tests/trial_rules.py
@@ -40,6 +40,7 @@
     logs: dict[str, Path] = field(default_factory=dict)
     stalls: list[tuple[float, float]] = field(default_factory=list)  # when the peers themselves stood still
     caller_closes: list[float] = field(default_factory=list)
+    pauses: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # by node: when its process was stopped
 
 
 def broken_rules(record: Record, told: dict[str, float], end: float) -> list[str]:
@@ -107,12 +108,24 @@
     return any(begin - MEASURING < at < end + MEASURING for at in times for begin, end in record.stalls)
 
 
-def _forwarded_after_its_end(set_up: SetUp, leg: Leg) -> str:
+def _paused_while_it_came(record: Record, set_up: SetUp, over: float, leg: Leg) -> bool:
+    """Whether the process was stopped between reading a set-up, which was over at once, and sending its first leg."""
+    first = all(other.began >= leg.began for other in record.legs if other.id == leg.id)
+    pauses = record.pauses.get(set_up.node, ())
+    at_once = over - set_up.sent < MEASURING
+    return (
+        first and at_once and any(begin < over + MEASURING and over < end and leg.began < end + MEASURING for begin, end in pauses)
+    )
+
+
+def _forwarded_after_its_end(record: Record, set_up: SetUp, leg: Leg) -> str:
     """What is wrong with a leg of a set-up that was over for its caller; empty where nothing is."""
     if set_up.taken_back:
         return f"forwarded: {leg.id}, whose release had come with it"
     over = min((at for at in (set_up.given_up, *(at for at, _, _ in set_up.finals)) if at), default=float("inf"))
-    if leg.began - over > SLACK + MEASURING and not (set_up.crossed or set_up.sent_again):
+    if set_up.crossed or set_up.sent_again or _paused_while_it_came(record, set_up, over, leg):
+        return ""
+    if leg.began - over > SLACK + MEASURING:
         return f"forwarded: {leg.id} to {leg.uid} {leg.began - over:.3f} s after it was over for its caller"
     return ""
 
@@ -121,7 +134,7 @@
     found = []
     last: dict[str, Leg] = {}
     for leg in record.legs:
-        late = _forwarded_after_its_end(record.set_ups[leg.id], leg)
+        late = _forwarded_after_its_end(record, record.set_ups[leg.id], leg)
         if late and not leg.read_late and not _stalled(record, leg.began):
             found.append(late)
         if leg.read_late or _stalled(record, leg.began, leg.ended):
@@ -159,7 +172,7 @@
             stop.node == set_up.node and stop.at + CUT_IS_SEEN < call.released < stop.ended + 3 for stop in record.stops
         ):
             continue  # cut as the process ended, or before the next began: nobody could tell that of this call
-        stopped = call.cut or any(stop.node == set_up.node and call.since - 5 < stop.at for stop in record.stops)
+        stopped = call.cut or call.delayed or any(stop.node == set_up.node and call.since - 5 < stop.at for stop in record.stops)
         # A switch may send it to any node: also to one that ends, or that has just begun and has no caller yet.
         stopped = stopped or any(stop.at < call.released < stop.ended + JUST_BEGUN for stop in record.stops)
         if any(abs(closed - call.released) < MEASURING for closed in record.caller_closes):
