--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -404,6 +404,47 @@
     assert len(wire.sent("INVITE")) == before + (not gives_up)
 
 
+# Guards against a set-up that leaves although its caller gave it up while its connection to the switch was opening.
+@pytest.mark.parametrize("how", ["release", "close"])
+def test_a_set_up_that_was_given_up_does_not_leave_when_its_connection_comes_up(how):
+    wire = NotedWire()
+    wire.opens = False
+    calls = made(wire)
+    came(calls)
+    calls.released(START + 100, "c1", "a" * 16, 16) if how == "release" else calls.conn_gone(START + 100, "c1")
+    wire.up.add(1)
+    calls.link_up(START + 200, 1)
+    calls.beat(START + 300)
+    assert not wire.to_switches and not wire.to_callers and not calls.by_id
+
+
+# Guards against a second copy of an answer that brings back a call which its caller has ended, or is told to it.
+def test_a_second_answer_after_the_callers_release_changes_nothing():
+    wire = NotedWire()
+    calls = made(wire)
+    came(calls)
+    link = wire.sent("INVITE")[0][0]
+    calls.answered(START + 200, 1, link, "a" * 16, "x\r\n")
+    calls.released(START + 210, "c1", "a" * 16, 16)
+    calls.answered(START + 215, 1, link, "a" * 16, "x\r\n")
+    assert [line["type"] for line in wire.told("a" * 16)] == ["answer", "released"]
+    assert [message.method for _, message in wire.to_switches] == ["INVITE", "ACK", "BYE"] and not calls.by_id
+
+
+# Guards against a process that makes something of ids of the one before it: a release of a call that it does not know is no call
+# of its own, and one that `at` names ends at its switch.
+def test_a_process_that_has_just_begun_ends_only_calls_that_it_was_told_of():
+    wire = NotedWire()
+    calls = made(wire)
+    calls.released(START, "c1", "a" * 16, 16)
+    assert not wire.to_switches and not wire.to_callers
+    calls.stands_at(START, "c1", "a" * 16, "voice", "7f", "s-1")
+    calls.released(START + 100, "c1", "a" * 16, 16)
+    assert [message.method for _, message in wire.to_switches] == ["BYE"]
+    came(calls, now=START + 200)
+    assert not wire.sent("INVITE")
+
+
 # Guards against a set-up that is left without an answer, since a switch had told here the end of a call with its id.
 def test_a_set_up_is_taken_although_a_switch_told_the_end_of_a_call_with_its_id():
     wire = NotedWire()
