Set-ups have their answers before their connection is closed for a line that can't be read

Open set-ups are now answered as failed, or refused where they were not forwarded, and the connection is half closed; what comes together with such a line is refused and not forwarded.

--- a/gingergap/callers/lines.py
+++ b/gingergap/callers/lines.py
@@ -37,7 +37,8 @@
     """Why a set-up that has come is none any more."""
 
     WITHDRAWN = "its release stands behind it"
-    COMES_AGAIN = "another with its id came with it"
+    COMES_AGAIN = "its id comes twice"
+    SPOILT = "what follows it can't be read"
 
 
 _read = msgspec.json.Decoder(_Line).decode
@@ -131,6 +132,8 @@
         except BadCallerError as bad:
             fault = bad
         over = _over_already(came)
+        if fault is not None:  # the connection is about to be closed: what would be called off at once is not begun
+            over = {place: _Over.SPOILT for place, line in enumerate(came) if _wants_answer(line)} | over
         for place, line in enumerate(came):
             self._take(line, over.get(place))
         if fault is not None:
@@ -155,8 +158,8 @@
         match line.type:
             case "setup" if over is _Over.WITHDRAWN:
                 self.taker.withdrawn(line.id)
-            case "setup" if over is _Over.COMES_AGAIN:
-                self.taker.unusable(line.id, "its id comes twice")
+            case "setup" if over is not None:
+                self.taker.unusable(line.id, over.value)
             case "setup":
                 self._set_up(line)
             case "release":
--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -69,16 +69,30 @@
         self.spoken = self.known = self.sent_set_up = False
         self.held_set_ups: list[HeldSetUp] = []
         self.done = False  # its peer has shut down its sending side, and set-ups were open on it
+        self.spoilt = False  # what comes on it is not read any more
         self.done_at = 0  # tenths of a millisecond
         self.answered_at = 0.0  # when the last call of it began to stand
 
     def came(self, data: bytes) -> None:
+        if self.spoilt:
+            return
         self.said_at = self.owner.seconds()
         try:
             self.lines.feed(data)
         except BadCallerError as bad:
             self.owner.calls.count(f"closed: {str(bad)[:60]}")
-            self.close(True, str(bad)[:60])
+            self._close_spoilt(str(bad)[:60])
+
+    def _close_spoilt(self, why: str) -> None:
+        """What comes on it can't be read any more. Calls share a connection, so those that are open on it have their answers."""
+        self.spoilt = True
+        self.lines.held.clear()
+        if self not in self.owner.calls.on_conn:
+            self.close(True, why)
+            return
+        self.owner.details("caller-half-closed", port=self.port, why=why)
+        self.owner.calls.caller_spoilt(self.owner.clock(), self)
+        self.finish(FINISH)
 
     def stays_open(self) -> bool:
         if self.finishing or not (self.held_set_ups or self in self.owner.calls.on_conn):
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -263,6 +263,16 @@
         for id in self.on_conn.get(conn, ()):
             self.wire.to_caller(conn, lines.progress(id))
 
+    def caller_spoilt(self, now: int, conn: Conn) -> None:
+        """A connection brings what can't be read, and is about to be closed: its open set-ups are answered at once."""
+        self.now = now
+        for call in list(self.on_conn.get(conn, {}).values()):
+            cause = ABORTED if call.forwarded else DECLINED
+            self.wire.record("set-up-failed" if call.forwarded else "set-up-refused", call.id, why="its connection is spoilt")
+            self.wire.to_caller(conn, lines.release(call.id, cause))
+            self._give_up(call, EndOfSetUp.ANSWERED)
+        self._tell_later()
+
     def conn_gone(self, now: int, conn: Conn) -> None:
         self.now = now
         for call in list(self.on_conn.pop(conn, {}).values()):
--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -232,3 +232,19 @@
     said = second.next()
     assert (said["id"], said["type"], said["cause"]) == (A, "release", 41)
     assert methods_at(switch).count("INVITE") == 0
+
+
+# Guards against set-ups that are left without a word, since another line on their connection could not be read.
+def test_set_ups_have_their_answers_before_their_connection_is_closed_for_a_line_that_can_not_be_read(start):
+    service = start(s1=scripted.Switch(lambda id: None))
+    caller = service.caller()
+    caller.sock.sendall(set_up_line(A))
+    switch = service.switches["s1"]
+    switch.next("INVITE")
+    caller.sock.sendall(set_up_line(B) + b"no line\n" + set_up_line(C) * 50)
+    said = [caller.next(), caller.next()]
+    assert {(line["id"], line["type"], line["cause"]) for line in said} == {(A, "release", 41), (B, "release", 100)}
+    assert caller.next() is None
+    assert switch.next("CANCEL")[1].call_id == A
+    time.sleep(SETTLES)
+    assert methods_at(switch).count("INVITE") == 0
