A process at its end does not wait for callers where none is connected any more

Without a caller's connection, and with the listener closed, nobody can speak. Unit test: failed before.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -232,7 +232,7 @@
     def go_on(self) -> bool:
         """Whether callers still use their connections. One that reads slowly does not notice at once that its connection was
         half closed, and what it sends until then would have no answer."""
-        return self.owner.seconds() - self.spoke_at < CALLERS_QUIET
+        return bool(self.open) and self.owner.seconds() - self.spoke_at < CALLERS_QUIET
 
     def all_finishing(self) -> bool:
         return all(caller.finishing for caller in self.open)
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -17,7 +17,7 @@
 
     def __init__(self):
         self.now, self.ending = 1000.0, False
-        self.calls = SimpleNamespace(on_conn={}, conn_gone=lambda now, conn: None)
+        self.calls = SimpleNamespace(on_conn={}, conn_gone=lambda *args: None, unusable=lambda *args: None)
 
     def clock(self):
         return int(self.now * 10_000)
@@ -202,3 +202,12 @@
     while data := peer.recv(1000):
         got += data
     assert [line for line in got.split(b"\n") if b"progress" not in line] == [b"a" * 16, b"b" * 16, b""]
+
+
+# Guards against ends of calls that go to nobody: a process at its end, whose last caller had left, stayed for others to speak.
+def test_nobody_goes_on_where_no_connection_from_callers_is_left(connected):
+    caller, peer, group = connected
+    caller.unusable("a" * 16, "makes no sense")
+    assert group.go_on()
+    caller.close()
+    assert not group.go_on()
