--- a/review/3/test.py
+++ b/review/3/test.py
@@ -60,8 +60,10 @@
             releases = [when for when, _ in front.calls[id]["releases"]]
             if not releases or min(releases) > at + owed:
                 after = f"{min(releases) - at:.2f} s" if releases else f"never, in {time.time() - at:.1f} s"
-                breaches.append(f"call {id} was over ({why}), named to the new process {announced - at:.2f} s later; "
-                                f"released towards its caller: {after}")
+                breaches.append(
+                    f"call {id} was over ({why}), named to the new process {announced - at:.2f} s later; "
+                    f"released towards its caller: {after}"
+                )
     proxy.stop()
     return breaches
 
--- a/review/peers.py
+++ b/review/peers.py
@@ -22,9 +22,19 @@
 # The form is that of the simulator's page, section 5; the values of a small deployment are those of tests/test_service_calls.py.
 SETTINGS = {
     "Ceilings": {
-        "Cancelling": True, "ConnectTimeout": 500000, "CpuUsPerRequest": 0.0, "CpuUsPerS": 400000, "IdleClose": 600000000,
-        "MaxRetryAfter": 2000000, "MostTries": 6, "Multiplex": 1048576, "OpenCap": 20000, "PeerMessages": False,
-        "Probes": True, "RetryAfter": True, "SecondCopies": False,
+        "Cancelling": True,
+        "ConnectTimeout": 500000,
+        "CpuUsPerRequest": 0.0,
+        "CpuUsPerS": 400000,
+        "IdleClose": 600000000,
+        "MaxRetryAfter": 2000000,
+        "MostTries": 6,
+        "Multiplex": 1048576,
+        "OpenCap": 20000,
+        "PeerMessages": False,
+        "Probes": True,
+        "RetryAfter": True,
+        "SecondCopies": False,
     },
     "ClientHabits": {"MarksRetry": True},
     "CountedBy": "request",
@@ -32,23 +42,74 @@
     "Goal": {"Whole": 0.55, "WorstClass": 0.2, "WorstTenant": 0.0, "WorstWindow": 0.25},
     "Kinds": ["single-core"],
     "Lanes": [
-        {"Deadline": 3000000, "DedupScope": "all", "LateShare": 0.1, "Name": "voice", "OnTime": 380000,
-         "Repeat": "safe", "RepeatWindow": 5000000, "Streaming": True, "Value": 1.0},
-        {"Deadline": 3000000, "DedupScope": "all", "LateShare": 0.25, "Name": "video", "OnTime": 630000,
-         "Repeat": "safe", "RepeatWindow": 5000000, "Streaming": True, "Value": 3.0},
+        {
+            "Deadline": 3000000,
+            "DedupScope": "all",
+            "LateShare": 0.1,
+            "Name": "voice",
+            "OnTime": 380000,
+            "Repeat": "safe",
+            "RepeatWindow": 5000000,
+            "Streaming": True,
+            "Value": 1.0,
+        },
+        {
+            "Deadline": 3000000,
+            "DedupScope": "all",
+            "LateShare": 0.25,
+            "Name": "video",
+            "OnTime": 630000,
+            "Repeat": "safe",
+            "RepeatWindow": 5000000,
+            "Streaming": True,
+            "Value": 3.0,
+        },
     ],
     "MembershipMode": "push",
     "MyNumber": 0,
     "NInstances": 5,
     "OverShareWorth": 0.1,
-    "Prices": {"Connection": 0.0, "CrossZone": 0.0, "Handshake": 0.0, "LateFail": 0.03, "MembershipMode": 0.0,
-               "Moves": 0.0, "Origin": 0.0, "Peer": 0.0, "Probe": 0.004, "Waste": 0.02},
+    "Prices": {
+        "Connection": 0.0,
+        "CrossZone": 0.0,
+        "Handshake": 0.0,
+        "LateFail": 0.03,
+        "MembershipMode": 0.0,
+        "Moves": 0.0,
+        "Origin": 0.0,
+        "Peer": 0.0,
+        "Probe": 0.004,
+        "Waste": 0.02,
+    },
     "Report": {"Names": ["idle", "circuits", "reduce", "avg_ms"], "Via": "answers"},
-    "Rules": {"AnswerSlack": 20000, "AskWithin": 10000000, "ColdFrom": 0.34, "DrainGrace": 2000000, "Fall": 3000000,
-              "OverloadFactor": 3.0, "WarmAfter": 14000000},
-    "Specifics": {"ClassHold": [12100000, 12100000], "ClassWidth": [1, 2], "GivesWait": True, "Guard": 100000, "Here": 0,
-                  "Layout": "network", "PeerLoad": "answers", "PoolsByClass": [], "Repeat": 800000, "RouteAdvice": False},
-    "Tenants": [], "Tick": 5000, "Tier": 0, "Tiers": ["exchanges"], "Weights": "none", "Zone": 0, "Zones": ["jhb-1"],
+    "Rules": {
+        "AnswerSlack": 20000,
+        "AskWithin": 10000000,
+        "ColdFrom": 0.34,
+        "DrainGrace": 2000000,
+        "Fall": 3000000,
+        "OverloadFactor": 3.0,
+        "WarmAfter": 14000000,
+    },
+    "Specifics": {
+        "ClassHold": [12100000, 12100000],
+        "ClassWidth": [1, 2],
+        "GivesWait": True,
+        "Guard": 100000,
+        "Here": 0,
+        "Layout": "network",
+        "PeerLoad": "answers",
+        "PoolsByClass": [],
+        "Repeat": 800000,
+        "RouteAdvice": False,
+    },
+    "Tenants": [],
+    "Tick": 5000,
+    "Tier": 0,
+    "Tiers": ["exchanges"],
+    "Weights": "none",
+    "Zone": 0,
+    "Zones": ["jhb-1"],
 }
 
 
@@ -165,7 +226,7 @@
     if not line:
         return None
     fields = {}
-    while (text := file.readline().decode().strip()):
+    while text := file.readline().decode().strip():
         name, _, value = text.partition(":")
         fields[name.strip().lower()] = value.strip()
     body = file.read(int(fields.get("content-length", "0"))).decode()
@@ -193,8 +254,12 @@
         return self.circuits - self.others - len(self.set_ups) - len(self.standing)
 
     def state(self):
-        return sip("NOTIFY sip:state@net SIP/2.0", "0" * 16, "1 NOTIFY",
-                   f"Link-State: idle:{self.idle()};circuits:{self.circuits};reduce:0;avg_ms:2\r\n")
+        return sip(
+            "NOTIFY sip:state@net SIP/2.0",
+            "0" * 16,
+            "1 NOTIFY",
+            f"Link-State: idle:{self.idle()};circuits:{self.circuits};reduce:0;avg_ms:2\r\n",
+        )
 
     def send(self, conn, data, text=""):
         if text:
@@ -246,8 +311,15 @@
             self.send(conn, sip("SIP/2.0 200 OK", id, "1 BYE"))
             self.changed()
         elif method == "OPTIONS":
-            self.send(conn, sip("SIP/2.0 200 OK", id, fields.get("cseq", "1 OPTIONS"),
-                                f"Link-State: idle:{self.idle()};circuits:{self.circuits};reduce:0;avg_ms:2\r\n"))
+            self.send(
+                conn,
+                sip(
+                    "SIP/2.0 200 OK",
+                    id,
+                    fields.get("cseq", "1 OPTIONS"),
+                    f"Link-State: idle:{self.idle()};circuits:{self.circuits};reduce:0;avg_ms:2\r\n",
+                ),
+            )
 
     def description(self, id):
         return f"{id[::-1]}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
@@ -325,8 +397,16 @@
 
 
 def listed(switch, state="in_service", boot_ms=0):
-    return {"uid": switch.uid, "endpoint": text_of(switch.address), "az": "jhb-1", "model": "single-core",
-            "pod_group": switch.number, "state": state, "capacity_hint": 1, "boot_ms": boot_ms}
+    return {
+        "uid": switch.uid,
+        "endpoint": text_of(switch.address),
+        "az": "jhb-1",
+        "model": "single-core",
+        "pod_group": switch.number,
+        "state": state,
+        "capacity_hint": 1,
+        "boot_ms": boot_ms,
+    }
 
 
 class Line:
@@ -405,19 +485,49 @@
             line = line or self.line()
             line.open.add(id)
             line.used_at = time.time()
-            self.calls[id] = {"id": id, "dest": dest, "left": left / 1000, "sent": time.time(), "answers": [], "releases": [],
-                              "closed": False, "given_up": False}
-            line.send({"type": "setup", "id": id,
-                       "fields": {"class": traffic_type, "left": str(left), "key": id[:8],
-                                  "extras": f"dest:{dest};width:{width};via:-1"},
-                       "sdp": f"{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"})
+            self.calls[id] = {
+                "id": id,
+                "dest": dest,
+                "left": left / 1000,
+                "sent": time.time(),
+                "answers": [],
+                "releases": [],
+                "closed": False,
+                "given_up": False,
+            }
+            try:
+                line.send(
+                    {
+                        "type": "setup",
+                        "id": id,
+                        "fields": {
+                            "class": traffic_type,
+                            "left": str(left),
+                            "key": id[:8],
+                            "extras": f"dest:{dest};width:{width};via:-1",
+                        },
+                        "sdp": f"{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n",
+                    }
+                )
+            except OSError:  # the proxy has closed the connection
+                self.calls[id]["closed"] = True
             return id
 
     def announce(self, id, switch):
         with self.lock:
-            self.line().send({"type": "setup", "id": id, "fields": {"class": "voice", "left": "1500", "key": id[:8],
-                              "extras": f"dest:{self.calls[id]['dest']};width:1;via:-1;at:{switch}"},
-                              "sdp": f"{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"})
+            self.line().send(
+                {
+                    "type": "setup",
+                    "id": id,
+                    "fields": {
+                        "class": "voice",
+                        "left": "1500",
+                        "key": id[:8],
+                        "extras": f"dest:{self.calls[id]['dest']};width:1;via:-1;at:{switch}",
+                    },
+                    "sdp": f"{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n",
+                }
+            )
 
     def received(self, line, message):
         self.record("caller", f"gets on {line.port} {json.dumps(message)}")
@@ -489,24 +599,44 @@
         self.process = None
 
     def write_config(self):
-        self.config.write_text(json.dumps({
-            "name": self.name, "listen": text_of(self.address), "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-            "bus": text_of(self.bus.address), "known": self.bus.known(), "settings": self.settings,
-        }))
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": text_of(self.address),
+                    "seed": os.urandom(8).hex(),
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                    "bus": text_of(self.bus.address),
+                    "known": self.bus.known(),
+                    "settings": self.settings,
+                }
+            )
+        )
 
     def start(self, before_exec=None):
         self.write_config()
+
         def in_child():
             end_with_the_test()
             if before_exec is not None:
                 before_exec()
 
-        environment = os.environ | {"LB_CONFIG": str(self.config), "LB_LISTEN": text_of(self.address), "LB_NAME": self.name,
-                                    "TMPDIR": str(self.folder)}
+        environment = os.environ | {
+            "LB_CONFIG": str(self.config),
+            "LB_LISTEN": text_of(self.address),
+            "LB_NAME": self.name,
+            "TMPDIR": str(self.folder),
+        }
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment, stdout=log, stderr=log,
-                                            start_new_session=True, preexec_fn=in_child)
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", self.command],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=in_child,
+            )
         self.record(self.name, f"started by the deploy file's run, process {self.process.pid}")
 
     def signal(self, number):
