Log why connections to a switch end while calls stand there, and calls named by callers

Change: switch-connection-closed also while calls stand at the switch, switch-connection-failed for one that could not be made, each with its reason; call-announced with the switch and whether it is listed.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -239,7 +239,10 @@
         """A caller names a call that was established before this process started; it may be known already."""
         self.now = now
         gw = self.gw_of.get(switch)
-        if id in self.by_id or id in self.ended_set_ups or gw is None:
+        if id in self.by_id or id in self.ended_set_ups:
+            return
+        self.wire.log_call("call-announced", id, switch=switch, listed=gw is not None)
+        if gw is None:
             return
         call = Call(id, -1, conn, traffic_type, number, "", 0)
         call.gw, call.established, call.finished, call.sent_at = gw, True, True, now
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -157,10 +157,16 @@
         self.calls.link_up(self.clock(), link)
 
     def link_lost(self, link: SwitchConnection, was_up: bool) -> None:
-        legs = self.calls.by_link.get(link)
-        if legs:
-            switch_id = self.calls.switch_ids[link.switch.gw]
-            self.detail_log("switch-connection-closed", switch=switch_id, why=link.close_reason, legs=",".join(legs))
+        legs = self.calls.by_link.get(link, ())
+        established_calls = self.established_calls(link.switch)
+        if legs or established_calls:
+            self.detail_log(
+                "switch-connection-closed" if was_up else "switch-connection-failed",
+                switch=self.calls.switch_ids[link.switch.gw],
+                why=link.close_reason,
+                legs=",".join(legs) or "none",
+                calls=established_calls,
+            )
         self.calls.link_lost(self.clock(), link, was_up)
 
     def open_set_ups(self, link: SwitchConnection) -> int:
