--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -23,6 +23,7 @@
 from .diagnostics import Diagnostics
 from .ended_set_ups import EndedSetUps, EndOfSetUp
 from .shutdown import ShutdownSchedule
+from .switch_processes import ListedProcess, ProcessEnd, SwitchProcesses
 from .wire import Conn, Link, Wire
 
 UNITS_PER_MS = 10
@@ -60,6 +61,8 @@
         self.by_link: dict[Link, dict[str, Call]] = {}  # calls with a leg out, by its connection and the call's id
         self.by_conn: dict[Conn, dict[str, Call]] = {}  # open set-ups, by the caller's connection and their id
         self.established: dict[int, dict[str, Call]] = {}  # established calls, by gw and id
+        self.switch_processes = SwitchProcesses()
+        self.gws_to_review: set[int] = set()  # switches that are over, with calls that may stand at another process
         self.ended_set_ups = EndedSetUps()
         self.cancelled_legs: dict[tuple[str, Link], CancelledLeg] = {}
         self.leg_deadlines: list[tuple[int, int, int]] = []  # heap of (time, dialog, leg number)
@@ -372,6 +375,8 @@
             dialog = self.controller.dialogs.get(call.dialog)
             self.diagnostics.leg_ended(gw, dialog is not None and dialog.destination == self.exchange_numbers.get(gw), "200")
         self.established.setdefault(gw, {})[id] = call
+        if self.switch_processes.is_over(gw):
+            self.gws_to_review.add(gw)
         self.wire.call_established(call.conn)
         delivered = self.wire.send_to_caller(call.conn, json_lines.encode_answer(id, sdp))
         call.sdp, call.invite, call.used_links = "", b"", set()
@@ -449,7 +454,8 @@
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switch_ids[gw])
                 self.wire.send_release(None, json_lines.encode_release(id, cause))
-        elif call.established and call.gw == gw:  # a BYE of another switch ends an earlier leg that this proxy had given up
+        elif call.established and call.gw in (gw, self.switch_processes.replaced_by(gw)):
+            # A BYE of another switch ends an earlier leg that this proxy had given up.
             self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switch_ids[gw])
             self.wire.send_release(call.conn, json_lines.encode_release(id, cause))
             if gw in call.doubtful_gws and not call.unreleased_legs:  # it is unknown which of the legs there has ended
@@ -481,43 +487,83 @@
         for other in gws if gw in gws else (gw,):  # a switch that no longer holds the number reports for itself only
             self.controller.trunk_group_reported(self.now, other, free, size)
 
-    def switch_lost(self, now: int, gw: int) -> None:
-        """A switch is unreachable: its calls are ended, and a BYE is sent in case it can be reached again."""
+    def connection_refused(self, now: int, gw: int, connections_lost_at: int) -> bool:
+        """A connection to a switch was refused while none is open; see `SwitchProcesses`."""
         self.now = now
-        for call in self.established.get(gw, {}).values():
-            self.wire.send_to_switch(gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
-        self._cut_calls(gw, list(self.established.get(gw, {}).values()))
-        self._report_leg_ends()
+        is_over = self.switch_processes.connection_refused(now, gw, connections_lost_at)
+        if is_over:
+            self._end_calls_of_ended_process(gw)
+        return is_over
 
-    def _cut_calls(self, gw: int, calls: list[Call]) -> None:
-        for call in calls:
-            self.increment("calls cut with their machine")
-            self.wire.log_call("call-cut", call.id, switch=self.switch_ids[gw])
-            self.wire.send_release(call.conn, json_lines.encode_release(call.id, ABORTED))
-            self._end_call(call, LegEnd.CUT)
+    def connections_failed(self, now: int, gw: int, failing_since: int, last_read_at: int) -> bool:
+        """New connections to a switch have failed for some time; see `SwitchProcesses`."""
+        self.now = now
+        is_lost = self.switch_processes.connections_failed(now, gw, failing_since, last_read_at)
+        if is_lost:
+            self._end_calls_of_ended_process(gw)
+        return is_lost
+
+    def _end_calls_of_ended_process(self, gw: int) -> None:
+        """End the calls at a switch whose process is over, and file those that another process answered at its address."""
+        connections = self.wire.open_connections(gw)
+        for call in list(self.established.get(gw, {}).values()):
+            successor = self.switch_processes.successor(gw, call.sent_at)
+            if successor is not None:
+                self._file_at_successor(call, successor)
+                continue
+            end = self.switch_processes.end_of(self.now, gw, call.sent_at, connections)
+            if end is not None:
+                self._cut_call(call, end)
+        if self.established.get(gw) and self.switch_processes.is_over(gw):
+            self.gws_to_review.add(gw)
+        else:
+            self.gws_to_review.discard(gw)
+        self._report_leg_ends()
 
-    def exchange_list_received(self, now: int, complete: bool, entries: list[tuple[str, int, GwState, int]]) -> None:
-        """Changes of the exchange list, or (`complete`) all of it: switch id, exchange number, state, start (0: long ago)."""
+    def _file_at_successor(self, call: Call, gw: int) -> None:
+        self.wire.log_call("call-refiled", call.id, switch=self.switch_ids[call.gw], at=self.switch_ids[gw])
+        del self.established[call.gw][call.id]
+        call.gw = gw
+        self.established.setdefault(gw, {})[call.id] = call
+        if self.switch_processes.is_over(gw):
+            self.gws_to_review.add(gw)
+
+    def _cut_call(self, call: Call, end: ProcessEnd) -> None:
+        """End a call whose switch can not release it, towards its caller."""
+        self.increment("calls cut with their machine")
+        self.wire.log_call("call-cut", call.id, switch=self.switch_ids[call.gw], why=end.name)
+        if end is ProcessEnd.UNREACHABLE:  # the switch may run, and be reached again
+            self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
+        self.wire.send_release(call.conn, json_lines.encode_release(call.id, ABORTED))
+        self._end_call(call, LegEnd.CUT)
+
+    def exchange_list_received(self, now: int, complete: bool, entries: list[ListedProcess]) -> None:
+        """Changes of the exchange list, or (`complete`) all of it."""
         self.now = now
-        list_entries = []
-        for id, number, state, started in entries:
-            if id not in self.gw_of:
-                self.gw_of[id] = len(self.switch_ids)
-                self.switch_ids.append(id)
-            gw = self.gw_of[id]
-            number = self.exchange_numbers.setdefault(gw, number) if number < 0 else number
-            self.exchange_numbers[gw] = number
-            gws = self.gws_by_exchange.setdefault(number, [])
-            if (state == GwState.GONE) == (gw in gws):
-                (gws.remove if state == GwState.GONE else gws.append)(gw)
-            list_entries.append(ListEntry(gw, number, state, started))
-            # A switch that has restarted has lost its calls, and may never report their end.
-            if started > 0:
-                self._cut_calls(gw, [call for call in self.established.get(gw, {}).values() if call.sent_at < started])
+        list_entries = [self._entry_received(entry) for entry in entries]
+        if complete:
+            for gw in set(self.exchange_numbers) - {entry.gw for entry in list_entries}:
+                self.switch_processes.left_out(gw)
+        for gw in list(self.established):
+            self._end_calls_of_ended_process(gw)
         self.controller.exchange_list_received(now, list_entries, complete)
         self._drop_unsent_legs()
         self._report_leg_ends()
 
+    def _entry_received(self, entry: ListedProcess) -> ListEntry:
+        """Take one entry of the exchange list; returns it as the controller is told."""
+        if entry.id not in self.gw_of:
+            self.gw_of[entry.id] = len(self.switch_ids)
+            self.switch_ids.append(entry.id)
+        gw = self.gw_of[entry.id]
+        number = self.exchange_numbers.setdefault(gw, entry.number) if entry.number < 0 else entry.number
+        self.exchange_numbers[gw] = number
+        gws = self.gws_by_exchange.setdefault(number, [])
+        if (entry.state == GwState.GONE) == (gw in gws):
+            (gws.remove if entry.state == GwState.GONE else gws.append)(gw)
+        self.switch_processes.listed(gw, entry)
+        return ListEntry(gw, number, entry.state, entry.started)
+
     def _drop_unsent_legs(self) -> None:
         """End the legs that wait for a connection to a switch that drains or has gone, before the connection comes up."""
         unsent = [call for calls in self.by_link.values() for call in calls.values() if call.sent_at < 0]
@@ -541,6 +587,8 @@
                     self._end_leg(call, LegEnd.NO_ANSWER)
                 else:
                     self._end_leg(call, LegEnd.UNREACHABLE)  # the connection was not made, so the INVITE was never sent
+        for gw in list(self.gws_to_review):
+            self._end_calls_of_ended_process(gw)
         self.ended_set_ups.remove_expired(now)
         if now >= self.next_tick_at:
             self.controller.tick(now)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -23,13 +23,15 @@
 from . import early_signals
 from .caller_connection import CallerConnection
 from .caller_connections import OVERDUE_HALF_CLOSE_TIMEOUT, CallerConnections
-from .calls import Calls
+from .calls import UNITS_PER_MS, Calls
 from .configuration import Configuration, configuration_from_environment, read_configuration
 from .diagnostics import Diagnostics
 from .event_bus import EventBusClient
 from .log import DetailLog, log
 from .shutdown import ShutdownSchedule
-from .switch_connections import SwitchConnection, SwitchConnections
+from .switch_connections import SwitchConnection, SwitchConnections, to_clock
+from .switch_processes import ListedProcess
+from .wire import OpenConnection
 
 TICK = 0.01  # seconds between two runs of the timer
 CHECK_TICKS = 10  # ticks between two checks of the connections
@@ -39,6 +41,10 @@
 SWITCH_HALF_CLOSE_TIMEOUT = 0.05  # seconds at a shutdown in which switches may close their side of half-closed connections
 
 
+def _listed_process(entry: ListedSwitch) -> ListedProcess:
+    return ListedProcess(entry.uid, entry.pod_group, state_of(entry), entry.boot_ms * UNITS_PER_MS, entry.endpoint)
+
+
 class Process:
     """One running proxy; the Wire of its calls and the Owner of its connections and its event bus client."""
 
@@ -134,6 +140,10 @@
     def is_up(self, link: SwitchConnection) -> bool:
         return link.up
 
+    def open_connections(self, gw: int) -> list[OpenConnection]:
+        switch = self.switches.get(gw)
+        return switch.open_connections() if switch is not None else []
+
     def send_on_link(self, link: SwitchConnection, data: bytes) -> bool:
         link.write(data)
         return not link.closed and not link.finishing
@@ -175,9 +185,16 @@
     def established_calls(self, switch: SwitchConnections) -> int:
         return len(self.calls.established.get(switch.gw, ()))
 
-    def switch_lost(self, switch: SwitchConnections) -> None:
-        log("machine-lost", switch=self.calls.switch_ids[switch.gw], calls=self.established_calls(switch))
-        self.calls.switch_lost(self.clock(), switch.gw)
+    def connection_refused(self, switch: SwitchConnections) -> None:
+        self.calls.connection_refused(self.clock(), switch.gw, to_clock(switch.connections_lost_at))
+
+    def connections_failed(self, switch: SwitchConnections) -> bool:
+        established_calls = self.established_calls(switch)
+        failing_since, last_read_at = to_clock(switch.failing_since), to_clock(switch.last_read_at)
+        is_lost = self.calls.connections_failed(self.clock(), switch.gw, failing_since, last_read_at)
+        if is_lost and established_calls:
+            log("machine-lost", switch=self.calls.switch_ids[switch.gw], calls=established_calls)
+        return is_lost
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
         self.calls.increment(f"link closed: {reason[:60]}")
@@ -194,22 +211,24 @@
         """Apply one event of the bus; `complete`: the entries are the whole list."""
         self.last_offset = offset
         log("list-changed", number=offset, whole=complete, switches=",".join(f"{entry.uid}:{entry.state}" for entry in entries[:8]))
-        self.calls.exchange_list_received(
-            self.clock(), complete, [(entry.uid, entry.pod_group, state_of(entry), entry.boot_ms * 10) for entry in entries]
-        )
+        self.calls.exchange_list_received(self.clock(), complete, [_listed_process(entry) for entry in entries])
         listed = {self.calls.gw_of[entry.uid] for entry in entries}
         if complete:
             for gw, switch in self.switches.items():
                 switch.listed = switch.listed and gw in listed
         for entry in entries:
-            gw, state = self.calls.gw_of[entry.uid], state_of(entry)
-            if self.calls.exchange_numbers[gw] == self.calls.controller.own_exchange:
-                continue
-            if state == GwState.READY or state == GwState.DRAINING and gw not in self.switches and entry.endpoint:
-                # A draining switch gets no new calls, but it reports the ends of calls established before this process.
-                self._connect_to(gw, parse_address(entry.endpoint))
-            elif state == GwState.GONE and gw in self.switches:
-                self.switches[gw].listed = False
+            self._follow_entry(self.calls.gw_of[entry.uid], entry)
+        for gw, switch in self.switches.items():
+            switch.listed = switch.listed and not self.calls.switch_processes.is_over(gw)
+
+    def _follow_entry(self, gw: int, entry: ListedSwitch) -> None:
+        """Connect to a listed switch, if calls may go there or its calls may end."""
+        if self.calls.exchange_numbers[gw] == self.calls.controller.own_exchange or self.calls.switch_processes.is_over(gw):
+            return
+        state = state_of(entry)
+        if state == GwState.READY or state == GwState.DRAINING and gw not in self.switches and entry.endpoint:
+            # A draining switch gets no new calls, but it reports the ends of calls established before this process.
+            self._connect_to(gw, parse_address(entry.endpoint))
 
     def _connect_to(self, gw: int, address: tuple[str, int]) -> None:
         switch = self.switches.get(gw)
@@ -316,15 +335,15 @@
         )
 
     def _end_calls_of_dead_switches(self) -> None:
-        """End the calls at switches whose process has died. Their callers must be notified now: the next process does not know of
-        these calls."""
+        """End the calls at switches that refuse connections. Their callers must be notified now, as the next process may not be
+        told of these calls; whenever a switch lost its connections counts as now."""
         for switch in self.switches.values():
-            if switch.nobody_listens and self.established_calls(switch) and not any(link.up for link in switch.links):
-                self.switch_lost(switch)
+            if switch.refused and self.established_calls(switch) and not switch.has_open_connection():
+                self.calls.connection_refused(self.clock(), switch.gw, self.clock())
 
     def _has_calls_at_unreachable_switch(self) -> bool:
         """Whether an unreachable switch has established calls: it may turn out to be lost while callers can still be notified."""
-        return any(switch.unreachable_since and self.established_calls(switch) for switch in self.switches.values())
+        return any(switch.failing_since and self.established_calls(switch) for switch in self.switches.values())
 
     def _continue_shutdown(self) -> None:
         """One step of the shutdown: callers' connections are half-closed once idle, then those to switches."""
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -14,17 +14,18 @@
 from ..sip.message import BadMessageError
 from ..switch_protocol.sip_messages import SwitchMessageParser
 from ..transport.stream import Stream
+from .wire import OpenConnection
 
 MAX_LINKS = 4  # a switch reports its trunk group on that many connections at most
 MAX_QUEUED_BYTES = 1 << 18
 WRITE_TIMEOUT = 2.0  # seconds
 STALL_TIMEOUT = 0.25  # seconds: messages are sent whole, so one that is incomplete for this long will not be completed
 SILENCE_TIMEOUT = 1.5  # seconds without a message before a new connection probes whether the switch is reachable
-UNREACHABLE_TIMEOUT = 2.5  # seconds unreachable before the switch counts as lost
 HALF_CLOSE_TIMEOUT = 1.0  # seconds in which a switch may close its side of a half-closed connection
 RETRY_INTERVAL = 0.2  # seconds between attempts to connect
 CONNECT_TIMEOUT = 3.0  # seconds until an attempt that is late is given up
 MAX_LATE_LINKS = 3
+UNITS_PER_SECOND = 10_000  # of the owner's clock
 
 
 class Owner(Protocol):
@@ -40,7 +41,11 @@
     def open_set_ups(self, link: SwitchConnection) -> int:
         """Number of set-ups that are out on the connection."""
 
-    def switch_lost(self, switch: SwitchConnections) -> None: ...
+    def connection_refused(self, switch: SwitchConnections) -> None:
+        """A connection was refused, and none is open."""
+
+    def connections_failed(self, switch: SwitchConnections) -> bool:
+        """New connections have failed since `failing_since`. Returns whether the switch counts as lost."""
 
     def established_calls(self, switch: SwitchConnections) -> int: ...
 
@@ -49,6 +54,11 @@
     calls: Any
 
 
+def to_clock(seconds: float) -> int:
+    """Tenths of a millisecond."""
+    return round(seconds * UNITS_PER_SECOND)
+
+
 class SwitchConnection(Stream):
     """One connection to a switch; handles the messages of its parser (`SwitchMessageHandler`)."""
 
@@ -60,7 +70,7 @@
         self.replaces_lost = False  # opened after another was lost, for the messages that the switch had written to that one
         self.late = False  # not up within the connect timeout, and still being opened
         self.opened_at = switch.now()
-        self.last_read_at = 0.0
+        self.up_at = self.last_read_at = 0.0
         self.last_report: dict[str, float] = {}
 
     def open(self) -> None:
@@ -117,24 +127,34 @@
         self.listed = True  # by the exchange list; else the connections are kept for established calls only
         self.lost_link = False  # a connection was lost: what the switch wrote to it is repeated on the next one
         self.last_read_at = self.last_attempt_at = 0.0
-        self.nobody_listens = False  # the last attempt was refused: the switch's process has died, and its calls are cut
-        self.unreachable_since = 0.0  # 0 while the last attempt to connect succeeded or none has ended
+        self.connections_lost_at = 0.0  # when the last open connection was lost
+        self.refused = False  # the last attempt to connect was refused
+        self.failing_since = 0.0  # 0 while the last attempt to connect succeeded or none has ended
 
     def now(self) -> float:
-        return self.owner.clock() / 10_000
+        return self.owner.clock() / UNITS_PER_SECOND
 
     def close(self) -> None:
         self.listed = False
         for link in list(self.links):
             link.close(True, "the switch has a new address")
 
+    def has_open_connection(self) -> bool:
+        return any(link.up for link in self.links)
+
+    def open_connections(self) -> list[OpenConnection]:
+        return [OpenConnection(to_clock(link.up_at), to_clock(link.last_read_at)) for link in self.links if link.up]
+
     def choose_link(self, used_links: set[Any]) -> SwitchConnection | None:
-        """A connection for a set-up: a free one, else a new one, else the least busy. None: the switch is unreachable."""
+        """A connection for a set-up: a free one, else a new one, else the least busy. None: the switch is unreachable, or no
+        longer the one at its address."""
+        if not self.listed:
+            return None
         candidates = [link for link in self.links if link.is_usable() and link not in used_links]
         by_load = sorted((self.owner.open_set_ups(link), not link.up, index) for index, link in enumerate(candidates))
         if by_load and by_load[0][0] == 0 and candidates[by_load[0][2]].up:
             return candidates[by_load[0][2]]
-        if self.unreachable_since and not any(link.up for link in candidates):
+        if self.failing_since and not any(link.up for link in candidates):
             return None
         if len([link for link in self.links if link.is_usable()]) < MAX_LINKS:
             return self._open_link()
@@ -164,9 +184,9 @@
         return link
 
     def link_up(self, link: SwitchConnection) -> None:
-        self.unreachable_since, self.nobody_listens = 0.0, False
+        self.failing_since, self.refused = 0.0, False
         link.late = False
-        self.last_read_at = link.last_read_at = self.now()
+        self.last_read_at = link.last_read_at = link.up_at = self.now()
         unsent, self.unsent = self.unsent, []
         for data in unsent:
             link.write(data)
@@ -177,12 +197,16 @@
         if link in self.links:
             self.links.remove(link)
         self.lost_link = self.lost_link or was_up or link.replaces_lost and not link.late
-        self.nobody_listens = not was_up and link.connection_refused
-        if not was_up and not self.unreachable_since:
-            self.unreachable_since = self.now()
+        self.refused = not was_up and link.connection_refused
+        if not was_up and not self.failing_since:
+            self.failing_since = self.now()
+        if was_up:
+            self.connections_lost_at = self.now()
         if self.reporting_link is link:
             self._choose_reporting_link()
         self.owner.link_lost(link, was_up)
+        if self.refused and not self.has_open_connection():
+            self.owner.connection_refused(self)
 
     def _choose_reporting_link(self) -> None:
         """Reports are taken from one connection: from several they would arrive out of order."""
@@ -199,7 +223,7 @@
             if not link.up and not link.late and now - link.opened_at > self.connect_timeout:
                 link.late = True
                 self.lost_link = self.lost_link or link.replaces_lost
-                self.unreachable_since = self.unreachable_since or now
+                self.failing_since = self.failing_since or now
                 self.owner.link_lost(link, False)
         late = [link for link in self.links if link.late]
         for link in late[:-MAX_LATE_LINKS]:
@@ -218,11 +242,10 @@
                 self.owner.link_unreadable(link, "a message stands half")
                 link.close(True, "a message stands half")
         established_calls = self.owner.established_calls(self)
-        if not self.listed and not established_calls:
-            for link in list(self.links):
-                if self.owner.open_set_ups(link) == 0:
-                    link.retired = True
-                    link.finish(HALF_CLOSE_TIMEOUT)
+        if not self.listed:
+            # Open connections are kept for calls that may stand at their process. A new one may reach another switch.
+            if not established_calls:
+                self._retire_unused_links()
             return
         self._check_late_links(now)
         usable = [link for link in self.links if link.up and link.is_usable()]
@@ -235,14 +258,12 @@
             and (self.lost_link or now - self.last_attempt_at >= RETRY_INTERVAL)
         ):
             self._open_link()
-        # A switch that vanished from the network resets no connection: its calls count as cut once new connections have
-        # failed for that long.
-        if (
-            self.unreachable_since
-            and now - self.unreachable_since > UNREACHABLE_TIMEOUT
-            and now - self.last_read_at > UNREACHABLE_TIMEOUT
-        ):
-            if established_calls:
-                self.owner.switch_lost(self)
+        if self.failing_since and self.owner.connections_failed(self):
             for link in usable:
                 link.close(True, "switch is unreachable")
+
+    def _retire_unused_links(self) -> None:
+        for link in list(self.links):
+            if self.owner.open_set_ups(link) == 0:
+                link.retired = True
+                link.finish(HALF_CLOSE_TIMEOUT)
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -1,12 +1,19 @@
 """What `Calls` requires of the owner of its sockets."""
 
 from collections.abc import Hashable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 Conn = Hashable  # a connection from a caller
 Link = Hashable  # a connection to a switch
 
 
+class OpenConnection(NamedTuple):
+    """An open connection to a switch: when it was made, and when something was last read on it (tenths of a millisecond)."""
+
+    up_at: int
+    last_read_at: int
+
+
 class Wire(Protocol):
     """Sends for `Calls`. No method blocks or calls back."""
 
@@ -36,6 +43,9 @@
 
     def is_up(self, link: Link) -> bool: ...
 
+    def open_connections(self, gw: int) -> list[OpenConnection]:
+        """The connections to the address of the switch that have been made."""
+
     def send_on_link(self, link: Link, data: bytes) -> bool:
         """Returns whether the connection can still be written to."""
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -15,6 +15,7 @@
 from gingergap.platform_settings import BadFieldError
 from gingergap.service.calls import Calls
 from gingergap.service.ended_set_ups import MAX_RETAINED, RETENTION_TIME, EndOfSetUp
+from gingergap.service.switch_processes import UNREACHABLE_TIMEOUT, ListedProcess
 from gingergap.sip.framing import Framer
 
 SETTINGS = {
@@ -45,6 +46,7 @@
         self.known_conns, self.half_closed, self.unread = set(), [], set()
         self.stopped_reading = set()  # links whose write queue is not read by the switch
         self.broken = set()  # callers' connections on which a write fails
+        self.open = {}  # open connections by gw, as `open_connections` returns them
 
     def has_unread(self, conn):
         return conn in self.unread
@@ -82,6 +84,9 @@
     def is_up(self, link):
         return link in self.up
 
+    def open_connections(self, gw):
+        return self.open.get(gw, [])
+
     def send_on_link(self, link, data):
         self.sent_to_switches += [(link, message) for message in Framer().feed(data)]
         return True
@@ -106,7 +111,7 @@
 
 def make_calls(wire, now=START):
     calls = Calls(wire, now, 7, SETTINGS)
-    calls.exchange_list_received(now, True, [(f"s-{number}", number, GwState.READY, 0) for number in range(4)])
+    calls.exchange_list_received(now, True, [ListedProcess(f"s-{number}", number, GwState.READY, 0) for number in range(4)])
     for number in (1, 2, 3):
         calls.trunk_group_reported(now, number, FREE_GROUP)
     return calls
@@ -496,7 +501,9 @@
     calls = make_calls(wire)
     receive_set_up(calls)
     calls.switch_answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
-    calls.switch_lost(START + 900, 1)
+    assert not calls.connections_failed(START + 900, 1, START + 300, START + 300)
+    assert len(wire.sent_for("a" * 16)) == 1
+    assert calls.connections_failed(START + 900 + UNREACHABLE_TIMEOUT, 1, START + 300, START + 300)
     assert [line["type"] for line in wire.sent_for("a" * 16)] == ["answer", "release"]
     assert not calls.by_id and not calls.controller.dialogs
 
@@ -504,10 +511,12 @@
 def test_a_group_report_counts_for_all_switches_that_hold_the_exchange_number():
     wire = RecordingWire()
     calls = make_calls(wire)
-    calls.exchange_list_received(START, False, [("s-1b", 1, GwState.READY, START), ("s-1", 1, GwState.DRAINING, 0)])
+    calls.exchange_list_received(
+        START, False, [ListedProcess("s-1b", 1, GwState.READY, START), ListedProcess("s-1", 1, GwState.DRAINING, 0)]
+    )
     calls.trunk_group_reported(START, 1, {"idle": 3, "circuits": 40})
     assert calls.controller.exchanges[4].group.free == 3
-    calls.exchange_list_received(START, False, [("s-1", 1, GwState.GONE, 0)])
+    calls.exchange_list_received(START, False, [ListedProcess("s-1", 1, GwState.GONE, 0)])
     calls.trunk_group_reported(START, 4, {"idle": 5, "circuits": 40})
     calls.trunk_group_reported(START, 1, {"idle": 9, "circuits": 40})
     assert calls.controller.exchanges[4].group.free == 5 and calls.gws_by_exchange[1] == [4]
@@ -518,9 +527,9 @@
     calls = make_calls(wire)
     receive_set_up(calls)
     calls.switch_answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
-    calls.exchange_list_received(START + 300, False, [("s-1", 1, GwState.READY, START - 5)])
+    calls.exchange_list_received(START + 300, False, [ListedProcess("s-1", 1, GwState.READY, START - 5)])
     assert len(wire.sent_for("a" * 16)) == 1
-    calls.exchange_list_received(START + 400, False, [("s-1", 1, GwState.READY, START + 300)])
+    calls.exchange_list_received(START + 400, False, [ListedProcess("s-1", 1, GwState.READY, START + 300)])
     assert [line["type"] for line in wire.sent_for("a" * 16)] == ["answer", "release"]
 
 
@@ -639,12 +648,12 @@
     @rule(number=st.integers(1, 3), state=st.sampled_from(list(GwState)))
     def exchange_list_changes(self, number, state):
         (self.ready_gws.add if state == GwState.READY else self.ready_gws.discard)(number)
-        self.calls.exchange_list_received(self.now, False, [(f"s-{number}", number, state, 0)])
+        self.calls.exchange_list_received(self.now, False, [ListedProcess(f"s-{number}", number, state, 0)])
         self.check_sent()
 
     @rule(gw=st.integers(1, 3))
     def switch_is_lost(self, gw):
-        self.calls.switch_lost(self.now, gw)
+        assert self.calls.connections_failed(self.now, gw, 0, 0)
 
     @precondition(lambda self: self.schedule is None)
     @rule()
@@ -701,7 +710,7 @@
     calls = make_calls(wire)
     receive_set_up(calls, "a" * 16, START, "c", 1, "voice", 2000, 1)
     link = wire.link_count
-    calls.exchange_list_received(START + 100, False, [("s-1", 1, state, 0)])
+    calls.exchange_list_received(START + 100, False, [ListedProcess("s-1", 1, state, 0)])
     wire.up.add(link)
     calls.link_up(START + 200, link)
     assert not [message for sent_on, message in wire.sent("INVITE") if sent_on == link]
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 from test_service_calls import SDP, SETTINGS
@@ -19,9 +20,15 @@
 WAIT = 20  # seconds for anything that must arrive; no test depends on how soon
 
 
-def listener():
+def now_ms():
+    return time.time_ns() // 1_000_000
+
+
+def listener(address="127.0.0.1:0"):
+    host, _, port = address.partition(":")
     sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
     sock.listen(50)
     return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
@@ -29,8 +36,8 @@
 class Peer:
     """Accepts connections and serves each in a thread."""
 
-    def __init__(self):
-        self.sock, self.address = listener()
+    def __init__(self, address="127.0.0.1:0"):
+        self.sock, self.address = listener(address)
         self.conns = []
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -79,10 +86,10 @@
     A reply is a function from an id to bytes, or to None for no answer.
     """
 
-    def __init__(self, *replies):
+    def __init__(self, *replies, address="127.0.0.1:0"):
         self.replies = list(replies) or [answer]
         self.received = queue.Queue()  # (connection, message)
-        super().__init__()
+        super().__init__(address)
 
     def serve(self, conn):
         conn.sendall(sip("NOTIFY sip:x@net SIP/2.0", "0" * 16, "NOTIFY", "Link-State: idle:40;circuits:40\r\n"))
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -9,15 +9,15 @@
     RETRY_INTERVAL,
     SILENCE_TIMEOUT,
     STALL_TIMEOUT,
-    UNREACHABLE_TIMEOUT,
     SwitchConnections,
 )
+from gingergap.service.switch_processes import UNREACHABLE_TIMEOUT
 
 
 class FakeOwner:
     def __init__(self):
         self.now, self.set_ups, self.established, self.lost_switches = 1000.0, {}, 0, []
-        self.lost_links = []
+        self.lost_links, self.refusals = [], []
 
     def clock(self):
         return int(self.now * 10_000)
@@ -34,8 +34,14 @@
     def established_calls(self, switch):
         return self.established
 
-    def switch_lost(self, switch):
-        self.lost_switches.append(switch)
+    def connections_failed(self, switch):
+        is_lost = self.now - max(switch.failing_since, switch.last_read_at) > UNREACHABLE_TIMEOUT / 10_000
+        if is_lost:
+            self.lost_switches.append(switch)
+        return is_lost
+
+    def connection_refused(self, switch):
+        self.refusals.append(switch)
 
     def link_unreadable(self, link, reason):
         pass
@@ -131,7 +137,7 @@
     switch.check()
     assert len(switch.links) == 2
     connect(switch)  # the switch is reachable
-    switch.owner.now += UNREACHABLE_TIMEOUT + 0.1
+    switch.owner.now += UNREACHABLE_TIMEOUT / 10_000 + 0.1
     for _ in range(30):
         switch.check()
         if switch.links and not switch.links[-1].up:
--- /dev/null
+++ b/tests/test_switch_processes.py
@@ -0,0 +1,216 @@
+"""The end of a switch's process: by which events it is learned, in any order, and which calls end with it.
+
+The rows are those of the table in docs/service-design.md.
+"""
+
+import itertools
+
+import pytest
+import test_service_process as scripted
+from test_service_calls import START, RecordingWire, make_calls, receive_set_up
+
+from gingergap.host import GwState
+from gingergap.service.switch_processes import (
+    REFUSAL_WINDOW,
+    TERMINATED_SILENCE_TIMEOUT,
+    UNREACHABLE_TIMEOUT,
+    ListedProcess,
+)
+from gingergap.service.wire import OpenConnection
+
+A = "a" * 16
+ADDRESS, OTHER_ADDRESS = "10.0.0.1:5060", "10.0.0.9:5060"
+SECOND = 10_000
+GW, SUCCESSOR_GW = 1, 4  # of s-1, and of the next switch that is listed
+
+start = scripted.start
+
+
+class Script:
+    """A call that is set up at s-1; each method is an event, a tenth of a second after the one before."""
+
+    def __init__(self, announced=False):
+        self.wire = RecordingWire()
+        self.calls = make_calls(self.wire)
+        self.now = START
+        self.listed()
+        self.connected()
+        if announced:
+            self.calls.call_announced(self.now, "c1", A, "voice", "7f", "s-1")
+        else:
+            receive_set_up(self.calls, A, self.now)
+            self.now += SECOND // 10
+            self.calls.switch_answered(self.now, GW, self.wire.sent("INVITE")[0][0], A, "x\r\n")
+
+    def entry(self, id="s-1", state=GwState.READY, started=0, address=ADDRESS):
+        self.calls.exchange_list_received(self.now, False, [ListedProcess(id, 1, state, started, address)])
+
+    def listed(self):
+        self.entry()
+
+    def drains(self):
+        self.entry(state=GwState.DRAINING)
+
+    def terminated(self):
+        self.entry(state=GwState.GONE)
+
+    def left_out(self):
+        others = [ListedProcess(f"s-{number}", number, GwState.READY, 0) for number in (0, 2, 3)]
+        self.calls.exchange_list_received(self.now, True, others)
+
+    def restarted(self):
+        self.entry(started=self.now - 1)
+
+    def replaced(self):
+        self.entry("s-9", started=self.now - 1)
+
+    def replaced_before_the_call(self):
+        self.entry("s-9", started=START - 1)
+
+    def stale_entry_of_an_earlier_switch(self):
+        self.entry("s-9", GwState.DRAINING, started=0)
+
+    def other_address(self):
+        self.entry(address=OTHER_ADDRESS)
+
+    def another_elsewhere(self):
+        self.entry("s-9", started=self.now - 1, address=OTHER_ADDRESS)
+
+    def connected(self):
+        self.wire.open.setdefault(GW, []).append(OpenConnection(self.now, self.now))
+
+    def connections_lost(self):
+        self.wire.open[GW] = []
+        self.lost_at = self.now
+
+    def refused(self):
+        self.calls.connection_refused(self.now, GW, self.lost_at)
+
+    def refused_later(self):
+        self.now += REFUSAL_WINDOW
+        self.refused()
+
+    def failing(self):
+        self.now += UNREACHABLE_TIMEOUT
+        self.calls.connections_failed(self.now, GW, self.lost_at, self.lost_at)
+
+    def failing_for_a_moment(self):
+        self.calls.connections_failed(self.now, GW, self.now - SECOND, self.now - SECOND)
+
+    def silent(self):
+        self.now += TERMINATED_SILENCE_TIMEOUT
+
+    def play(self, *events):
+        for event in events:
+            self.now += SECOND // 10
+            getattr(self, event)()
+            self.calls.tick(self.now)
+        return self
+
+    def releases(self):
+        return [line for line in self.wire.sent_for(A) if line["type"] == "release"]
+
+
+ENDS = [
+    ["terminated"],
+    ["left_out"],
+    ["restarted"],
+    ["replaced"],
+    ["drains", "terminated"],
+    ["connections_lost", "refused"],
+    ["connections_lost", "failing"],
+    ["connections_lost", "connected", "terminated"],  # another switch may have accepted the connection
+    ["connections_lost", "connected", "left_out"],
+    ["connections_lost", "connected", "replaced"],
+    ["connections_lost", "connected", "restarted"],
+    ["connected", "terminated", "silent"],
+]
+ORDERS = [
+    [*order, *order]
+    for order in itertools.chain(
+        itertools.permutations(["terminated", "replaced", "drains"]),
+        itertools.permutations(["terminated", "restarted", "refused"]),
+        itertools.permutations(["replaced", "connected", "failing"]),
+    )
+]
+
+
+# Guards against calls that stay for good at a switch whose process has died, as one at its address accepts connections
+# (review 2), and against a second release when the same end is learned again in another way.
+@pytest.mark.parametrize("events", ENDS + ORDERS, ids="-".join)
+def test_a_call_is_released_once_when_its_switch_is_over(events):
+    script = Script()
+    if events not in (["connected", "terminated", "silent"],):
+        script.connections_lost()
+    script.play(*events)
+    assert [line["cause"] for line in script.releases()] == [41]
+    assert not script.calls.by_id and not script.calls.controller.dialogs and not script.calls.gws_to_review
+
+
+# Guards against ending a call at a switch that runs: a drain, a lost connection, a refusal by a full switch or a new address is
+# no end.
+@pytest.mark.parametrize(
+    "events",
+    [
+        ["drains"],
+        ["drains", "connections_lost", "connected"],
+        ["connections_lost", "connected"],
+        ["connections_lost", "connected", "connections_lost", "connected"],
+        ["connections_lost", "refused_later"],
+        ["connections_lost", "failing_for_a_moment"],
+        ["other_address"],
+        ["other_address", "replaced"],
+        ["another_elsewhere"],
+        ["replaced_before_the_call", "drains", "terminated"],
+    ],
+    ids="-".join,
+)
+def test_a_call_is_kept_while_its_switch_may_run(events):
+    script = Script().play(*events)
+    assert not script.releases() and A in script.calls.by_id
+
+
+def test_a_late_entry_of_a_switch_that_has_gone_does_not_take_an_address_back():
+    script = Script()
+    script.entry("s-9", started=START - SECOND)
+    script.listed()
+    script.play("drains")
+    assert script.calls.switch_processes.replaced_by(GW) == SUCCESSOR_GW
+    script.entry(started=script.now)
+    assert script.calls.switch_processes.replaced_by(SUCCESSOR_GW) == GW
+
+
+# Guards against releasing a call at a switch that runs: it took the address of another, and answered before it was listed.
+@pytest.mark.parametrize("events", [["replaced_before_the_call", "terminated"], ["terminated", "replaced_before_the_call"]])
+def test_a_call_that_a_successor_answered_before_it_was_listed_is_released_by_that_one(events):
+    script = Script().play(*events)
+    assert not script.releases() and list(script.calls.established[SUCCESSOR_GW]) == [A]
+    script.calls.switch_released(script.now, GW, 99, A, 16, {})
+    assert [line["cause"] for line in script.releases()] == [16]
+
+
+# Guards against a call left for good at a switch that the list had as terminated while a connection of it was still open.
+@pytest.mark.parametrize("last", ["connections_lost", "silent"])
+def test_a_call_at_a_terminated_switch_ends_with_its_connections(last):
+    script = Script().play("terminated", "connected")
+    assert not script.releases()
+    script.play(last, "listed")
+    assert len(script.releases()) == 1
+
+
+# Guards against calls that are never released: while the process stood still their switch died and another took its address.
+def test_calls_at_a_dead_switch_are_released_although_another_has_its_address(start):
+    service = start()
+    caller = service.caller()
+    caller.set_up(A)
+    assert caller.next()["type"] == "answer"
+    service.process.send_signal(scripted.signal.SIGSTOP)
+    old = service.switches["s1"]
+    old.die()
+    service.switches["s11"] = new = scripted.Switch(address=old.address)
+    service.bus.publish(
+        scripted.list_entry("s1", 1, old.address, "terminated"),
+        scripted.list_entry("s11", 1, new.address) | {"boot_ms": scripted.now_ms()},
+    )
+    service.process.send_signal(scripted.signal.SIGCONT)
+    assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 41}
