--- a/gingergap/service/call.py
+++ b/gingergap/service/call.py
@@ -40,6 +40,8 @@
         "invite",
         "doubtful_gws",
         "unreleased_legs",
+        "announced",
+        "latest_start",
     )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, traffic_type: str, number: str, sdp: str, circuits: int) -> None:
@@ -58,5 +60,7 @@
         self.end_reason = EndOfSetUp.ANSWERED
         self.resubmitted = False  # its first connection ended before its answer, and it was sent again on another
         self.forwarded = False  # to a switch, on whatever leg
+        self.announced = False  # named by a caller: set up by another process of this proxy; `sent_at` is when it was named
+        self.latest_start = 0  # of an announced call: the latest start of a switch's process where it can stand
         self.doubtful_gws: set[int] = set()  # switches where a leg that was given up may be established
         self.unreleased_legs: list[CancelledLeg] = []  # answered after their CANCEL, at the switch of a later leg
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -32,6 +32,8 @@
 INVALID_CONTENTS = 100  # Q.850: invalid information element contents
 NORMAL_CLEARING = 16  # Q.850
 BUSY_STATUSES = (486, 500)
+MAX_UNLISTED = 1000  # switches that callers name and the exchange list does not have
+UNLISTED_ID = "unlisted"  # for all further ones
 
 
 class Calls:
@@ -61,8 +63,8 @@
         self.by_link: dict[Link, dict[str, Call]] = {}  # calls with a leg out, by its connection and the call's id
         self.by_conn: dict[Conn, dict[str, Call]] = {}  # open set-ups, by the caller's connection and their id
         self.established: dict[int, dict[str, Call]] = {}  # established calls, by gw and id
-        self.switch_processes = SwitchProcesses()
-        self.gws_to_review: set[int] = set()  # switches that are over, with calls that may stand at another process
+        self.switch_processes = SwitchProcesses(now)
+        self.gws_to_review: set[int] = set()  # switches with calls that may end without another event
         self.ended_set_ups = EndedSetUps()
         self.cancelled_legs: dict[tuple[str, Link], CancelledLeg] = {}
         self.leg_deadlines: list[tuple[int, int, int]] = []  # heap of (time, dialog, leg number)
@@ -241,16 +243,31 @@
     def call_announced(self, now: int, conn: Conn, id: str, traffic_type: str, number: str, switch: str) -> None:
         """A caller names a call that was established before this process started; it may be known already."""
         self.now = now
-        gw = self.gw_of.get(switch)
         if id in self.by_id or id in self.ended_set_ups:
             return
-        self.wire.log_call("call-announced", id, switch=switch, listed=gw is not None)
-        if gw is None:
-            return
+        gw = self._gw_of_named_switch(switch)
+        self.wire.log_call("call-announced", id, switch=switch, listed=gw in self.exchange_numbers)
         call = Call(id, -1, conn, traffic_type, number, "", 0)
         call.gw, call.established, call.finished, call.sent_at = gw, True, True, now
+        call.announced, call.latest_start = True, self.switch_processes.named(now, gw)
         self.by_id[id] = call
         self.established.setdefault(gw, {})[id] = call
+        self._end_calls_of_ended_process(gw)
+
+    def _gw_of_named_switch(self, id: str) -> int:
+        """The gw of a switch that a caller names, which may not be listed. Callers can not make the number of ids grow without
+        bound: from MAX_UNLISTED on, they share one."""
+        if id in self.gw_of:
+            return self.gw_of[id]
+        if len(self.switch_ids) - len(self.exchange_numbers) >= MAX_UNLISTED:
+            id = UNLISTED_ID
+        return self._gw_for(id)
+
+    def _gw_for(self, id: str) -> int:
+        if id not in self.gw_of:
+            self.gw_of[id] = len(self.switch_ids)
+            self.switch_ids.append(id)
+        return self.gw_of[id]
 
     def caller_released(self, now: int, conn: Conn, id: str, cause: int) -> None:
         """A caller gives its set-up up, or ends an established call."""
@@ -375,7 +392,7 @@
             dialog = self.controller.dialogs.get(call.dialog)
             self.diagnostics.leg_ended(gw, dialog is not None and dialog.destination == self.exchange_numbers.get(gw), "200")
         self.established.setdefault(gw, {})[id] = call
-        if self.switch_processes.is_over(gw):
+        if self.switch_processes.needs_review(gw):
             self.gws_to_review.add(gw)
         self.wire.call_established(call.conn)
         delivered = self.wire.send_to_caller(call.conn, json_lines.encode_answer(id, sdp))
@@ -507,14 +524,18 @@
         """End the calls at a switch whose process is over, and file those that another process answered at its address."""
         connections = self.wire.open_connections(gw)
         for call in list(self.established.get(gw, {}).values()):
-            successor = self.switch_processes.successor(gw, call.sent_at)
+            successor = None if call.announced else self.switch_processes.successor(gw, call.sent_at)
             if successor is not None:
                 self._file_at_successor(call, successor)
                 continue
-            end = self.switch_processes.end_of(self.now, gw, call.sent_at, connections)
+            end = (
+                self.switch_processes.end_of_announced(self.now, gw, call.sent_at, call.latest_start)
+                if call.announced
+                else self.switch_processes.end_of(self.now, gw, call.sent_at, connections)
+            )
             if end is not None:
                 self._cut_call(call, end)
-        if self.established.get(gw) and self.switch_processes.is_over(gw):
+        if self.established.get(gw) and self.switch_processes.needs_review(gw):
             self.gws_to_review.add(gw)
         else:
             self.gws_to_review.discard(gw)
@@ -525,7 +546,7 @@
         del self.established[call.gw][call.id]
         call.gw = gw
         self.established.setdefault(gw, {})[call.id] = call
-        if self.switch_processes.is_over(gw):
+        if self.switch_processes.needs_review(gw):
             self.gws_to_review.add(gw)
 
     def _cut_call(self, call: Call, end: ProcessEnd) -> None:
@@ -552,10 +573,7 @@
 
     def _entry_received(self, entry: ListedProcess) -> ListEntry:
         """Take one entry of the exchange list; returns it as the controller is told."""
-        if entry.id not in self.gw_of:
-            self.gw_of[entry.id] = len(self.switch_ids)
-            self.switch_ids.append(entry.id)
-        gw = self.gw_of[entry.id]
+        gw = self._gw_for(entry.id)
         number = self.exchange_numbers.setdefault(gw, entry.number) if entry.number < 0 else entry.number
         self.exchange_numbers[gw] = number
         gws = self.gws_by_exchange.setdefault(number, [])
--- a/tests/test_switch_processes.py
+++ b/tests/test_switch_processes.py
@@ -10,9 +10,12 @@
 from test_service_calls import START, RecordingWire, make_calls, receive_set_up
 
 from gingergap.host import GwState
+from gingergap.service.calls import MAX_UNLISTED
 from gingergap.service.switch_processes import (
+    ANNOUNCEMENT_TIME,
     REFUSAL_WINDOW,
     TERMINATED_SILENCE_TIMEOUT,
+    UNLISTED_TIMEOUT,
     UNREACHABLE_TIMEOUT,
     ListedProcess,
 )
@@ -27,17 +30,16 @@
 
 
 class Script:
-    """A call that is set up at s-1; each method is an event, a tenth of a second after the one before."""
+    """A call at s-1, set up there unless the events name it; each method is an event, a tenth of a second after the one before."""
 
-    def __init__(self, announced=False):
+    def __init__(self, set_up=True):
         self.wire = RecordingWire()
         self.calls = make_calls(self.wire)
         self.now = START
+        self.lost_at = START
         self.listed()
         self.connected()
-        if announced:
-            self.calls.call_announced(self.now, "c1", A, "voice", "7f", "s-1")
-        else:
+        if set_up:
             receive_set_up(self.calls, A, self.now)
             self.now += SECOND // 10
             self.calls.switch_answered(self.now, GW, self.wire.sent("INVITE")[0][0], A, "x\r\n")
@@ -48,6 +50,18 @@
     def listed(self):
         self.entry()
 
+    def named(self, switch="s-1"):
+        self.calls.call_announced(self.now, "c1", A, "voice", "7f", switch)
+
+    def named_at_an_unlisted_switch(self):
+        self.named("s-9")
+
+    def waits_for_the_list(self):
+        self.now += UNLISTED_TIMEOUT
+
+    def long_after_the_start(self):
+        self.now += ANNOUNCEMENT_TIME
+
     def drains(self):
         self.entry(state=GwState.DRAINING)
 
@@ -76,6 +90,9 @@
     def another_elsewhere(self):
         self.entry("s-9", started=self.now - 1, address=OTHER_ADDRESS)
 
+    def long_running_elsewhere(self):
+        self.entry("s-9", address=OTHER_ADDRESS)
+
     def connected(self):
         self.wire.open.setdefault(GW, []).append(OpenConnection(self.now, self.now))
 
@@ -170,6 +187,66 @@
     assert not script.releases() and A in script.calls.by_id
 
 
+NAMED_ENDS = [
+    ["terminated", "named"],
+    ["left_out", "named"],
+    ["replaced", "named"],
+    ["restarted", "named"],  # after this process began, and before the call was named
+    ["refused", "named"],
+    ["named", "drains", "terminated"],
+    ["named", "connected", "terminated"],
+    ["named", "left_out"],
+    ["named", "replaced"],
+    ["named", "replaced_before_the_call"],
+    ["named", "restarted"],
+    ["named", "refused"],
+    ["named", "failing"],
+    ["long_after_the_start", "named", "terminated"],
+    ["named_at_an_unlisted_switch", "waits_for_the_list"],
+]
+
+
+# Guards against calls that are never released: a caller names them to a new process, at a switch that is over by then, as its
+# list tells before or after (review 3).
+@pytest.mark.parametrize("events", NAMED_ENDS, ids="-".join)
+def test_a_call_that_a_caller_names_is_released_once_when_its_switch_is_over(events):
+    script = Script(set_up=False)
+    script.connections_lost()
+    script.play(*events, *(event for event in events if event != "long_after_the_start"))
+    assert [line["cause"] for line in script.releases()] == [41]
+    assert not script.calls.by_id and not script.calls.gws_to_review
+
+
+# Guards against ending a call that a caller names at a switch that runs.
+@pytest.mark.parametrize(
+    "events",
+    [
+        ["named", "drains"],
+        ["drains", "named"],
+        ["named", "connections_lost", "connected"],
+        ["named", "connections_lost", "refused_later"],
+        ["restarted", "long_after_the_start", "named"],
+        ["named_at_an_unlisted_switch", "long_running_elsewhere", "waits_for_the_list"],
+        ["failing", "connected", "named"],
+    ],
+    ids="-".join,
+)
+def test_a_call_that_a_caller_names_is_kept_while_its_switch_may_run(events):
+    script = Script(set_up=False)
+    script.play(*events)
+    assert not script.releases() and A in script.calls.by_id
+
+
+# Guards against memory that grows with the switches that callers name, and against calls there that are never released.
+def test_the_number_of_unlisted_switches_is_bounded():
+    script = Script()
+    for index in range(MAX_UNLISTED + 10):
+        script.calls.call_announced(script.now, "c1", f"{index:016x}", "voice", "7f", f"x-{index}")
+    assert len(script.calls.switch_ids) == len(script.calls.exchange_numbers) + MAX_UNLISTED + 1
+    script.play("waits_for_the_list")
+    assert list(script.calls.by_id) == [A]
+
+
 def test_a_late_entry_of_a_switch_that_has_gone_does_not_take_an_address_back():
     script = Script()
     script.entry("s-9", started=START - SECOND)
@@ -214,3 +291,16 @@
     )
     service.process.send_signal(scripted.signal.SIGCONT)
     assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 41}
+
+
+# Guards against calls that callers name to a new process and that are never released: their switch ended before it began.
+@pytest.mark.parametrize("switch", ["s1", "s99"])
+def test_calls_named_at_a_switch_that_is_over_are_released(tmp_path, switch):
+    service = scripted.Service(tmp_path, known_states={"s1": "terminated"})
+    try:
+        caller = service.caller()
+        extras = f"dest:1;width:1;via:-1;at:{switch}"
+        caller.send("setup", A, sdp=scripted.SDP, fields={"class": "voice", "left": "1500", "key": "7f", "extras": extras})
+        assert caller.next() == {"type": "release", "id": A, "fields": {}, "cause": 41}
+    finally:
+        service.close()
