--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -67,6 +67,8 @@
         self.switch = switch
         self.parser = SwitchMessageParser(self)
         self.up = self.retired = False  # retired: gets no further set-ups
+        self.is_probe = False  # opened to see whether the switch is reachable, and not answered yet
+        self.was_read_to_end = False  # the switch has closed its side, and nothing that it wrote is lost
         self.replaces_lost = False  # opened after another was lost, for the messages that the switch had written to that one
         self.late = False  # not up within the connect timeout, and still being opened
         self.opened_at = switch.now()
@@ -91,6 +93,14 @@
         except BadMessageError as error:
             self.switch.owner.link_unreadable(self, str(error))
             self.close(True, str(error)[:60])
+            return
+        if self.is_probe:
+            self.is_probe = False
+            self.switch.probe_answered(self)
+
+    def eof_received(self) -> bool:
+        self.was_read_to_end = True
+        return False
 
     def connection_lost(self, reset: bool) -> None:
         self.switch.link_closed(self, reset and self.up)
@@ -175,10 +185,11 @@
             if not link.up and self.owner.open_set_ups(link) == 0:
                 link.close(False, "no caller is left to receive releases")
 
-    def _open_link(self) -> SwitchConnection:
+    def _open_link(self, is_probe: bool = False) -> SwitchConnection:
         link = SwitchConnection(self)
         self.links.append(link)
         link.replaces_lost, self.lost_link = self.lost_link, False
+        link.is_probe = is_probe
         self.last_attempt_at = self.now()
         gevent.spawn(link.open)
         return link
@@ -196,7 +207,8 @@
     def link_closed(self, link: SwitchConnection, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
-        self.lost_link = self.lost_link or was_up or link.replaces_lost and not link.late
+        was_closed_here = link.retired and link.finishing and link.was_read_to_end
+        self.lost_link = self.lost_link or was_up and not was_closed_here or link.replaces_lost and not link.late
         self.refused = not was_up and link.connection_refused
         if not was_up and not self.failing_since:
             self.failing_since = self.now()
@@ -208,6 +220,13 @@
         if self.refused and not self.has_open_connection():
             self.owner.connection_refused(self)
 
+    def probe_answered(self, probe: SwitchConnection) -> None:
+        """The switch is reachable. The probe stays open in place of the connections that are idle; without that, a quiet switch
+        would take one descriptor more for each probe."""
+        for link in self.links:
+            if link is not probe and link.up and self.owner.open_set_ups(link) == 0:
+                link.retired = True
+
     def _choose_reporting_link(self) -> None:
         """Reports are taken from one connection: from several they would arrive out of order."""
         if self.reporting_link is not None and self.reporting_link in self.links and not self.reporting_link.retired:
@@ -257,7 +276,7 @@
             and (not usable or established_calls and (self.lost_link or now - self.last_read_at > SILENCE_TIMEOUT))
             and (self.lost_link or now - self.last_attempt_at >= RETRY_INTERVAL)
         ):
-            self._open_link()
+            self._open_link(is_probe=bool(usable) and not self.lost_link)
         if self.failing_since and self.owner.connections_failed(self):
             for link in usable:
                 link.close(True, "switch is unreachable")
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -147,6 +147,39 @@
     assert not any(link.up for link in switch.links)
 
 
+NOTIFY = (
+    b"NOTIFY sip:x@net SIP/2.0\r\nCall-ID: 0000000000000000\r\nCSeq: 1 NOTIFY\r\nLink-State: idle:1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+# Guards against descriptors that run out in quiet traffic: each probe of a silent switch left a connection open (review 1).
+@pytest.mark.parametrize("switch_closes", [True, False])
+def test_probes_of_a_silent_switch_do_not_add_connections(switch, monkeypatch, switch_closes):
+    def finish(link, timeout):
+        link.finishing = True
+        if switch_closes:
+            link.eof_received()
+        link.close(True, "half-closed")
+
+    monkeypatch.setattr("gingergap.service.switch_connections.SwitchConnection.finish", finish)
+    switch.owner.calls = type("Calls", (), {"trunk_group_reported": lambda *args: None})()
+    switch.owner.established = 1
+    opened = set()
+    for _ in range(600):
+        switch.owner.now += 0.1
+        switch.check()
+        for link in list(switch.links):
+            if not link.up:
+                opened.add(link)
+                link.up = True
+                switch.link_up(link)
+                link.data_received(NOTIFY)
+        assert 1 <= len(switch.links) <= 2 + (not switch_closes)
+    if switch_closes:
+        assert len(opened) <= 60 / SILENCE_TIMEOUT + 1
+    assert not switch.owner.lost_switches
+
+
 def test_a_switch_counts_as_unreachable_after_one_failed_attempt_until_one_succeeds(switch):
     switch.choose_link(set()).close(False)
     assert switch.choose_link(set()) is None
