--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -210,8 +210,8 @@
         was_closed_here = link.retired and link.finishing and link.was_read_to_end
         self.lost_link = self.lost_link or was_up and not was_closed_here or link.replaces_lost and not link.late
         self.refused = not was_up and link.connection_refused
-        if not was_up and not self.failing_since:
-            self.failing_since = self.now()
+        if not was_up and not link.lacks_resources:
+            self.failing_since = self.failing_since or self.now()
         if was_up:
             self.connections_lost_at = self.now()
         if self.reporting_link is link:
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -5,6 +5,7 @@
 accept at once are queued. A connection whose peer does not read is closed when the queue is full or a write times out.
 """
 
+import errno
 import os
 import select
 from collections import deque
@@ -17,6 +18,7 @@
 MAX_BYTES_PER_TURN = 16_384  # read from one connection before other greenlets run
 LISTEN_BACKLOG = 512
 READ_TIME_AFTER_ERROR = 0.1  # seconds after a failed write in which bytes that the peer wrote before are still read
+LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 YIELD_TIME = 0.0005  # seconds; more than 0, since up to fifty sleep(0) callbacks run before the loop checks timers
 
 
@@ -55,6 +57,7 @@
         self.closed = self.finishing = False  # finishing: no more writes are accepted, bytes are still read
         self.close_reason = ""
         self.connection_refused = False  # nothing listens at the peer's address
+        self.lacks_resources = False  # not made for want of a descriptor, port or memory here: says nothing of the peer
         self.write_greenlet: gevent.Greenlet | None = None
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -85,6 +88,7 @@
             sock.connect(address)
         except OSError as error:
             self.connection_refused = isinstance(error, ConnectionRefusedError)
+            self.lacks_resources = error.errno in LOCAL_ERRORS
             self.close(False, f"not connected: {error}")
             return False
         if self.closed:
--- a/tests/test_service_end.py
+++ b/tests/test_service_end.py
@@ -437,7 +437,7 @@
     monkeypatch.setattr("gingergap.transport.stream.socket.socket", no_descriptor_left)
     stream = RecordingStream(None, max_queued_bytes=1000, write_timeout=1.0)
     assert stream.connect(("127.0.0.1", 9), 1.0) is False
-    assert ended == [False] and not stream.connection_refused
+    assert ended == [False] and not stream.connection_refused and stream.lacks_resources
 
 
 # Guards against opening a connection that was given up before.
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -189,6 +189,18 @@
     assert switch.choose_link(set()) is not None
 
 
+# Guards against ending calls at a switch that runs: the process had no descriptor left, and took it for unreachable (review 1).
+def test_a_connection_that_lacks_a_descriptor_says_nothing_of_its_switch(switch):
+    switch.owner.established = 1
+    for _ in range(60):
+        link = switch.choose_link(set())
+        link.lacks_resources = True
+        link.close(False)
+        switch.owner.now += 0.1
+        switch.check()
+    assert not switch.failing_since and not switch.owner.lost_switches
+
+
 def test_reports_are_taken_from_one_connection_and_from_another_when_it_is_lost(switch):
     switch.owner.calls = type(
         "Calls", (), {"reports": [], "trunk_group_reported": lambda self, now, gw, report: self.reports.append(report)}
