Move the switches' ids and exchange numbers out of Calls into a directory

Cause: calls.py held the index of switch ids, their exchange numbers and the bound on unlisted ids beside the calls themselves. Change: switch_directory.py has them, with one method for an entry of the list and one for a switch that a caller names. Behaviour as before.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -15,7 +15,7 @@
 
 from ..call_controller import CallController
 from ..caller_protocol import json_lines
-from ..host import GwState, LegEnd, ListEntry, Rsn
+from ..host import LegEnd, ListEntry, Rsn
 from ..platform_settings import RSN_BY_REASON, SettingsReader, circuits_in_report, controller_arguments
 from ..switch_protocol import sip_messages
 from . import shutdown
@@ -23,6 +23,7 @@
 from .diagnostics import Diagnostics
 from .ended_set_ups import EndedSetUps, EndOfSetUp
 from .shutdown import ShutdownSchedule
+from .switch_directory import SwitchDirectory
 from .switch_processes import ListedProcess, ProcessEnd, SwitchProcesses
 from .wire import Conn, Link, Wire
 
@@ -32,8 +33,6 @@
 INVALID_CONTENTS = 100  # Q.850: invalid information element contents
 NORMAL_CLEARING = 16  # Q.850
 BUSY_STATUSES = (486, 500)
-MAX_UNLISTED = 1000  # switches that callers name and the exchange list does not have
-UNLISTED_ID = "unlisted"  # for all further ones
 
 
 class Calls:
@@ -54,10 +53,7 @@
         self.type_indices = {str(lane.get("Name", index)): index for index, lane in enumerate(settings_reader.get("Lanes", list))}
         self.max_circuits = settings_reader.section("Specifics").get("ClassWidth", list, [])  # of one call, by traffic type
         self.max_open = settings_reader.section("Ceilings").get("OpenCap", int, 20_000)
-        self.switch_ids: list[str] = []  # by gw
-        self.gw_of: dict[str, int] = {}  # by switch id
-        self.exchange_numbers: dict[int, int] = {}  # by gw
-        self.gws_by_exchange: dict[int, list[int]] = {}  # the switches that hold an exchange number now
+        self.switches = SwitchDirectory()
         self.by_id: dict[str, Call] = {}
         self.by_dialog: dict[int, Call] = {}
         self.by_link: dict[Link, dict[str, Call]] = {}  # calls with a leg out, by its connection and the call's id
@@ -84,7 +80,7 @@
         call.gw, call.answer_deadline, call.sent_at = gw, self.now + limit, -1
         heappush(self.leg_deadlines, (call.answer_deadline, dialog, call.leg_count))
         if call.leg_count > 1:
-            self.wire.log_call("leg-again", call.id, switch=self.switch_ids[gw], leg=call.leg_count)
+            self.wire.log_call("leg-again", call.id, switch=self.switches.ids[gw], leg=call.leg_count)
         link = self.wire.choose_link(gw, call.used_links)
         call.link = link
         if link is None:
@@ -245,8 +241,8 @@
         self.now = now
         if id in self.by_id or id in self.ended_set_ups:
             return
-        gw = self._gw_of_named_switch(switch)
-        self.wire.log_call("call-announced", id, switch=switch, listed=gw in self.exchange_numbers)
+        gw = self.switches.gw_of_named(switch)
+        self.wire.log_call("call-announced", id, switch=switch, listed=self.switches.is_listed(gw))
         call = Call(id, -1, conn, traffic_type, number, "", 0)
         call.gw, call.established, call.finished, call.sent_at = gw, True, True, now
         call.announced, call.latest_start = True, self.switch_processes.named(now, gw)
@@ -254,21 +250,6 @@
         self.established.setdefault(gw, {})[id] = call
         self._end_calls_of_ended_process(gw)
 
-    def _gw_of_named_switch(self, id: str) -> int:
-        """The gw of a switch that a caller names, which may not be listed. Callers can not make the number of ids grow without
-        bound: from MAX_UNLISTED on, they share one."""
-        if id in self.gw_of:
-            return self.gw_of[id]
-        if len(self.switch_ids) - len(self.exchange_numbers) >= MAX_UNLISTED:
-            id = UNLISTED_ID
-        return self._gw_for(id)
-
-    def _gw_for(self, id: str) -> int:
-        if id not in self.gw_of:
-            self.gw_of[id] = len(self.switch_ids)
-            self.switch_ids.append(id)
-        return self.gw_of[id]
-
     def caller_released(self, now: int, conn: Conn, id: str, cause: int) -> None:
         """A caller gives its set-up up, or ends an established call."""
         self.now = now
@@ -277,7 +258,7 @@
             self.wire.log_call("release-of-unknown-set-up", id, cause=cause)
             return
         if call.established:
-            self.wire.log_call("call-ended", id, by="caller", cause=cause, switch=self.switch_ids[call.gw])
+            self.wire.log_call("call-ended", id, by="caller", cause=cause, switch=self.switches.ids[call.gw])
             self.wire.caller_identified(conn)
             self.wire.send_to_caller(conn, json_lines.encode_released(id))
             self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, id, call.leg_count + 1, cause))
@@ -385,12 +366,14 @@
         call.established, call.link = True, None
         setup_duration = now - call.sent_at
         self.wire.log_call(
-            "set-up-answered", id, switch=self.switch_ids[gw], leg=call.leg_count, after_ms=setup_duration // UNITS_PER_MS
+            "set-up-answered", id, switch=self.switches.ids[gw], leg=call.leg_count, after_ms=setup_duration // UNITS_PER_MS
         )
         if self.diagnostics is not None:
             self.diagnostics.leg_answered(gw, setup_duration)
             dialog = self.controller.dialogs.get(call.dialog)
-            self.diagnostics.leg_ended(gw, dialog is not None and dialog.destination == self.exchange_numbers.get(gw), "200")
+            self.diagnostics.leg_ended(
+                gw, dialog is not None and dialog.destination == self.switches.exchange_numbers.get(gw), "200"
+            )
         self.established.setdefault(gw, {})[id] = call
         if self.switch_processes.needs_review(gw):
             self.gws_to_review.add(gw)
@@ -405,7 +388,7 @@
 
     def _end_undelivered(self, call: Call) -> None:
         """End a call whose answer could not be written, since its caller's connection had gone."""
-        self.wire.log_call("call-ended", call.id, by="lost connection", cause=NORMAL_CLEARING, switch=self.switch_ids[call.gw])
+        self.wire.log_call("call-ended", call.id, by="lost connection", cause=NORMAL_CLEARING, switch=self.switches.ids[call.gw])
         self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, NORMAL_CLEARING))
         call.end_reason = EndOfSetUp.CONNECTION_GONE
         self._end_call(call, LegEnd.ENDED)
@@ -414,7 +397,7 @@
         """Release a leg whose answer crossed its CANCEL. A switch identifies calls by id alone, so while a later leg of the
         call is at the same switch a BYE would end that one as well: the release then waits until the later leg has ended."""
         self.increment("crossed answers released")
-        self.wire.log_call("answer-after-cancel", id, switch=self.switch_ids[leg.gw], leg=leg.leg)
+        self.wire.log_call("answer-after-cancel", id, switch=self.switches.ids[leg.gw], leg=leg.leg)
         ack = sip_messages.ack(leg.number, id, leg.leg)
         call = self.by_id.get(id)
         if call is not None and call.gw == leg.gw and (call.link is not None or call.established):
@@ -454,7 +437,7 @@
         if self.diagnostics is not None:
             dialog = self.controller.dialogs.get(call.dialog)
             self.diagnostics.leg_ended(
-                gw, dialog is not None and dialog.destination == self.exchange_numbers.get(gw), f"{status} {fail_word}"
+                gw, dialog is not None and dialog.destination == self.switches.exchange_numbers.get(gw), f"{status} {fail_word}"
             )
         self._end_leg(call, leg_end, RSN_BY_REASON.get(fail_word, Rsn.NONE), free, size)
         self._report_leg_ends()
@@ -469,11 +452,11 @@
         if call is None:
             if id not in self.ended_set_ups:  # established before this process started
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE)
-                self.wire.log_call("release-of-unknown-call", id, switch=self.switch_ids[gw])
+                self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
                 self.wire.send_release(None, json_lines.encode_release(id, cause))
         elif call.established and call.gw in (gw, self.switch_processes.replaced_by(gw)):
             # A BYE of another switch ends an earlier leg that this proxy had given up.
-            self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switch_ids[gw])
+            self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switches.ids[gw])
             self.wire.send_release(call.conn, json_lines.encode_release(id, cause))
             if gw in call.doubtful_gws and not call.unreleased_legs:  # it is unknown which of the legs there has ended
                 call.unreleased_legs.append(CancelledLeg(gw, call.leg_count, call.number))
@@ -500,8 +483,7 @@
         """
         if size < 0:
             return
-        gws = self.gws_by_exchange.get(self.exchange_numbers.get(gw, -1), ())
-        for other in gws if gw in gws else (gw,):  # a switch that no longer holds the number reports for itself only
+        for other in self.switches.sharing_number(gw):
             self.controller.trunk_group_reported(self.now, other, free, size)
 
     def connection_refused(self, now: int, gw: int, connections_lost_at: int) -> bool:
@@ -542,7 +524,7 @@
         self._report_leg_ends()
 
     def _file_at_successor(self, call: Call, gw: int) -> None:
-        self.wire.log_call("call-refiled", call.id, switch=self.switch_ids[call.gw], at=self.switch_ids[gw])
+        self.wire.log_call("call-refiled", call.id, switch=self.switches.ids[call.gw], at=self.switches.ids[gw])
         del self.established[call.gw][call.id]
         call.gw = gw
         self.established.setdefault(gw, {})[call.id] = call
@@ -552,7 +534,7 @@
     def _cut_call(self, call: Call, end: ProcessEnd) -> None:
         """End a call whose switch can not release it, towards its caller."""
         self.increment("calls cut with their machine")
-        self.wire.log_call("call-cut", call.id, switch=self.switch_ids[call.gw], why=end.name)
+        self.wire.log_call("call-cut", call.id, switch=self.switches.ids[call.gw], why=end.name)
         if end is ProcessEnd.UNREACHABLE:  # the switch may run, and be reached again
             self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
         self.wire.send_release(call.conn, json_lines.encode_release(call.id, ABORTED))
@@ -563,7 +545,7 @@
         self.now = now
         list_entries = [self._entry_received(entry) for entry in entries]
         if complete:
-            for gw in set(self.exchange_numbers) - {entry.gw for entry in list_entries}:
+            for gw in self.switches.listed_without(entry.gw for entry in list_entries):
                 self.switch_processes.left_out(gw)
         for gw in list(self.established):
             self._end_calls_of_ended_process(gw)
@@ -573,14 +555,9 @@
 
     def _entry_received(self, entry: ListedProcess) -> ListEntry:
         """Take one entry of the exchange list; returns it as the controller is told."""
-        gw = self._gw_for(entry.id)
-        number = self.exchange_numbers.setdefault(gw, entry.number) if entry.number < 0 else entry.number
-        self.exchange_numbers[gw] = number
-        gws = self.gws_by_exchange.setdefault(number, [])
-        if (entry.state == GwState.GONE) == (gw in gws):
-            (gws.remove if entry.state == GwState.GONE else gws.append)(gw)
+        gw = self.switches.entry_received(entry)
         self.switch_processes.listed(gw, entry)
-        return ListEntry(gw, number, entry.state, entry.started)
+        return ListEntry(gw, self.switches.exchange_numbers[gw], entry.state, entry.started)
 
     def _drop_unsent_legs(self) -> None:
         """End the legs that wait for a connection to a switch that drains or has gone, before the connection comes up."""
@@ -621,7 +598,7 @@
 
     def _send_invite(self, call: Call) -> None:
         call.sent_at, call.forwarded = self.now, True
-        self.wire.log_call("leg-sent", call.id, switch=self.switch_ids[call.gw], leg=call.leg_count)
+        self.wire.log_call("leg-sent", call.id, switch=self.switches.ids[call.gw], leg=call.leg_count)
         answer_within = max(1, (call.answer_deadline - self.now) // UNITS_PER_MS)
         call.invite = sip_messages.invite(call.number, call.id, call.leg_count, call.traffic_type, answer_within, call.sdp)
         self.wire.send_on_link(call.link, call.invite)
@@ -658,7 +635,7 @@
         self.cancelled_legs[call.id, link] = CancelledLeg(call.gw, call.leg_count, call.number)
         call.doubtful_gws.add(call.gw)
         self.wire.log_call(
-            "leg-called-off", call.id, switch=self.switch_ids[call.gw], leg=call.leg_count, after_ms=self._leg_age_ms(call)
+            "leg-called-off", call.id, switch=self.switches.ids[call.gw], leg=call.leg_count, after_ms=self._leg_age_ms(call)
         )
         self.wire.send_on_link(link, sip_messages.cancel(call.number, call.id, call.leg_count))
         return True
@@ -674,7 +651,7 @@
         self.wire.log_call(
             "leg-ended",
             call.id,
-            switch=self.switch_ids[call.gw],
+            switch=self.switches.ids[call.gw],
             leg=call.leg_count,
             how=leg_end.name,
             after_ms=self._leg_age_ms(call),
--- a/gingergap/service/diagnostics.py
+++ b/gingergap/service/diagnostics.py
@@ -69,7 +69,7 @@
             durations = sorted(self.setup_durations.get(gw, []))
             self.log(
                 "believed",
-                switch=calls.switch_ids[gw],
+                switch=calls.switches.ids[gw],
                 number=exchange.number,
                 free=exchange.group.free,
                 reported=self.last_reported.get(gw),
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -163,7 +163,7 @@
 
     def link_up(self, link: SwitchConnection) -> None:
         port = link.sock.getsockname()[1]
-        self.detail_log("switch-connection-up", switch=self.calls.switch_ids[link.switch.gw], own_port=port)
+        self.detail_log("switch-connection-up", switch=self.calls.switches.ids[link.switch.gw], own_port=port)
         self.calls.link_up(self.clock(), link)
 
     def link_lost(self, link: SwitchConnection, was_up: bool) -> None:
@@ -172,7 +172,7 @@
         if legs or established_calls:
             self.detail_log(
                 "switch-connection-closed" if was_up else "switch-connection-failed",
-                switch=self.calls.switch_ids[link.switch.gw],
+                switch=self.calls.switches.ids[link.switch.gw],
                 why=link.close_reason,
                 legs=",".join(legs) or "none",
                 calls=established_calls,
@@ -193,7 +193,7 @@
         failing_since, last_read_at = to_clock(switch.failing_since), to_clock(switch.last_read_at)
         is_lost = self.calls.connections_failed(self.clock(), switch.gw, failing_since, last_read_at)
         if is_lost and established_calls:
-            log("machine-lost", switch=self.calls.switch_ids[switch.gw], calls=established_calls)
+            log("machine-lost", switch=self.calls.switches.ids[switch.gw], calls=established_calls)
         return is_lost
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
@@ -212,18 +212,20 @@
         self.last_offset = offset
         log("list-changed", number=offset, whole=complete, switches=",".join(f"{entry.uid}:{entry.state}" for entry in entries[:8]))
         self.calls.exchange_list_received(self.clock(), complete, [_listed_process(entry) for entry in entries])
-        listed = {self.calls.gw_of[entry.uid] for entry in entries}
+        listed = {self.calls.switches.gw_of[entry.uid] for entry in entries}
         if complete:
             for gw, switch in self.switches.items():
                 switch.listed = switch.listed and gw in listed
         for entry in entries:
-            self._follow_entry(self.calls.gw_of[entry.uid], entry)
+            self._follow_entry(self.calls.switches.gw_of[entry.uid], entry)
         for gw, switch in self.switches.items():
             switch.listed = switch.listed and not self.calls.switch_processes.is_over(gw)
 
     def _follow_entry(self, gw: int, entry: ListedSwitch) -> None:
         """Connect to a listed switch, if calls may go there or its calls may end."""
-        if self.calls.exchange_numbers[gw] == self.calls.controller.own_exchange or self.calls.switch_processes.is_over(gw):
+        if self.calls.switches.exchange_numbers[gw] == self.calls.controller.own_exchange or self.calls.switch_processes.is_over(
+            gw
+        ):
             return
         state = state_of(entry)
         if state == GwState.READY or state == GwState.DRAINING and gw not in self.switches and entry.endpoint:
--- /dev/null
+++ b/gingergap/service/switch_directory.py
@@ -0,0 +1,54 @@
+"""The switches by id: an index for each (gw), and which exchange number it holds. No I/O."""
+
+from collections.abc import Iterable, Sequence
+
+from ..host import GwState
+from .switch_processes import ListedProcess
+
+MAX_UNLISTED = 1000  # switches that callers name and the exchange list does not have
+UNLISTED_ID = "unlisted"  # stands for all further ones
+
+
+class SwitchDirectory:
+    """All switches that were ever listed, or named by callers. A gw stays that of its id."""
+
+    def __init__(self) -> None:
+        self.ids: list[str] = []  # by gw
+        self.gw_of: dict[str, int] = {}  # by id
+        self.exchange_numbers: dict[int, int] = {}  # by gw, of those that were listed
+        self.gws_by_exchange: dict[int, list[int]] = {}  # the switches that hold an exchange number now
+
+    def entry_received(self, entry: ListedProcess) -> int:
+        """Take an entry of the exchange list; returns the gw. An entry without a number keeps the number known."""
+        gw = self._gw_for(entry.id)
+        number = self.exchange_numbers.setdefault(gw, entry.number) if entry.number < 0 else entry.number
+        self.exchange_numbers[gw] = number
+        gws = self.gws_by_exchange.setdefault(number, [])
+        if (entry.state == GwState.GONE) == (gw in gws):
+            (gws.remove if entry.state == GwState.GONE else gws.append)(gw)
+        return gw
+
+    def gw_of_named(self, id: str) -> int:
+        """The gw of a switch that a caller names, which may not be listed. Callers can not make the number of ids grow without
+        bound: from MAX_UNLISTED on, they share one."""
+        if id not in self.gw_of and len(self.ids) - len(self.exchange_numbers) >= MAX_UNLISTED:
+            id = UNLISTED_ID
+        return self._gw_for(id)
+
+    def is_listed(self, gw: int) -> bool:
+        return gw in self.exchange_numbers
+
+    def listed_without(self, gws: Iterable[int]) -> set[int]:
+        """All that were ever listed, without `gws`."""
+        return set(self.exchange_numbers).difference(gws)
+
+    def sharing_number(self, gw: int) -> Sequence[int]:
+        """The switches that hold the exchange number of `gw` now; only itself if it no longer holds it."""
+        gws = self.gws_by_exchange.get(self.exchange_numbers.get(gw, -1), ())
+        return gws if gw in gws else (gw,)
+
+    def _gw_for(self, id: str) -> int:
+        if id not in self.gw_of:
+            self.gw_of[id] = len(self.ids)
+            self.ids.append(id)
+        return self.gw_of[id]
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -519,7 +519,7 @@
     calls.exchange_list_received(START, False, [ListedProcess("s-1", 1, GwState.GONE, 0)])
     calls.trunk_group_reported(START, 4, {"idle": 5, "circuits": 40})
     calls.trunk_group_reported(START, 1, {"idle": 9, "circuits": 40})
-    assert calls.controller.exchanges[4].group.free == 5 and calls.gws_by_exchange[1] == [4]
+    assert calls.controller.exchanges[4].group.free == 5 and calls.switches.gws_by_exchange[1] == [4]
 
 
 def test_calls_at_a_switch_from_before_its_restart_are_cut():
--- a/tests/test_switch_processes.py
+++ b/tests/test_switch_processes.py
@@ -10,7 +10,7 @@
 from test_service_calls import START, RecordingWire, make_calls, receive_set_up
 
 from gingergap.host import GwState
-from gingergap.service.calls import MAX_UNLISTED
+from gingergap.service.switch_directory import MAX_UNLISTED
 from gingergap.service.switch_processes import (
     ANNOUNCEMENT_TIME,
     REFUSAL_WINDOW,
@@ -242,7 +242,8 @@
     script = Script()
     for index in range(MAX_UNLISTED + 10):
         script.calls.call_announced(script.now, "c1", f"{index:016x}", "voice", "7f", f"x-{index}")
-    assert len(script.calls.switch_ids) == len(script.calls.exchange_numbers) + MAX_UNLISTED + 1
+    switches = script.calls.switches
+    assert len(switches.ids) == len(switches.exchange_numbers) + MAX_UNLISTED + 1
     script.play("waits_for_the_list")
     assert list(script.calls.by_id) == [A]
 
