--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -212,10 +212,6 @@
         self.last_offset = offset
         log("list-changed", number=offset, whole=complete, switches=",".join(f"{entry.uid}:{entry.state}" for entry in entries[:8]))
         self.calls.exchange_list_received(self.clock(), complete, [_listed_process(entry) for entry in entries])
-        listed = {self.calls.switches.gw_of[entry.uid] for entry in entries}
-        if complete:
-            for gw, switch in self.switches.items():
-                switch.listed = switch.listed and gw in listed
         for entry in entries:
             self._follow_entry(self.calls.switches.gw_of[entry.uid], entry)
         for gw, switch in self.switches.items():
@@ -223,9 +219,8 @@
 
     def _follow_entry(self, gw: int, entry: ListedSwitch) -> None:
         """Connect to a listed switch, if calls may go there or its calls may end."""
-        if self.calls.switches.exchange_numbers[gw] == self.calls.controller.own_exchange or self.calls.switch_processes.is_over(
-            gw
-        ):
+        is_own_exchange = self.calls.switches.exchange_numbers[gw] == self.calls.controller.own_exchange
+        if is_own_exchange or self.calls.switch_processes.is_over(gw):
             return
         state = state_of(entry)
         if state == GwState.READY or state == GwState.DRAINING and gw not in self.switches and entry.endpoint:
