--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -25,6 +25,7 @@
 RETRY_INTERVAL = 0.2  # seconds between attempts to connect
 CONNECT_TIMEOUT = 3.0  # seconds until an attempt that is late is given up
 MAX_LATE_LINKS = 3
+MAX_UNANSWERED_PROBES = 2  # open to a switch that accepts connections and says nothing on them
 UNITS_PER_SECOND = 10_000  # of the owner's clock
 
 
@@ -102,6 +103,10 @@
         self.was_read_to_end = True
         return False
 
+    def has_nothing_unread(self) -> bool:
+        """Whether the connection was closed here, and the switch had written nothing that was not read."""
+        return self.retired and (self.is_probe or self.finishing and self.was_read_to_end)
+
     def connection_lost(self, reset: bool) -> None:
         self.switch.link_closed(self, reset and self.up)
 
@@ -207,8 +212,8 @@
     def link_closed(self, link: SwitchConnection, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
-        was_closed_here = link.retired and link.finishing and link.was_read_to_end
-        self.lost_link = self.lost_link or was_up and not was_closed_here or link.replaces_lost and not link.late
+        is_loss = was_up and not link.has_nothing_unread()
+        self.lost_link = self.lost_link or is_loss or link.replaces_lost and not link.late
         self.refused = not was_up and link.connection_refused
         if not was_up and not link.lacks_resources:
             self.failing_since = self.failing_since or self.now()
@@ -220,6 +225,14 @@
         if self.refused and not self.has_open_connection():
             self.owner.connection_refused(self)
 
+    def _close_surplus_probe(self) -> None:
+        """Make room for another probe of a switch that hangs. The newest one is closed: what the switch writes once it goes on
+        comes on the connection that waited longest."""
+        unanswered = [link for link in self.links if link.up and link.is_probe and self.owner.open_set_ups(link) == 0]
+        if len(unanswered) >= MAX_UNANSWERED_PROBES and not unanswered[-1].is_readable():
+            unanswered[-1].retired = True
+            unanswered[-1].close(True, "the switch says nothing on it")
+
     def probe_answered(self, probe: SwitchConnection) -> None:
         """The switch is reachable. The probe stays open in place of the connections that are idle; without that, a quiet switch
         would take one descriptor more for each probe."""
@@ -276,7 +289,10 @@
             and (not usable or established_calls and (self.lost_link or now - self.last_read_at > SILENCE_TIMEOUT))
             and (self.lost_link or now - self.last_attempt_at >= RETRY_INTERVAL)
         ):
-            self._open_link(is_probe=bool(usable) and not self.lost_link)
+            is_probe = bool(usable) and not self.lost_link
+            if is_probe:
+                self._close_surplus_probe()
+            self._open_link(is_probe)
         if self.failing_since and self.owner.connections_failed(self):
             for link in usable:
                 link.close(True, "switch is unreachable")
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -6,6 +6,7 @@
 
 from gingergap.service.switch_connections import (
     MAX_LINKS,
+    MAX_UNANSWERED_PROBES,
     RETRY_INTERVAL,
     SILENCE_TIMEOUT,
     STALL_TIMEOUT,
@@ -180,6 +181,20 @@
     assert not switch.owner.lost_switches
 
 
+# Guards against descriptors that run out while a switch hangs: its machine accepts the probes, and nothing is said on them.
+def test_probes_of_a_switch_that_hangs_do_not_add_connections(switch):
+    switch.owner.established = 1
+    first = switch.choose_link(set())
+    connect(switch)
+    for _ in range(600):
+        switch.owner.now += 0.1
+        switch.check()
+        if not switch.links[-1].up:
+            connect(switch)
+        assert len(switch.links) <= 1 + MAX_UNANSWERED_PROBES
+    assert switch.links[0] is first and not switch.owner.lost_switches
+
+
 def test_a_switch_counts_as_unreachable_after_one_failed_attempt_until_one_succeeds(switch):
     switch.choose_link(set()).close(False)
     assert switch.choose_link(set()) is None
