--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -256,6 +256,9 @@
         call = self.by_id.get(id)
         if call is None:
             self.wire.log_call("release-of-unknown-set-up", id, cause=cause)
+            ended = self.ended_set_ups.get(id)
+            if ended is not None and ended.stood:  # its release crosses that of its switch, which may wait for a caller
+                self.wire.caller_identified(conn)
             return
         if call.established:
             self.wire.log_call("call-ended", id, by="caller", cause=cause, switch=self.switches.ids[call.gw])
@@ -451,7 +454,7 @@
         call = self.by_id.get(id)
         if call is None:
             if id not in self.ended_set_ups:  # established before this process started
-                self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE)
+                self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
                 self.wire.send_release(None, json_lines.encode_release(id, cause))
         elif call.established and call.gw in (gw, self.switch_processes.replaced_by(gw)):
@@ -706,6 +709,6 @@
         self._release_cancelled_legs(call, list(call.unreleased_legs))
         if self.by_id.get(call.id) is call:
             del self.by_id[call.id]
-            self.ended_set_ups.add(self.now, call.id, call.end_reason, call.conn, call.forwarded)
+            self.ended_set_ups.add(self.now, call.id, call.end_reason, call.conn, call.forwarded, call.established)
         if all(entry[0] is not call for entry in self.pending_leg_ends):
             self.by_dialog.pop(call.dialog, None)
--- a/gingergap/service/ended_set_ups.py
+++ b/gingergap/service/ended_set_ups.py
@@ -26,13 +26,13 @@
     """A finished set-up.
 
     `connections` are those on which it was answered, or on which no answer is owed; `forwarded` says whether it was sent to
-    a switch; `expires_at` is in tenths of a millisecond.
+    a switch, `stood` whether it was established; `expires_at` is in tenths of a millisecond.
     """
 
-    __slots__ = ("reason", "connections", "forwarded", "expires_at")
+    __slots__ = ("reason", "connections", "forwarded", "stood", "expires_at")
 
-    def __init__(self, reason: EndOfSetUp, conn: Conn | None, forwarded: bool, expires_at: int) -> None:
-        self.reason, self.forwarded, self.expires_at = reason, forwarded, expires_at
+    def __init__(self, reason: EndOfSetUp, conn: Conn | None, forwarded: bool, stood: bool, expires_at: int) -> None:
+        self.reason, self.forwarded, self.stood, self.expires_at = reason, forwarded, stood, expires_at
         self.connections: set[Conn] = {conn} if conn is not None else set()
 
 
@@ -48,9 +48,11 @@
     def get(self, id: str) -> EndedSetUp | None:
         return self.by_id.get(id)
 
-    def add(self, now: int, id: str, reason: EndOfSetUp, conn: Conn | None = None, forwarded: bool = False) -> None:
+    def add(
+        self, now: int, id: str, reason: EndOfSetUp, conn: Conn | None = None, forwarded: bool = False, stood: bool = False
+    ) -> None:
         self.by_id.pop(id, None)
-        self.by_id[id] = EndedSetUp(reason, conn, forwarded, now + RETENTION_TIME)
+        self.by_id[id] = EndedSetUp(reason, conn, forwarded, stood, now + RETENTION_TIME)
         if len(self.by_id) > MAX_RETAINED:
             del self.by_id[next(iter(self.by_id))]
 
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -36,7 +36,7 @@
         """A call of this connection is established, so its peer is a caller that may be sent releases of other calls."""
 
     def caller_identified(self, conn: Conn) -> None:
-        """This connection ended an established call, so its peer is a caller that may be sent releases of other calls."""
+        """This connection ended a call that stands or has stood: its peer is a caller, and may be sent releases of others."""
 
     def choose_link(self, gw: int, used_links: set[Link]) -> Link | None:
         """A connection to the switch for a new leg, none of `used_links`; it may still be opening. None: unreachable."""
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -438,6 +438,23 @@
     assert [message.method for _, message in wire.sent_to_switches] == ["INVITE", "ACK", "BYE"] and not calls.by_id
 
 
+# Guards against releases that wait although a caller is connected: all it has sent is the release of a call that has just ended
+# (dense trial, seed 19).
+def test_the_release_of_a_call_that_has_ended_identifies_a_caller():
+    wire = RecordingWire()
+    calls = make_calls(wire)
+    receive_set_up(calls)
+    calls.switch_answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
+    calls.switch_released(START + 900, 1, 99, "a" * 16, 16, {})
+    calls.switch_released(START + 900, 1, 99, "b" * 16, 16, {})  # of a call of another process
+    receive_set_up(calls, id="c" * 16, traffic_type="fax", conn="bad")
+    wire.known_conns.clear()
+    for conn, id in (("c2", "a" * 16), ("c3", "b" * 16), ("bad", "c" * 16), ("bad", "d" * 16)):
+        calls.caller_released(START + 1000, conn, id, 16)
+    assert wire.known_conns == {"c2", "c3"}
+    assert len(wire.sent_for("a" * 16)) == 2
+
+
 # Guards against misuse of ids from before the process started: a release of an unknown call is ignored, and a call announced
 # with `at` is released at its switch.
 def test_a_new_process_releases_only_calls_that_were_announced_to_it():
--- a/tests/trial_rules.py
+++ b/tests/trial_rules.py
@@ -232,7 +232,7 @@
 def write_trace(record: Record, broken: list[str], path: Path) -> None:
     """Write what was recorded of each call that a broken rule names: its set-up, legs, established calls and log lines."""
     lines = [str(stop) for stop in record.stops]
-    lines += [f"stalls {record.stalls}", f"callers' closes {record.caller_closes}"]
+    lines += [f"stalls {record.stalls}", f"callers' closes {record.caller_closes}", f"pauses {record.pauses}"]
     logged = [line for log in record.logs.values() for line in log.read_text().splitlines()]
     for sentence in broken:
         lines += ["", sentence]
