Keep a pending release until it is written, and log where releases go

The log did not say on which connection a release was sent, so a loss could not be placed. Change: an undelivered pending release stays pending; release-sent has the call and the caller's port. Result: the unit test fails without the change in send_pending_releases and passes with it; tests of callers' connections, calls and the end passed.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import socket
 
+from ..caller_protocol import json_lines
 from ..transport.stream import PeerState, create_listener
 from .caller_connection import HALF_CLOSE_TIMEOUT, CallerConnection, Owner
 
@@ -28,11 +29,12 @@
 
 
 class PendingRelease(NamedTuple):
-    """A release that waits for a caller's connection, and at least until `not_before`."""
+    """A release of a call that waits for a caller's connection, and at least until `not_before`."""
 
     queued_at: float
     not_before: float
-    data: bytes
+    id: str
+    cause: int
 
 
 class CallerConnections:
@@ -119,7 +121,7 @@
 
     # --- releases of calls ---
 
-    def send_release(self, conn: CallerConnection | None, data: bytes) -> None:
+    def send_release(self, conn: CallerConnection | None, id: str, cause: int) -> None:
         """Send a release on a caller's connection, or on another if that has gone (`None`: on any); later if there is none."""
         now = self.owner.seconds()
         not_before = now
@@ -127,12 +129,17 @@
             if conn is not None and conn.finishing:  # its answer may not have been read yet
                 not_before = min(conn.answered_at + ANSWER_READ_TIME, now + MAX_RELEASE_DELAY)
             conn = self._known_caller()
-        if conn is not None and not_before <= now and conn.send_line(data):
+        if conn is not None and not_before <= now and self._write_release(conn, id, cause):
             return
-        self.owner.detail_log("release-waits", callers=len(self), known=conn is not None, line=data.decode().strip())
-        self.pending_releases.append(PendingRelease(now, not_before, data))
+        self.owner.detail_log("release-waits", id=id, cause=cause, callers=len(self), known=conn is not None)
+        self.pending_releases.append(PendingRelease(now, not_before, id, cause))
         del self.pending_releases[:-MAX_PENDING]
 
+    def _write_release(self, conn: CallerConnection, id: str, cause: int) -> bool:
+        """Returns whether the connection can still be written to."""
+        self.owner.detail_log("release-sent", id=id, port=conn.port)
+        return conn.send_line(json_lines.encode_release(id, cause))
+
     def call_established(self, conn: CallerConnection) -> None:
         """A call of this connection has been established."""
         conn.is_known_caller = True
@@ -148,9 +155,8 @@
         caller = self._caller_for_release(now - due[0].queued_at, overdue)
         if caller is None:
             return
-        self.pending_releases = [release for release in self.pending_releases if release.not_before > latest]
-        for release in due:
-            caller.send_line(release.data)
+        undelivered = [release for release in due if not self._write_release(caller, release.id, release.cause)]
+        self.pending_releases = undelivered + [release for release in self.pending_releases if release.not_before > latest]
 
     def has_pending_release(self) -> bool:
         """Whether a release is pending, and a connection is still open for it."""
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -456,11 +456,11 @@
             if id not in self.ended_set_ups:  # established before this process started
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
-                self.wire.send_release(None, json_lines.encode_release(id, cause))
+                self.wire.send_release(None, id, cause)
         elif call.established and call.gw in (gw, self.switch_processes.replaced_by(gw)):
             # A BYE of another switch ends an earlier leg that this proxy had given up.
             self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switches.ids[gw])
-            self.wire.send_release(call.conn, json_lines.encode_release(id, cause))
+            self.wire.send_release(call.conn, id, cause)
             if gw in call.doubtful_gws and not call.unreleased_legs:  # it is unknown which of the legs there has ended
                 call.unreleased_legs.append(CancelledLeg(gw, call.leg_count, call.number))
             self._end_call(call, LegEnd.ENDED if cause == NORMAL_CLEARING else LegEnd.CUT)
@@ -540,7 +540,7 @@
         self.wire.log_call("call-cut", call.id, switch=self.switches.ids[call.gw], why=end.name)
         if end is ProcessEnd.UNREACHABLE:  # the switch may run, and be reached again
             self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
-        self.wire.send_release(call.conn, json_lines.encode_release(call.id, ABORTED))
+        self.wire.send_release(call.conn, call.id, ABORTED)
         self._end_call(call, LegEnd.CUT)
 
     def exchange_list_received(self, now: int, complete: bool, entries: list[ListedProcess]) -> None:
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -23,7 +23,7 @@
     def send_to_caller(self, conn: Conn, data: bytes) -> bool:
         """Write to that connection only. Returns whether it can still be written to."""
 
-    def send_release(self, conn: Conn | None, data: bytes) -> None:
+    def send_release(self, conn: Conn | None, id: str, cause: int) -> None:
         """Report the end of an established call on that connection, else to any caller able to receive it, now or later."""
 
     def has_unread(self, conn: Conn) -> bool:
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 
+from gingergap.caller_protocol.json_lines import encode_release
 from gingergap.service.caller_connection import CallerConnection
 from gingergap.service.caller_connections import IDLE_TIMEOUT, LINE_TIMEOUT, CallerConnections
 
@@ -144,7 +145,7 @@
 
 # Guards against releases that reach no caller during a shutdown: the callers left had shut down their sending side and were
 # half-closed once they had their answers, and no other could connect.
-@pytest.mark.parametrize(("shutting_down", "delivered"), [(True, b"end\n"), (False, b"")])
+@pytest.mark.parametrize(("shutting_down", "delivered"), [(True, encode_release("a" * 16, 16)), (False, b"")])
 def test_a_caller_that_half_closed_is_sent_releases_during_a_shutdown(connected_caller, shutting_down, delivered):
     caller, peer, connections = connected_caller
     connections.owner.shutting_down = shutting_down
@@ -152,7 +153,7 @@
     connections.owner.now += 1
     caller.send_line(b"answer\n")
     assert caller.finishing is not shutting_down
-    connections.send_release(None, b"end\n")
+    connections.send_release(None, "a" * 16, 16)
     peer.settimeout(0.1)
     received = b""
     with contextlib.suppress(TimeoutError):
@@ -174,13 +175,26 @@
         peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     peer.close()
     gevent.sleep(0.01)
-    connections.send_release(caller if own_connection else None, b"end\n")
+    connections.send_release(caller if own_connection else None, "a" * 16, 16)
     other_peer.settimeout(1.0)
-    assert other_peer.recv(100) == b"end\n"
+    assert other_peer.recv(100) == encode_release("a" * 16, 16)
     other.close()
     other_peer.close()
 
 
+# Guards against a release that reaches no caller: the one chosen for it had closed its connection, and it was not kept for another.
+def test_a_pending_release_is_kept_until_it_is_written(connected_caller):
+    caller, peer, connections = connected_caller
+    connections.send_release(None, "a" * 16, 16)
+    connections.open, caller.is_known_caller = {caller: None}, True
+    caller.send_line = lambda data: False
+    connections.send_pending_releases()
+    assert [release.id for release in connections.pending_releases] == ["a" * 16]
+    del caller.send_line
+    connections.send_pending_releases()
+    assert peer.recv(100) == encode_release("a" * 16, 16) and not connections.pending_releases
+
+
 # Guards against an answer that is not written: the first of two held set-ups half-closed their connection.
 def test_all_held_set_ups_are_answered(connected_caller):
     caller, peer, connections = connected_caller
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -63,8 +63,8 @@
         self.sent_to_callers.append((conn, json.loads(data)))
         return True
 
-    def send_release(self, conn, data):
-        self.sent_to_callers.append((conn, json.loads(data)))
+    def send_release(self, conn, id, cause):
+        self.sent_to_callers.append((conn, {"type": "release", "id": id, "fields": {}, "cause": cause}))
 
     def call_established(self, conn):
         self.known_conns.add(conn)
