Log how long a release waited; judge a release lost at its caller by when it was sent

Change: release-sent has the time waited, and the rule compares the close with the time of sending; a call that its caller ended within the limit is owed nothing. A release lost on another connection or at another time breaks the rule as before; tests/test_trial.py has a row for each.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -135,9 +135,9 @@
         self.pending_releases.append(PendingRelease(now, not_before, id, cause))
         del self.pending_releases[:-MAX_PENDING]
 
-    def _write_release(self, conn: CallerConnection, id: str, cause: int) -> bool:
+    def _write_release(self, conn: CallerConnection, id: str, cause: int, waited: float = 0.0) -> bool:
         """Returns whether the connection can still be written to."""
-        self.owner.detail_log("release-sent", id=id, port=conn.port)
+        self.owner.detail_log("release-sent", id=id, port=conn.port, waited_ms=round(waited * 1000))
         return conn.send_line(json_lines.encode_release(id, cause))
 
     def call_established(self, conn: CallerConnection) -> None:
@@ -155,7 +155,9 @@
         caller = self._caller_for_release(now - due[0].queued_at, overdue)
         if caller is None:
             return
-        undelivered = [release for release in due if not self._write_release(caller, release.id, release.cause)]
+        undelivered = [
+            release for release in due if not self._write_release(caller, release.id, release.cause, now - release.queued_at)
+        ]
         self.pending_releases = undelivered + [release for release in self.pending_releases if release.not_before > latest]
 
     def has_pending_release(self) -> bool:
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from trial_peers import Caller, CallerFault, EstablishedCall, Leg, Reply, SetUp, Switch, format_message, now
+from trial_peers import Caller, CallerClose, CallerFault, EstablishedCall, Leg, Reply, SetUp, Switch, format_message, now
 from trial_rules import Record, broken_rules
 
 from gingergap.sip.framing import Framer
@@ -95,6 +95,32 @@
     assert bool(broken_rules(record, {}, 12.0)) is broken
 
 
+# Guards against a check that blames a process for a release that its caller closed on, unread, and against one that passes over
+# a release lost on another connection, at another time, or never sent.
+@pytest.mark.parametrize(
+    ("sent_on", "waited_ms", "pause", "closed_at", "broken"),
+    [
+        (7, 0, None, 1.41, False),
+        (7, 600, None, 2.0, False),
+        (7, 0, (1.3, 1.5), 1.51, False),
+        (7, 0, None, 1.51, True),
+        (8, 0, None, 1.41, True),
+        (None, 0, None, 1.41, True),
+    ],
+)
+def test_a_release_may_be_lost_only_on_the_connection_that_its_caller_closed(
+    tmp_path, sent_on, waited_ms, pause, closed_at, broken
+):
+    record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent_at=0.5, final_answers=[(1.0, "answer", ANSWER["sdp"])])})
+    record.calls = [EstablishedCall(ID, "s-1", established_at=1.0, released_at=1.4)]
+    record.caller_closes = [CallerClose(closed_at, 7)]
+    record.logs["n0"] = tmp_path / "log"
+    record.logs["n0"].write_text(f"12:00:00 release-sent id={ID} port={sent_on} waited_ms={waited_ms}\n" if sent_on else "")
+    if pause is not None:
+        record.pauses["n0"] = [pause]
+    assert bool(broken_rules(record, {}, 9.0)) is broken
+
+
 # Guards against a check that blames a process for a leg that it was sending when it was paused, and against one that accepts a
 # leg whose set-up was finished before the pause, or while the process ran.
 @pytest.mark.parametrize(
