Hold one named call against the table of ends, not all of its switch

Cause: naming a call went through all calls at its switch, so that n of them named after a restart cost n squared. Change: only the named call is looked at; a switch leaves the set that is looked at on each tick once nothing there may end without another event.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -25,7 +25,7 @@
 from .shutdown import ShutdownSchedule
 from .switch_directory import SwitchDirectory
 from .switch_processes import ListedProcess, ProcessEnd, SwitchProcesses
-from .wire import Conn, Link, Wire
+from .wire import Conn, Link, OpenConnection, Wire
 
 UNITS_PER_MS = 10
 UNITS_PER_SECOND = 10_000
@@ -248,7 +248,7 @@
         call.announced, call.latest_start = True, self.switch_processes.named(now, gw)
         self.by_id[id] = call
         self.established.setdefault(gw, {})[id] = call
-        self._end_calls_of_ended_process(gw)
+        self._end_if_process_is_over(call, [])
 
     def caller_released(self, now: int, conn: Conn, id: str, cause: int) -> None:
         """A caller gives its set-up up, or ends an established call."""
@@ -509,23 +509,28 @@
         """End the calls at a switch whose process is over, and file those that another process answered at its address."""
         connections = self.wire.open_connections(gw)
         for call in list(self.established.get(gw, {}).values()):
-            successor = None if call.announced else self.switch_processes.successor(gw, call.sent_at)
-            if successor is not None:
-                self._file_at_successor(call, successor)
-                continue
-            end = (
-                self.switch_processes.end_of_announced(self.now, gw, call.sent_at, call.latest_start)
-                if call.announced
-                else self.switch_processes.end_of(self.now, gw, call.sent_at, connections)
-            )
-            if end is not None:
-                self._cut_call(call, end)
-        if self.established.get(gw) and self.switch_processes.needs_review(gw):
-            self.gws_to_review.add(gw)
-        else:
+            self._end_if_process_is_over(call, connections)
+        if not self.established.get(gw) or not self.switch_processes.needs_review(gw):
             self.gws_to_review.discard(gw)
         self._report_leg_ends()
 
+    def _end_if_process_is_over(self, call: Call, connections: list[OpenConnection]) -> None:
+        """`connections`: those to the address of the call's switch."""
+        gw, processes = call.gw, self.switch_processes
+        successor = None if call.announced else processes.successor(gw, call.sent_at)
+        if successor is not None:
+            self._file_at_successor(call, successor)
+            return
+        end = (
+            processes.end_of_announced(self.now, gw, call.sent_at, call.latest_start)
+            if call.announced
+            else processes.end_of(self.now, gw, call.sent_at, connections)
+        )
+        if end is not None:
+            self._cut_call(call, end)
+        elif processes.needs_review(gw):
+            self.gws_to_review.add(gw)
+
     def _file_at_successor(self, call: Call, gw: int) -> None:
         self.wire.log_call("call-refiled", call.id, switch=self.switches.ids[call.gw], at=self.switches.ids[gw])
         del self.established[call.gw][call.id]
--- a/tests/test_switch_processes.py
+++ b/tests/test_switch_processes.py
@@ -234,7 +234,7 @@
 def test_a_call_that_a_caller_names_is_kept_while_its_switch_may_run(events):
     script = Script(set_up=False)
     script.play(*events)
-    assert not script.releases() and A in script.calls.by_id
+    assert not script.releases() and A in script.calls.by_id and not script.calls.gws_to_review
 
 
 # Guards against memory that grows with the switches that callers name, and against calls there that are never released.
