Close idle connections to switches only above their share of the descriptors

Cause: with all idle connections closed after each probe set-ups wait for new ones, and handshakes are work at the switches. Change: a probe replaces the oldest idle connections only where those to switches hold three eighths of the descriptors. Tests of connections, process, ends of switches and the end passed.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -37,6 +37,7 @@
 CHECK_TICKS = 10  # ticks between two checks of the connections
 COUNTS_TICKS = 1000  # ticks between two log lines of counts
 SHUTDOWN_LOG_TICKS = 50  # ticks between two log lines about a shutdown
+IDLE_LINKS_EIGHTHS = 3  # of all descriptors, for idle connections to switches; callers may hold half
 READY_TIMEOUT = 0.7  # seconds after the start for which pings are held until all switches have reported their trunk groups
 SWITCH_HALF_CLOSE_TIMEOUT = 0.05  # seconds at a shutdown in which switches may close their side of half-closed connections
 
@@ -196,6 +197,9 @@
             log("machine-lost", switch=self.calls.switches.ids[switch.gw], calls=established_calls)
         return is_lost
 
+    def max_idle_links(self) -> int:
+        return max(1, self.config.sockets * IDLE_LINKS_EIGHTHS // 8 // max(1, len(self.switches)))
+
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
         self.calls.increment(f"link closed: {reason[:60]}")
 
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -52,6 +52,9 @@
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None: ...
 
+    def max_idle_links(self) -> int:
+        """Number of connections to one switch that may stay open while it is quiet."""
+
     calls: Any
 
 
@@ -234,11 +237,13 @@
             unanswered[-1].close(True, "the switch says nothing on it")
 
     def probe_answered(self, probe: SwitchConnection) -> None:
-        """The switch is reachable. The probe stays open in place of the connections that are idle; without that, a quiet switch
-        would take one descriptor more for each probe."""
-        for link in self.links:
-            if link is not probe and link.up and self.owner.open_set_ups(link) == 0:
-                link.retired = True
+        """The switch is reachable. The probe takes the place of the oldest idle connection, if there are enough: without that, a
+        quiet switch would take one descriptor more for each probe."""
+        links = [link for link in self.links if link.up and not link.retired]
+        idle = [link for link in links if link is not probe and self.owner.open_set_ups(link) == 0]
+        surplus = len(links) - self.owner.max_idle_links()
+        for link in idle[: max(0, surplus)]:
+            link.retired = True
 
     def _choose_reporting_link(self) -> None:
         """Reports are taken from one connection: from several they would arrive out of order."""
