Keep at most four idle connections to a switch

Change: a probe replaces the oldest idle connection where four are open, or fewer if all would hold over three eighths of the descriptors.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -29,7 +29,7 @@
 from .event_bus import EventBusClient
 from .log import DetailLog, log
 from .shutdown import ShutdownSchedule
-from .switch_connections import SwitchConnection, SwitchConnections, to_clock
+from .switch_connections import MAX_LINKS, SwitchConnection, SwitchConnections, to_clock
 from .switch_processes import ListedProcess
 from .wire import OpenConnection
 
@@ -198,7 +198,8 @@
         return is_lost
 
     def max_idle_links(self) -> int:
-        return max(1, self.config.sockets * IDLE_LINKS_EIGHTHS // 8 // max(1, len(self.switches)))
+        share = self.config.sockets * IDLE_LINKS_EIGHTHS // 8 // max(1, len(self.switches))
+        return max(1, min(MAX_LINKS, share))
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
         self.calls.increment(f"link closed: {reason[:60]}")
