--- a/gingergap/service/call.py
+++ b/gingergap/service/call.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from .ended_set_ups import EndOfSetUp
-from .wire import Conn, Link
+from .wire import Conn, Link, ProcessConnection
 
 
 class CancelledLeg(NamedTuple):
@@ -42,6 +42,7 @@
         "unreleased_legs",
         "announced",
         "latest_start",
+        "connection",
     )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, traffic_type: str, number: str, sdp: str, circuits: int) -> None:
@@ -61,6 +62,7 @@
         self.resubmitted = False  # its first connection ended before its answer, and it was sent again on another
         self.forwarded = False  # to a switch, on whatever leg
         self.announced = False  # named by a caller: set up by another process of this proxy; `sent_at` is when it was named
+        self.connection: ProcessConnection | None = None  # on which it was answered
         self.latest_start = 0  # of an announced call: the latest start of a switch's process where it can stand
         self.doubtful_gws: set[int] = set()  # switches where a leg that was given up may be established
         self.unreleased_legs: list[CancelledLeg] = []  # answered after their CANCEL, at the switch of a later leg
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -9,7 +9,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 from typing import Any
 
@@ -24,8 +24,8 @@
 from .ended_set_ups import EndedSetUps, EndOfSetUp
 from .shutdown import ShutdownSchedule
 from .switch_directory import SwitchDirectory
-from .switch_processes import ListedProcess, ProcessEnd, SwitchProcesses
-from .wire import Conn, Link, OpenConnection, Wire
+from .switch_processes import Fate, ListedProcess, ProcessEnd, SwitchProcesses
+from .wire import Conn, Link, ProcessConnection, Wire
 
 UNITS_PER_MS = 10
 UNITS_PER_SECOND = 10_000
@@ -248,7 +248,7 @@
         call.announced, call.latest_start = True, self.switch_processes.named(now, gw)
         self.by_id[id] = call
         self.established.setdefault(gw, {})[id] = call
-        self._end_if_process_is_over(call, [])
+        self._review_announced(call)
 
     def caller_released(self, now: int, conn: Conn, id: str, cause: int) -> None:
         """A caller gives its set-up up, or ends an established call."""
@@ -264,7 +264,7 @@
             self.wire.log_call("call-ended", id, by="caller", cause=cause, switch=self.switches.ids[call.gw])
             self.wire.caller_identified(conn)
             self.wire.send_to_caller(conn, json_lines.encode_released(id))
-            self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, id, call.leg_count + 1, cause))
+            self._send_bye(call, cause)
             self._end_call(call, LegEnd.ENDED)
         elif call.conn == conn:
             self._give_up(call, EndOfSetUp.GIVEN_UP)
@@ -347,6 +347,9 @@
         for key in [key for key in self.cancelled_legs if key[1] == link]:
             del self.cancelled_legs[key]  # a switch gives a set-up up when its connection ends
             self._report_late_cut(key[0])
+        connection = self.wire.connection(link)
+        if connection.standing_calls:
+            self._review_calls_at(self.switch_processes.sharing_address(connection.gw))
         self._report_leg_ends()
 
     def _report_late_cut(self, id: str) -> None:
@@ -368,8 +371,15 @@
         self._remove_from_conn(call)
         call.established, call.link = True, None
         setup_duration = now - call.sent_at
+        connection = call.connection = self.wire.connection(link)
+        connection.standing_calls += 1
         self.wire.log_call(
-            "set-up-answered", id, switch=self.switches.ids[gw], leg=call.leg_count, after_ms=setup_duration // UNITS_PER_MS
+            "set-up-answered",
+            id,
+            switch=self.switches.ids[gw],
+            leg=call.leg_count,
+            after_ms=setup_duration // UNITS_PER_MS,
+            own_port=connection.own_port,
         )
         if self.diagnostics is not None:
             self.diagnostics.leg_answered(gw, setup_duration)
@@ -378,7 +388,7 @@
                 gw, dialog is not None and dialog.destination == self.switches.exchange_numbers.get(gw), "200"
             )
         self.established.setdefault(gw, {})[id] = call
-        if self.switch_processes.needs_review(gw):
+        if self.switch_processes.is_over(gw) or self.switch_processes.replaced_by(gw) is not None:
             self.gws_to_review.add(gw)
         self.wire.call_established(call.conn)
         delivered = self.wire.send_to_caller(call.conn, json_lines.encode_answer(id, sdp))
@@ -392,10 +402,16 @@
     def _end_undelivered(self, call: Call) -> None:
         """End a call whose answer could not be written, since its caller's connection had gone."""
         self.wire.log_call("call-ended", call.id, by="lost connection", cause=NORMAL_CLEARING, switch=self.switches.ids[call.gw])
-        self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, NORMAL_CLEARING))
+        self._send_bye(call, NORMAL_CLEARING)
         call.end_reason = EndOfSetUp.CONNECTION_GONE
         self._end_call(call, LegEnd.ENDED)
 
+    def _send_bye(self, call: Call, cause: int) -> None:
+        """End an established call at the process that answered it."""
+        bye = sip_messages.bye(call.number, call.id, call.leg_count + 1, cause)
+        if call.connection is None or not self.wire.send_on_connection(call.connection, bye):
+            self.wire.send_to_switch(call.gw, bye)
+
     def _answered_after_cancel(self, id: str, link: Link, leg: CancelledLeg) -> None:
         """Release a leg whose answer crossed its CANCEL. A switch identifies calls by id alone, so while a later leg of the
         call is at the same switch a BYE would end that one as well: the release then waits until the later leg has ended."""
@@ -457,7 +473,7 @@
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
                 self.wire.send_release(None, id, cause)
-        elif call.established and call.gw in (gw, self.switch_processes.replaced_by(gw)):
+        elif call.established and self.switch_processes.share_address(gw, call.gw):
             # A BYE of another switch ends an earlier leg that this proxy had given up.
             self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switches.ids[gw])
             self.wire.send_release(call.conn, id, cause)
@@ -490,11 +506,11 @@
             self.controller.trunk_group_reported(self.now, other, free, size)
 
     def connection_refused(self, now: int, gw: int, connections_lost_at: int) -> bool:
-        """A connection to a switch was refused while none is open; see `SwitchProcesses`."""
+        """A connection to a switch was refused while none is open to its address; see `SwitchProcesses`."""
         self.now = now
         is_over = self.switch_processes.connection_refused(now, gw, connections_lost_at)
         if is_over:
-            self._end_calls_of_ended_process(gw)
+            self._review_calls_at(self.switch_processes.sharing_address(gw))
         return is_over
 
     def connections_failed(self, now: int, gw: int, failing_since: int, last_read_at: int) -> bool:
@@ -502,49 +518,54 @@
         self.now = now
         is_lost = self.switch_processes.connections_failed(now, gw, failing_since, last_read_at)
         if is_lost:
-            self._end_calls_of_ended_process(gw)
+            self._review_calls_at(self.switch_processes.sharing_address(gw))
         return is_lost
 
-    def _end_calls_of_ended_process(self, gw: int) -> None:
-        """End the calls at a switch whose process is over, and file those that another process answered at its address."""
-        connections = self.wire.open_connections(gw)
-        for call in list(self.established.get(gw, {}).values()):
-            self._end_if_process_is_over(call, connections)
-        if not self.established.get(gw) or not self.switch_processes.needs_review(gw):
+    def _review_calls_at(self, gws: Iterable[int]) -> None:
+        """End the calls at switches whose process is over, and file those that another process answered at its address."""
+        for gw in list(gws):
             self.gws_to_review.discard(gw)
+            fates: dict[ProcessConnection, Fate] = {}  # the same for all calls of a connection
+            for call in list(self.established.get(gw, {}).values()):
+                if call.connection is None:
+                    self._review_announced(call)
+                    continue
+                if call.connection not in fates:
+                    open_connections = self.wire.open_connections(call.connection.address)
+                    fates[call.connection] = self.switch_processes.fate_of(self.now, call.connection, open_connections)
+                self._apply_fate(call, fates[call.connection])
         self._report_leg_ends()
 
-    def _end_if_process_is_over(self, call: Call, connections: list[OpenConnection]) -> None:
-        """`connections`: those to the address of the call's switch."""
-        gw, processes = call.gw, self.switch_processes
-        successor = None if call.announced else processes.successor(gw, call.sent_at)
-        if successor is not None:
-            self._file_at_successor(call, successor)
-            return
-        end = (
-            processes.end_of_announced(self.now, gw, call.sent_at, call.latest_start)
-            if call.announced
-            else processes.end_of(self.now, gw, call.sent_at, connections)
-        )
+    def _review_announced(self, call: Call) -> None:
+        end = self.switch_processes.end_of_announced(self.now, call.gw, call.sent_at, call.latest_start)
         if end is not None:
-            self._cut_call(call, end)
-        elif processes.needs_review(gw):
-            self.gws_to_review.add(gw)
+            self._cut_call(call, end, [call.gw] if end is ProcessEnd.UNREACHABLE else [])
+        elif self.switch_processes.is_unlisted(call.gw):
+            self.gws_to_review.add(call.gw)
+
+    def _apply_fate(self, call: Call, fate: Fate) -> None:
+        if fate.end is not None:
+            self._cut_call(call, fate.end, fate.may_run)
+            return
+        if fate.gw is not None and fate.gw != call.gw:
+            self._file_at(call, fate.gw)
+        if fate.is_watched:
+            self.gws_to_review.add(call.gw)
 
-    def _file_at_successor(self, call: Call, gw: int) -> None:
+    def _file_at(self, call: Call, gw: int) -> None:
+        """Move a call to the switch whose process answered it."""
         self.wire.log_call("call-refiled", call.id, switch=self.switches.ids[call.gw], at=self.switches.ids[gw])
         del self.established[call.gw][call.id]
         call.gw = gw
         self.established.setdefault(gw, {})[call.id] = call
-        if self.switch_processes.needs_review(gw):
-            self.gws_to_review.add(gw)
 
-    def _cut_call(self, call: Call, end: ProcessEnd) -> None:
-        """End a call whose switch can not release it, towards its caller."""
+    def _cut_call(self, call: Call, end: ProcessEnd, may_run: Iterable[int]) -> None:
+        """End a call whose switch can not release it, towards its caller, and at the switches where it may stand all the same."""
         self.increment("calls cut with their machine")
-        self.wire.log_call("call-cut", call.id, switch=self.switches.ids[call.gw], why=end.name)
-        if end is ProcessEnd.UNREACHABLE:  # the switch may run, and be reached again
-            self.wire.send_to_switch(call.gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
+        own_port = call.connection.own_port if call.connection is not None else 0
+        self.wire.log_call("call-cut", call.id, switch=self.switches.ids[call.gw], why=end.name, own_port=own_port)
+        for gw in may_run:
+            self.wire.send_to_switch(gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
         self.wire.send_release(call.conn, call.id, ABORTED)
         self._end_call(call, LegEnd.CUT)
 
@@ -554,9 +575,8 @@
         list_entries = [self._entry_received(entry) for entry in entries]
         if complete:
             for gw in self.switches.listed_without(entry.gw for entry in list_entries):
-                self.switch_processes.left_out(gw)
-        for gw in list(self.established):
-            self._end_calls_of_ended_process(gw)
+                self.switch_processes.left_out(now, gw)
+        self._review_calls_at(self.established)
         self.controller.exchange_list_received(now, list_entries, complete)
         self._drop_unsent_legs()
         self._report_leg_ends()
@@ -564,7 +584,7 @@
     def _entry_received(self, entry: ListedProcess) -> ListEntry:
         """Take one entry of the exchange list; returns it as the controller is told."""
         gw = self.switches.entry_received(entry)
-        self.switch_processes.listed(gw, entry)
+        self.switch_processes.listed(self.now, gw, entry)
         return ListEntry(gw, self.switches.exchange_numbers[gw], entry.state, entry.started)
 
     def _drop_unsent_legs(self) -> None:
@@ -590,8 +610,7 @@
                     self._end_leg(call, LegEnd.NO_ANSWER)
                 else:
                     self._end_leg(call, LegEnd.UNREACHABLE)  # the connection was not made, so the INVITE was never sent
-        for gw in list(self.gws_to_review):
-            self._end_calls_of_ended_process(gw)
+        self._review_calls_at(self.gws_to_review)
         self.ended_set_ups.remove_expired(now)
         if now >= self.next_tick_at:
             self.controller.tick(now)
@@ -695,6 +714,8 @@
         """Remove an established call that has ended."""
         call.finished = True
         self.established[call.gw].pop(call.id, None)
+        if call.connection is not None:
+            call.connection.standing_calls -= 1
         self._remove_from_conn(call)
         if call.dialog >= 0:
             self.controller.leg_ended(self.now, call.dialog, call.gw, leg_end, 0, True, -1, -1)
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -31,7 +31,7 @@
 from .shutdown import ShutdownSchedule
 from .switch_connections import MAX_LINKS, SwitchConnection, SwitchConnections, to_clock
 from .switch_processes import ListedProcess
-from .wire import OpenConnection
+from .wire import ProcessConnection
 
 TICK = 0.01  # seconds between two runs of the timer
 CHECK_TICKS = 10  # ticks between two checks of the connections
@@ -141,9 +141,20 @@
     def is_up(self, link: SwitchConnection) -> bool:
         return link.up
 
-    def open_connections(self, gw: int) -> list[OpenConnection]:
-        switch = self.switches.get(gw)
-        return switch.open_connections() if switch is not None else []
+    def connection(self, link: SwitchConnection) -> ProcessConnection:
+        return link.record
+
+    def open_connections(self, address: str) -> list[ProcessConnection]:
+        return [
+            connection
+            for switch in self.switches.values()
+            for connection in switch.open_connections()
+            if connection.address == address
+        ]
+
+    def send_on_connection(self, connection: ProcessConnection, data: bytes) -> bool:
+        switch = self.switches.get(connection.gw)
+        return switch is not None and switch.send_on(connection, data)
 
     def send_on_link(self, link: SwitchConnection, data: bytes) -> bool:
         link.write(data)
@@ -163,20 +174,21 @@
     # --- Owner of the connections ---
 
     def link_up(self, link: SwitchConnection) -> None:
-        port = link.sock.getsockname()[1]
-        self.detail_log("switch-connection-up", switch=self.calls.switches.ids[link.switch.gw], own_port=port)
+        self.detail_log("switch-connection-up", switch=self.calls.switches.ids[link.switch.gw], own_port=link.record.own_port)
         self.calls.link_up(self.clock(), link)
 
     def link_lost(self, link: SwitchConnection, was_up: bool) -> None:
         legs = self.calls.by_link.get(link, ())
         established_calls = self.established_calls(link.switch)
-        if legs or established_calls:
+        if legs or established_calls or link.record.standing_calls:
             self.detail_log(
                 "switch-connection-closed" if was_up else "switch-connection-failed",
                 switch=self.calls.switches.ids[link.switch.gw],
                 why=link.close_reason,
                 legs=",".join(legs) or "none",
                 calls=established_calls,
+                own_port=link.record.own_port,
+                calls_on_it=link.record.standing_calls,
             )
         self.calls.link_lost(self.clock(), link, was_up)
 
@@ -187,7 +199,13 @@
         return len(self.calls.established.get(switch.gw, ()))
 
     def connection_refused(self, switch: SwitchConnections) -> None:
-        self.calls.connection_refused(self.clock(), switch.gw, to_clock(switch.connections_lost_at))
+        at_address = self._at_address_of(switch)
+        if not any(other.has_open_connection() for other in at_address):
+            lost_at = max(other.connections_lost_at for other in at_address)
+            self.calls.connection_refused(self.clock(), switch.gw, to_clock(lost_at))
+
+    def _at_address_of(self, switch: SwitchConnections) -> list[SwitchConnections]:
+        return [other for other in (switch, *self.switches.values()) if other.address == switch.address]
 
     def connections_failed(self, switch: SwitchConnections) -> bool:
         established_calls = self.established_calls(switch)
@@ -243,8 +261,11 @@
         if switch is not None and switch.address != address:
             switch.close()
             switch = None
+        started = self.calls.switch_processes.by_gw[gw].started
         if switch is None:
-            switch = self.switches[gw] = SwitchConnections(self, gw, address, self.connect_timeout)
+            switch = self.switches[gw] = SwitchConnections(self, gw, address, self.connect_timeout, started)
+        elif started > switch.started:
+            switch.process_restarted(started)
         switch.listed = True
 
     def batch_received(self, batch: Batch) -> None:
@@ -346,7 +367,8 @@
         """End the calls at switches that refuse connections. Their callers must be notified now, as the next process may not be
         told of these calls; whenever a switch lost its connections counts as now."""
         for switch in self.switches.values():
-            if switch.refused and self.established_calls(switch) and not switch.has_open_connection():
+            has_open_connection = any(other.has_open_connection() for other in self._at_address_of(switch))
+            if switch.refused and self.established_calls(switch) and not has_open_connection:
                 self.calls.connection_refused(self.clock(), switch.gw, self.clock())
 
     def _has_calls_at_unreachable_switch(self) -> bool:
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -14,7 +14,8 @@
 from ..sip.message import BadMessageError
 from ..switch_protocol.sip_messages import SwitchMessageParser
 from ..transport.stream import Stream
-from .wire import OpenConnection
+from .switch_processes import EARLY_ANSWER_TIME
+from .wire import ProcessConnection
 
 MAX_LINKS = 4  # a switch reports its trunk group on that many connections at most
 MAX_QUEUED_BYTES = 1 << 18
@@ -74,24 +75,32 @@
         self.is_probe = False  # opened to see whether the switch is reachable, and not answered yet
         self.was_read_to_end = False  # the switch has closed its side, and nothing that it wrote is lost
         self.replaces_lost = False  # opened after another was lost, for the messages that the switch had written to that one
+        self.superseded = False  # another process has begun under the id; kept for the calls of the one before it
         self.late = False  # not up within the connect timeout, and still being opened
         self.opened_at = switch.now()
-        self.up_at = self.last_read_at = 0.0
+        self.last_read_at = 0.0
+        self.record = ProcessConnection(switch.gw, f"{switch.address[0]}:{switch.address[1]}")
         self.last_report: dict[str, float] = {}
 
     def open(self) -> None:
         if not self.connect(self.switch.address, CONNECT_TIMEOUT):
             return
         self.up = True
+        self.record.own_port = self.sock.getsockname()[1]
         self.switch.link_up(self)
         self.read()
 
     def is_usable(self) -> bool:
         """Whether a set-up may be sent on it, now or once it is up."""
-        return not self.retired and not self.finishing and not self.late
+        return not (self.retired or self.superseded or self.finishing or self.late)
 
-    def data_received(self, data: bytes) -> None:
+    def note_read(self) -> None:
+        """Something was read, or the connection was made: its process runs."""
         self.last_read_at = self.switch.last_read_at = self.switch.now()
+        self.record.last_read_at = to_clock(self.last_read_at)
+
+    def data_received(self, data: bytes) -> None:
+        self.note_read()
         try:
             self.parser.feed(data)
         except BadMessageError as error:
@@ -137,8 +146,9 @@
 class SwitchConnections:
     """The connections to one switch, by its id: another switch may appear at the same address. Times in seconds."""
 
-    def __init__(self, owner: Owner, gw: int, address: tuple[str, int], connect_timeout: float) -> None:
-        self.owner, self.gw, self.address, self.connect_timeout = owner, gw, address, connect_timeout
+    def __init__(self, owner: Owner, gw: int, address: tuple[str, int], connect_timeout: float, started: int = 0) -> None:
+        """`started`: of the switch's process, in tenths of a millisecond."""
+        self.owner, self.gw, self.address, self.connect_timeout, self.started = owner, gw, address, connect_timeout, started
         self.links: list[SwitchConnection] = []
         self.reporting_link: SwitchConnection | None = None  # the one whose reports are used
         self.unsent: list[bytes] = []  # for the next connection
@@ -160,8 +170,22 @@
     def has_open_connection(self) -> bool:
         return any(link.up for link in self.links)
 
-    def open_connections(self) -> list[OpenConnection]:
-        return [OpenConnection(to_clock(link.up_at), to_clock(link.last_read_at)) for link in self.links if link.up]
+    def open_connections(self) -> list[ProcessConnection]:
+        return [link.record for link in self.links if link.up]
+
+    def send_on(self, connection: ProcessConnection, data: bytes) -> bool:
+        """Returns whether it was written: the connection is open."""
+        link = next((link for link in self.links if link.record is connection and link.up and not link.finishing), None)
+        if link is not None:
+            link.write(data)
+        return link is not None
+
+    def process_restarted(self, started: int) -> None:
+        """Another process has begun under the id, at `started` (tenths of a millisecond): no set-up goes to the one before."""
+        self.started = started
+        for link in self.links:
+            link.superseded = link.record.up_at < started + EARLY_ANSWER_TIME
+        self._choose_reporting_link()
 
     def choose_link(self, used_links: set[Any]) -> SwitchConnection | None:
         """A connection for a set-up: a free one, else a new one, else the least busy. None: the switch is unreachable, or no
@@ -205,7 +229,8 @@
     def link_up(self, link: SwitchConnection) -> None:
         self.failing_since, self.refused = 0.0, False
         link.late = False
-        self.last_read_at = link.last_read_at = link.up_at = self.now()
+        link.note_read()
+        link.record.up_at = link.record.last_read_at
         unsent, self.unsent = self.unsent, []
         for data in unsent:
             link.write(data)
@@ -215,6 +240,7 @@
     def link_closed(self, link: SwitchConnection, was_up: bool) -> None:
         if link in self.links:
             self.links.remove(link)
+        link.record.closed_at = self.owner.clock()
         is_loss = was_up and not link.has_nothing_unread()
         self.lost_link = self.lost_link or is_loss or link.replaces_lost and not link.late
         self.refused = not was_up and link.connection_refused
@@ -241,15 +267,17 @@
         quiet switch would take one descriptor more for each probe."""
         links = [link for link in self.links if link.up and not link.retired]
         idle = [link for link in links if link is not probe and self.owner.open_set_ups(link) == 0]
+        idle.sort(key=lambda link: link.record.standing_calls > 0)  # an open connection shows that the process of its calls runs
         surplus = len(links) - self.owner.max_idle_links()
         for link in idle[: max(0, surplus)]:
             link.retired = True
 
     def _choose_reporting_link(self) -> None:
         """Reports are taken from one connection: from several they would arrive out of order."""
-        if self.reporting_link is not None and self.reporting_link in self.links and not self.reporting_link.retired:
+        candidates = [link for link in self.links if link.up and not (link.retired or link.superseded)]
+        if self.reporting_link in candidates:
             return
-        self.reporting_link = next((link for link in self.links if link.up and not link.retired), None)
+        self.reporting_link = candidates[0] if candidates else None
         if self.reporting_link is not None and self.reporting_link.last_report:
             self.reporting_link.report_received(self.reporting_link.last_report)
 
@@ -270,6 +298,7 @@
         """Check for stalled messages, retired connections and whether the switch is reachable; called regularly."""
         now = self.now()
         for link in list(self.links):
+            link.retired = link.retired or link.superseded and not link.record.standing_calls
             if link.retired and self.owner.open_set_ups(link) == 0:
                 # Half-closed, not closed: a close discarded a BYE that the switch had just written, so that one call in
                 # some thousands ended without its caller being notified.
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -1,17 +1,25 @@
 """What `Calls` requires of the owner of its sockets."""
 
 from collections.abc import Hashable
-from typing import NamedTuple, Protocol
+from dataclasses import dataclass
+from typing import Protocol
 
 Conn = Hashable  # a connection from a caller
 Link = Hashable  # a connection to a switch
 
 
-class OpenConnection(NamedTuple):
-    """An open connection to a switch: when it was made, and when something was last read on it (tenths of a millisecond)."""
+@dataclass(slots=True, eq=False)
+class ProcessConnection:
+    """A connection to a process of a switch, as kept with the calls answered on it. The same process is at its other end from
+    `up_at` to `closed_at`, whichever switch listens at the address later. Times: tenths of a millisecond; 0 for not yet."""
 
-    up_at: int
-    last_read_at: int
+    gw: int  # the switch that it was opened for
+    address: str  # host:port
+    own_port: int = 0
+    up_at: int = 0
+    last_read_at: int = 0
+    closed_at: int = 0
+    standing_calls: int = 0  # answered on it and not ended
 
 
 class Wire(Protocol):
@@ -43,12 +51,17 @@
 
     def is_up(self, link: Link) -> bool: ...
 
-    def open_connections(self, gw: int) -> list[OpenConnection]:
-        """The connections to the address of the switch that have been made."""
+    def connection(self, link: Link) -> ProcessConnection: ...
+
+    def open_connections(self, address: str) -> list[ProcessConnection]:
+        """The connections to an address that have been made, whichever switch they were opened for."""
 
     def send_on_link(self, link: Link, data: bytes) -> bool:
         """Returns whether the connection can still be written to."""
 
+    def send_on_connection(self, connection: ProcessConnection, data: bytes) -> bool:
+        """Returns whether it was written: the connection is open."""
+
     def withdraw_unsent(self, link: Link, data: bytes) -> bool:
         """Remove `data` from the connection's write queue. Returns whether it was still there."""
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -15,7 +15,8 @@
 from gingergap.platform_settings import BadFieldError
 from gingergap.service.calls import Calls
 from gingergap.service.ended_set_ups import MAX_RETAINED, RETENTION_TIME, EndOfSetUp
-from gingergap.service.switch_processes import UNREACHABLE_TIMEOUT, ListedProcess
+from gingergap.service.switch_processes import HANDOVER_TIME, UNREACHABLE_TIMEOUT, ListedProcess
+from gingergap.service.wire import ProcessConnection
 from gingergap.sip.framing import Framer
 
 SETTINGS = {
@@ -46,7 +47,7 @@
         self.known_conns, self.half_closed, self.unread = set(), [], set()
         self.stopped_reading = set()  # links whose write queue is not read by the switch
         self.broken = set()  # callers' connections on which a write fails
-        self.open = {}  # open connections by gw, as `open_connections` returns them
+        self.connections, self.addresses, self.now = {}, {}, START  # connections by link; addresses by gw
 
     def has_unread(self, conn):
         return conn in self.unread
@@ -77,6 +78,7 @@
             return None
         self.link_count += 1
         self.gw_of[self.link_count] = gw
+        self.connections[self.link_count] = self.new_connection(gw)
         if self.connects:
             self.up.add(self.link_count)
         return self.link_count
@@ -84,8 +86,19 @@
     def is_up(self, link):
         return link in self.up
 
-    def open_connections(self, gw):
-        return self.open.get(gw, [])
+    def connection(self, link):
+        return self.connections.setdefault(link, self.new_connection(self.gw_of.get(link, 1)))
+
+    def new_connection(self, gw):
+        return ProcessConnection(gw, self.addresses.get(gw, ""), up_at=self.now, last_read_at=self.now)
+
+    def open_connections(self, address):
+        return [each for each in self.connections.values() if each.address == address and not each.closed_at]
+
+    def send_on_connection(self, connection, data):
+        if not connection.closed_at:
+            self.send_to_switch(connection.gw, data)
+        return not connection.closed_at
 
     def send_on_link(self, link, data):
         self.sent_to_switches += [(link, message) for message in Framer().feed(data)]
@@ -539,14 +552,27 @@
     assert calls.controller.exchanges[4].group.free == 5 and calls.switches.gws_by_exchange[1] == [4]
 
 
-def test_calls_at_a_switch_from_before_its_restart_are_cut():
+@pytest.mark.parametrize("is_lost_first", [True, False])
+def test_calls_at_a_switch_from_before_its_restart_are_cut(is_lost_first):
     wire = RecordingWire()
     calls = make_calls(wire)
     receive_set_up(calls)
-    calls.switch_answered(START + 200, 1, wire.sent("INVITE")[0][0], "a" * 16, "x\r\n")
-    calls.exchange_list_received(START + 300, False, [ListedProcess("s-1", 1, GwState.READY, START - 5)])
+    link = wire.sent("INVITE")[0][0]
+    calls.switch_answered(START + 200, 1, link, "a" * 16, "x\r\n")
+
+    def lose_connection():
+        wire.connection(link).closed_at = START + 250
+        calls.link_lost(START + 350, link, True)
+
+    started = START - HANDOVER_TIME - 5 if is_lost_first else START - 5
+    calls.exchange_list_received(START + 300, False, [ListedProcess("s-1", 1, GwState.READY, started)])
+    if is_lost_first:
+        lose_connection()
     assert len(wire.sent_for("a" * 16)) == 1
     calls.exchange_list_received(START + 400, False, [ListedProcess("s-1", 1, GwState.READY, START + 300)])
+    if not is_lost_first:
+        assert len(wire.sent_for("a" * 16)) == 1  # its connection is open: the process that answered runs
+        lose_connection()
     assert [line["type"] for line in wire.sent_for("a" * 16)] == ["answer", "release"]
 
 
--- a/tests/test_switch_processes.py
+++ b/tests/test_switch_processes.py
@@ -13,13 +13,13 @@
 from gingergap.service.switch_directory import MAX_UNLISTED
 from gingergap.service.switch_processes import (
     ANNOUNCEMENT_TIME,
+    HANDOVER_TIME,
     REFUSAL_WINDOW,
     TERMINATED_SILENCE_TIMEOUT,
     UNLISTED_TIMEOUT,
     UNREACHABLE_TIMEOUT,
     ListedProcess,
 )
-from gingergap.service.wire import OpenConnection
 
 A = "a" * 16
 ADDRESS, OTHER_ADDRESS = "10.0.0.1:5060", "10.0.0.9:5060"
@@ -34,15 +34,64 @@
 
     def __init__(self, set_up=True):
         self.wire = RecordingWire()
+        self.wire.addresses[GW] = ADDRESS
         self.calls = make_calls(self.wire)
         self.now = START
         self.lost_at = START
         self.listed()
         self.connected()
         if set_up:
-            receive_set_up(self.calls, A, self.now)
-            self.now += SECOND // 10
-            self.calls.switch_answered(self.now, GW, self.wire.sent("INVITE")[0][0], A, "x\r\n")
+            self.set_up()
+
+    def set_up(self):
+        receive_set_up(self.calls, A, self.now)
+        self.now += SECOND // 10
+        self.link = self.wire.sent("INVITE")[0][0]
+        self.calls.switch_answered(self.now, self.wire.gw_of[self.link], self.link, A, "x\r\n")
+
+    def set_up_on_a_connection_opened_for_the_next(self):
+        self.wire.unreachable.add(GW)
+        self.wire.addresses[SUCCESSOR_GW] = ADDRESS
+        self.set_up()
+        assert self.wire.gw_of[self.link] == SUCCESSOR_GW
+
+    def own_connection_lost(self):
+        self.lose(self.link)
+
+    def lose(self, link):
+        connection = self.wire.connections[link]
+        connection.closed_at = connection.closed_at or self.now
+        self.calls.link_lost(self.now, link, True)
+
+    def read(self):
+        for connection in self.wire.connections.values():
+            connection.last_read_at = connection.last_read_at if connection.closed_at else self.now
+
+    def handover_time_passes(self):
+        self.now += HANDOVER_TIME
+
+    def listed_to_start_soon(self):
+        self.entry("s-9", started=self.now + SECOND // 2)
+
+    def listed_as_started_at_the_set_up(self):
+        """The process that answers is the one before: it does so after the start that the list tells of the next."""
+        self.entry("s-9", started=START - 10)
+
+    def restarted_at_the_set_up(self):
+        self.entry(started=START - 10)
+
+    def replaced_long_before_the_call(self):
+        self.entry("s-9", started=START - HANDOVER_TIME - 1)
+
+    def restarted_long_before_the_call(self):
+        self.entry(started=START - HANDOVER_TIME - 1)
+
+    def replaced_once_more(self):
+        self.entry("s-10", started=self.now - 1)
+
+    def replaced_by_one_that_is_over(self):
+        self.entry("s-9", started=self.now - 2)
+        self.entry("s-9", GwState.GONE, started=self.now - 2)
 
     def entry(self, id="s-1", state=GwState.READY, started=0, address=ADDRESS):
         self.calls.exchange_list_received(self.now, False, [ListedProcess(id, 1, state, started, address)])
@@ -94,10 +143,11 @@
         self.entry("s-9", address=OTHER_ADDRESS)
 
     def connected(self):
-        self.wire.open.setdefault(GW, []).append(OpenConnection(self.now, self.now))
+        self.wire.connections[f"opened at {self.now}"] = self.wire.new_connection(GW)
 
     def connections_lost(self):
-        self.wire.open[GW] = []
+        for link in self.wire.connections:
+            self.lose(link)
         self.lost_at = self.now
 
     def refused(self):
@@ -120,7 +170,9 @@
     def play(self, *events):
         for event in events:
             self.now += SECOND // 10
+            self.wire.now = self.now
             getattr(self, event)()
+            self.wire.now = self.now
             self.calls.tick(self.now)
         return self
 
@@ -187,6 +239,69 @@
     assert not script.releases() and A in script.calls.by_id
 
 
+OVER = [
+    ["set_up", "listed_as_started_at_the_set_up", "terminated", "connections_lost"],
+    ["set_up", "connections_lost", "listed_as_started_at_the_set_up", "terminated"],
+    ["set_up", "connections_lost", "terminated", "listed_as_started_at_the_set_up"],
+    ["set_up", "connections_lost", "connected", "listed_as_started_at_the_set_up"],
+    ["set_up", "restarted_at_the_set_up", "connections_lost"],
+    ["set_up", "connections_lost", "connected", "restarted_at_the_set_up"],
+    ["set_up", "terminated", "restarted_at_the_set_up", "connections_lost"],
+    ["replaced", "set_up_on_a_connection_opened_for_the_next", "connections_lost", "terminated"],
+    ["listed_to_start_soon", "set_up_on_a_connection_opened_for_the_next", "terminated", "connections_lost"],
+    ["set_up", "replaced", "replaced_once_more", "connections_lost"],
+    ["set_up", "connections_lost", "connected", "replaced_by_one_that_is_over", "replaced_once_more"],
+    ["set_up", "connections_lost", "replaced", "handover_time_passes", "terminated"],
+    ["replaced", "set_up_on_a_connection_opened_for_the_next", "read", "replaced_once_more", "connections_lost"],
+    ["set_up", "terminated", "silent"],
+]
+RUNS = [
+    ["set_up", "listed_as_started_at_the_set_up", "terminated", "drains"],
+    ["set_up", "replaced", "terminated", "replaced_once_more", "handover_time_passes", "read"],
+    ["set_up", "terminated", "restarted_at_the_set_up"],
+    ["set_up", "connected", "left_out", "replaced", "read"],
+    ["replaced", "set_up_on_a_connection_opened_for_the_next", "terminated"],
+    ["handover_time_passes", "listed_to_start_soon", "set_up_on_a_connection_opened_for_the_next", "drains", "own_connection_lost"],
+    ["handover_time_passes", "set_up", "connected", "replaced", "terminated", "own_connection_lost"],
+    ["replaced_long_before_the_call", "terminated", "set_up_on_a_connection_opened_for_the_next", "own_connection_lost"],
+    ["set_up", "connections_lost", "restarted_long_before_the_call"],
+    ["set_up", "replaced_before_the_call", "terminated", "handover_time_passes", "read", "own_connection_lost"],
+    ["handover_time_passes", "set_up", "own_connection_lost", "other_address", "replaced", "read"],
+]
+
+
+# Guards against a call that is never released: it was answered by a process that has ended, whose address or id another has, in
+# whatever order the list, the starts, the answers and the connections come (report 4fae32).
+@pytest.mark.parametrize("events", OVER, ids="-".join)
+def test_a_call_is_released_once_when_the_process_that_answered_it_is_over(events):
+    script = Script(set_up=False).play(*events)
+    assert [line["cause"] for line in script.releases()] == [41]
+    assert not script.calls.by_id and not script.calls.gws_to_review
+
+
+# Guards against cutting a call of a process that runs, while the list tells of another process under its id or at its address.
+@pytest.mark.parametrize("events", RUNS, ids="-".join)
+def test_a_call_is_kept_while_the_process_that_answered_it_runs(events):
+    script = Script(set_up=False).play(*events)
+    assert not script.releases() and A in script.calls.by_id
+
+
+# Guards against a call that stays at the switch after its caller was told its end: the list does not tell which process answered.
+def test_a_call_in_doubt_is_released_towards_its_caller_and_its_switch():
+    script = Script().play("listed_as_started_at_the_set_up", "terminated", "connections_lost")
+    assert len(script.releases()) == 1
+    assert [gw for gw, _ in script.wire.sent("BYE")] == [SUCCESSOR_GW]
+
+
+# Guards against a release that reaches another process than the one that answered: the address has changed hands.
+def test_the_release_of_a_caller_is_sent_to_the_process_that_answered():
+    script = Script().play("replaced", "terminated")
+    sent = []
+    script.wire.send_on_connection = lambda connection, data: sent.append((connection, data[:3])) or True
+    script.calls.caller_released(script.now, "c1", A, 16)
+    assert sent == [(script.wire.connections[script.link], b"BYE")]
+
+
 NAMED_ENDS = [
     ["terminated", "named"],
     ["left_out", "named"],
@@ -259,11 +374,12 @@
 
 
 # Guards against releasing a call at a switch that runs: it took the address of another, and answered before it was listed.
+@pytest.mark.parametrize("by", [GW, SUCCESSOR_GW])
 @pytest.mark.parametrize("events", [["replaced_before_the_call", "terminated"], ["terminated", "replaced_before_the_call"]])
-def test_a_call_that_a_successor_answered_before_it_was_listed_is_released_by_that_one(events):
+def test_a_call_that_a_successor_answered_before_it_was_listed_is_released_by_that_one(events, by):
     script = Script().play(*events)
-    assert not script.releases() and list(script.calls.established[SUCCESSOR_GW]) == [A]
-    script.calls.switch_released(script.now, GW, 99, A, 16, {})
+    assert not script.releases() and A in script.calls.by_id
+    script.calls.switch_released(script.now, by, 99, A, 16, {})
     assert [line["cause"] for line in script.releases()] == [16]
 
 
