--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -172,7 +172,7 @@
 class Service:
     """One process with its peers; its own exchange is number 0."""
 
-    def __init__(self, folder, known_states=None, **switches):
+    def __init__(self, folder, known_states=None, sockets=64, **switches):
         self.folder = folder
         known_states = known_states or {}
         self.bus = Bus()
@@ -184,7 +184,7 @@
             "listen": self.address,
             "seed": "8c1f30d27a5be964",
             "bus": self.bus.address,
-            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 64},
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": sockets},
             "settings": SETTINGS,
             "known": {
                 "offset": 1,
