Bound the calls that callers name, and the unlisted switches they name, by fair shares

After 1000 unlisted switches all further ones shared one id for good. Cause: call_announced kept each call it was told for as long as the process runs, and the directory kept each id. Unlisted switches are forgotten with their last call and shared alike. Calls there wait in a queue, no longer reviewed on each tick. A dropped call is still released by its switch.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -22,9 +22,10 @@
 from .call import Call, CancelledLeg
 from .diagnostics import Diagnostics
 from .ended_set_ups import EndedSetUps, EndOfSetUp
+from .named_calls import NamedCalls
 from .shutdown import ShutdownSchedule
 from .switch_directory import SwitchDirectory
-from .switch_processes import Fate, ListedProcess, ProcessEnd, SwitchProcesses
+from .switch_processes import UNLISTED_TIMEOUT, Fate, ListedProcess, ProcessEnd, SwitchProcesses
 from .wire import Conn, Link, ProcessConnection, Wire
 
 UNITS_PER_MS = 10
@@ -61,6 +62,7 @@
         self.established: dict[int, dict[str, Call]] = {}  # established calls, by gw and id
         self.switch_processes = SwitchProcesses(now)
         self.gws_to_review: set[int] = set()  # switches with calls that may end without another event
+        self.named_calls = NamedCalls()
         self.ended_set_ups = EndedSetUps()
         self.cancelled_legs: dict[tuple[str, Link], CancelledLeg] = {}
         self.leg_deadlines: list[tuple[int, int, int]] = []  # heap of (time, dialog, leg number)
@@ -241,15 +243,31 @@
         self.now = now
         if id in self.by_id or id in self.ended_set_ups:
             return
-        gw = self.switches.gw_of_named(switch)
+        if not self.named_calls.admits(conn):
+            self.increment("named calls not kept")
+            self.wire.log_call("call-not-kept", id, switch=switch)
+            return
+        gw = self.switches.gw_of_named(switch, conn)
         self.wire.log_call("call-announced", id, switch=switch, listed=self.switches.is_listed(gw))
         call = Call(id, -1, conn, traffic_type, number, "", 0)
         call.gw, call.established, call.finished, call.sent_at = gw, True, True, now
         call.announced, call.latest_start = True, self.switch_processes.named(now, gw)
         self.by_id[id] = call
         self.established.setdefault(gw, {})[id] = call
+        dropped = self.named_calls.add(id, conn)
+        if dropped is not None:
+            self._drop_named(self.by_id[dropped])
+        if not self.switches.is_listed(gw):
+            self.named_calls.wait_for_list(id, now + UNLISTED_TIMEOUT)
         self._review_announced(call)
 
+    def _drop_named(self, call: Call) -> None:
+        """Forget a call that a caller named, without a word to either side: it may stand."""
+        self.increment("named calls not kept")
+        self.wire.log_call("call-not-kept", call.id, switch=self.switches.ids[call.gw])
+        del self.by_id[call.id]
+        self._remove_established(call)
+
     def caller_released(self, now: int, conn: Conn, id: str, cause: int) -> None:
         """A caller gives its set-up up, or ends an established call."""
         self.now = now
@@ -310,6 +328,8 @@
             call.conn = None
             if not call.established:
                 self._give_up(call, EndOfSetUp.GIVEN_UP if call.resubmitted else EndOfSetUp.CONNECTION_GONE)
+        for id in self.named_calls.connection_closed(conn):
+            self.by_id[id].conn = None
         self._report_leg_ends()
 
     def _give_up(self, call: Call, reason: EndOfSetUp) -> None:
@@ -540,8 +560,6 @@
         end = self.switch_processes.end_of_announced(self.now, call.gw, call.sent_at, call.latest_start)
         if end is not None:
             self._cut_call(call, end, [call.gw] if end is ProcessEnd.UNREACHABLE else [])
-        elif self.switch_processes.is_unlisted(call.gw):
-            self.gws_to_review.add(call.gw)
 
     def _apply_fate(self, call: Call, fate: Fate) -> None:
         if fate.end is not None:
@@ -611,6 +629,8 @@
                 else:
                     self._end_leg(call, LegEnd.UNREACHABLE)  # the connection was not made, so the INVITE was never sent
         self._review_calls_at(self.gws_to_review)
+        for id in self.named_calls.due(now):
+            self._review_announced(self.by_id[id])
         self.ended_set_ups.remove_expired(now)
         if now >= self.next_tick_at:
             self.controller.tick(now)
@@ -713,14 +733,24 @@
     def _end_call(self, call: Call, leg_end: LegEnd) -> None:
         """Remove an established call that has ended."""
         call.finished = True
-        self.established[call.gw].pop(call.id, None)
-        if call.connection is not None:
-            call.connection.standing_calls -= 1
+        self._remove_established(call)
         self._remove_from_conn(call)
         if call.dialog >= 0:
             self.controller.leg_ended(self.now, call.dialog, call.gw, leg_end, 0, True, -1, -1)
         self._forget_if_done(call)
 
+    def _remove_established(self, call: Call) -> None:
+        calls_there = self.established[call.gw]
+        del calls_there[call.id]
+        if call.connection is not None:
+            call.connection.standing_calls -= 1
+        if call.announced:
+            self.named_calls.remove(call.id, call.conn)
+        if not calls_there and not self.switches.is_listed(call.gw):
+            del self.established[call.gw]
+            self.switches.forget_unlisted(call.gw)
+            self.switch_processes.forget_unlisted(call.gw)
+
     def _remove_from_conn(self, call: Call) -> None:
         open_set_ups = self.by_conn.get(call.conn)
         if open_set_ups is not None:
--- a/gingergap/service/switch_processes.py
+++ b/gingergap/service/switch_processes.py
@@ -134,6 +134,10 @@
         set_up_before = self._set_up_before(now)
         return set_up_before if process.state is None else min(set_up_before, process.started)
 
+    def forget_unlisted(self, gw: int) -> None:
+        """No call is left at a switch that callers named and the list never had."""
+        del self.by_gw[gw]
+
     def left_out(self, now: int, gw: int) -> None:
         """A whole list was received without the switch."""
         if gw in self.by_gw:
@@ -209,10 +213,6 @@
         """The switches that have, or had, the address of `gw`; it is one of them."""
         return {gw, *(tenure.process.gw for tenure in self.by_gw[gw].site.tenures)}
 
-    def is_unlisted(self, gw: int) -> bool:
-        """Whether callers named the switch, and the list never had it."""
-        return self.by_gw[gw].state is None
-
     def is_over(self, gw: int) -> bool:
         """Whether the exchange list tells that the process is over, or that another switch has its address."""
         return self._told_end(self.by_gw[gw]) is not None
