Keep finished set-ups that were forwarded, whatever else ends; bound the others by owner

What callers saw: an id runs twice when its client leaves and sends it again, after a flood of 20,000 others (withdrawn, unsound, or ends told by a switch). Cause: EndedSetUps dropped the oldest for each new one, whoever's it was, and forgot that a set-up that came again had been forwarded. Change: forwarded ones are kept for their 10 s; connections share 20,000 places, and a set-up that finds none is refused with a wait. Others are dropped oldest first, an owner with over 2500 dropping its own. The flood in the test now lets time pass and reports free groups, since at one moment the module declines it.

--- a/gingergap/service/call.py
+++ b/gingergap/service/call.py
@@ -43,10 +43,12 @@
         "announced",
         "latest_start",
         "connection",
+        "owner",
     )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, traffic_type: str, number: str, sdp: str, circuits: int) -> None:
         self.id, self.dialog, self.conn = id, dialog, conn
+        self.owner = conn  # also once that connection has closed
         self.traffic_type, self.number, self.sdp, self.circuits = traffic_type, number, sdp, circuits
         self.gw = -1
         self.link: Link | None = None  # the connection of the leg that is out
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -158,6 +158,9 @@
         if len(self.by_dialog) >= self.max_open:
             self._refuse_at_once(conn, id, "too many open", DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
             return
+        if not self.ended_set_ups.admits(conn):
+            self._refuse_at_once(conn, id, "too many ended of late", DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
+            return
         call = Call(id, self.next_dialog, conn, traffic_type, number, sdp, circuits)
         call.received_at = now
         call.resubmitted = id in self.ended_set_ups
@@ -194,12 +197,12 @@
             self.wire.log_call("set-up-withdrawn", id)
             self.ended_set_ups.add(now, id, EndOfSetUp.GIVEN_UP, conn)
 
-    def _refuse_at_once(self, conn: Conn, id: str, reason: str, cause: int, wait: int) -> None:
-        """Refuse a set-up that has not been passed to the controller. `wait`: milliseconds."""
+    def _refuse_at_once(self, conn: Conn, id: str, reason: str, cause: int, wait: int, forwarded: bool = False) -> None:
+        """Refuse a set-up that is not passed to the controller. `wait`: milliseconds; `forwarded`: it was, when it came before."""
         self.increment(f"refused: {reason}")
         self.wire.log_call("set-up-refused", id, why=reason)
         self.wire.send_to_caller(conn, json_lines.encode_release(id, cause, wait))
-        self.ended_set_ups.add(self.now, id, EndOfSetUp.ANSWERED, conn)
+        self.ended_set_ups.add(self.now, id, EndOfSetUp.ANSWERED, conn, forwarded)
 
     def _handle_known_id(self, conn: Conn, id: str) -> bool:
         """Handle a set-up whose id is open, or has ended and must not be accepted again. Returns whether that was the case."""
@@ -217,8 +220,9 @@
         if ended.reason == EndOfSetUp.CONNECTION_GONE and not ended.forwarded:
             return False
         # A set-up that may have been processed at a switch must not be processed there twice.
-        self._refuse_at_once(conn, id, "came again", ABORTED if ended.reason == EndOfSetUp.CONNECTION_GONE else INVALID_CONTENTS, 0)
-        self.ended_set_ups.get(id).connections |= ended.connections
+        cause = ABORTED if ended.reason == EndOfSetUp.CONNECTION_GONE else INVALID_CONTENTS
+        self._refuse_at_once(conn, id, "came again", cause, 0, ended.forwarded)
+        self.ended_set_ups.get(id).connections += ended.connections
         return True
 
     def _refuse_open_id(self, conn: Conn, call: Call) -> None:
@@ -490,7 +494,7 @@
         call = self.by_id.get(id)
         if call is None:
             if id not in self.ended_set_ups:  # established before this process started
-                self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True)
+                self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True, owner=gw)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
                 self.wire.send_release(None, id, cause)
         elif call.established and self.switch_processes.share_address(gw, call.gw):
@@ -765,6 +769,6 @@
         self._release_cancelled_legs(call, list(call.unreleased_legs))
         if self.by_id.get(call.id) is call:
             del self.by_id[call.id]
-            self.ended_set_ups.add(self.now, call.id, call.end_reason, call.conn, call.forwarded, call.established)
+            self.ended_set_ups.add(self.now, call.id, call.end_reason, call.conn, call.forwarded, call.established, call.owner)
         if all(entry[0] is not call for entry in self.pending_leg_ends):
             self.by_dialog.pop(call.dialog, None)
--- a/gingergap/service/ended_set_ups.py
+++ b/gingergap/service/ended_set_ups.py
@@ -2,13 +2,21 @@
 
 Every set-up has an id of its own, also one that a caller retries. The same line is sent again in one case only: its
 connection ended before the answer, and the caller repeats the line on another connection.
+
+What was forwarded to a switch must not run there again, so it is kept for its whole time whatever else ends: when too many of
+them are kept, new set-ups are not admitted. The others never ran, and the oldest are dropped for new ones; a connection that has
+more than an eighth of them makes room itself.
 """
 
 from collections.abc import Hashable
 from enum import Enum
 
+from .fair_share import FairShare, Owner
+
 RETENTION_TIME = 100_000  # tenths of a millisecond
-MAX_RETAINED = 20_000
+MAX_FORWARDED = 20_000  # set-ups that were forwarded to a switch; connections share them
+MAX_RETAINED = 20_000  # other set-ups
+MAX_OF_ONE_OWNER = MAX_RETAINED // 8  # of those, where no more are kept
 
 Conn = Hashable
 
@@ -26,42 +34,80 @@
     """A finished set-up.
 
     `connections` are those on which it was answered, or on which no answer is owed; `forwarded` says whether it was sent to
-    a switch, `stood` whether it was established; `expires_at` is in tenths of a millisecond.
+    a switch, `stood` whether it was established; `owner` had it, a connection or a switch; `expires_at` is in tenths of a
+    millisecond.
     """
 
-    __slots__ = ("reason", "connections", "forwarded", "stood", "expires_at")
+    __slots__ = ("reason", "connections", "forwarded", "stood", "owner", "expires_at")
 
-    def __init__(self, reason: EndOfSetUp, conn: Conn | None, forwarded: bool, stood: bool, expires_at: int) -> None:
-        self.reason, self.forwarded, self.stood, self.expires_at = reason, forwarded, stood, expires_at
-        self.connections: set[Conn] = {conn} if conn is not None else set()
+    def __init__(
+        self, reason: EndOfSetUp, connections: tuple[Conn, ...], forwarded: bool, stood: bool, owner: Owner, expires_at: int
+    ) -> None:
+        self.reason, self.connections, self.forwarded, self.stood = reason, connections, forwarded, stood
+        self.owner, self.expires_at = owner, expires_at
 
 
 class EndedSetUps:
-    """Retains up to MAX_RETAINED finished set-ups; the oldest is dropped for a new one. Times: tenths of a millisecond."""
+    """The finished set-ups, in the order of their ends. Times: tenths of a millisecond."""
 
     def __init__(self) -> None:
-        self.by_id: dict[str, EndedSetUp] = {}  # in the order of their ends
+        self.by_id: dict[str, EndedSetUp] = {}
+        self.forwarded_share = FairShare(MAX_FORWARDED)
+        self.others: dict[str, None] = {}  # ids of those that were not forwarded
+        self.others_by_owner: dict[Owner, dict[str, None]] = {}
 
     def __contains__(self, id: str) -> bool:
         return id in self.by_id
 
+    def __len__(self) -> int:
+        return len(self.by_id)
+
     def get(self, id: str) -> EndedSetUp | None:
         return self.by_id.get(id)
 
+    def admits(self, conn: Conn) -> bool:
+        """Whether there is room for another set-up of the connection that may be forwarded."""
+        return self.forwarded_share.admits(conn)
+
     def add(
-        self, now: int, id: str, reason: EndOfSetUp, conn: Conn | None = None, forwarded: bool = False, stood: bool = False
+        self,
+        now: int,
+        id: str,
+        reason: EndOfSetUp,
+        conn: Conn | None = None,
+        forwarded: bool = False,
+        stood: bool = False,
+        owner: Owner = None,
     ) -> None:
-        self.by_id.pop(id, None)
-        self.by_id[id] = EndedSetUp(reason, conn, forwarded, stood, now + RETENTION_TIME)
-        if len(self.by_id) > MAX_RETAINED:
-            del self.by_id[next(iter(self.by_id))]
+        """Add a set-up of `owner`, by default of the connection."""
+        self.remove(id)
+        owner = conn if owner is None else owner
+        connections = (conn,) if conn is not None else ()
+        self.by_id[id] = EndedSetUp(reason, connections, forwarded, stood, owner, now + RETENTION_TIME)
+        if forwarded:
+            self.forwarded_share.take(owner)
+            return
+        of_owner = self.others_by_owner.setdefault(owner, {})
+        self.others[id] = of_owner[id] = None
+        if len(self.others) > MAX_RETAINED:
+            self.remove(next(iter(of_owner if len(of_owner) > MAX_OF_ONE_OWNER else self.others)))
 
     def remove(self, id: str) -> None:
-        self.by_id.pop(id, None)
+        ended = self.by_id.pop(id, None)
+        if ended is None:
+            return
+        if ended.forwarded:
+            self.forwarded_share.give_back(ended.owner)
+            return
+        del self.others[id]
+        of_owner = self.others_by_owner[ended.owner]
+        del of_owner[id]
+        if not of_owner:
+            del self.others_by_owner[ended.owner]
 
     def remove_expired(self, now: int) -> None:
         while self.by_id:
             id = next(iter(self.by_id))
             if self.by_id[id].expires_at > now:
                 return
-            del self.by_id[id]
+            self.remove(id)
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -7,7 +7,7 @@
 
 import pytest
 from test_service_caller_connections import FakeOwner
-from test_service_calls import GUARD, START, RecordingWire, make_calls, receive_set_up
+from test_service_calls import FREE_GROUP, GUARD, START, RecordingWire, make_calls, receive_set_up
 from test_service_switch_connections import FakeOwner as SwitchOwner
 
 from gingergap.service.caller_connections import CallerConnections
@@ -73,17 +73,21 @@
 
 
 def run_flood(calls, kind):
-    for id in ids(FLOOD):
+    for index, id in enumerate(ids(FLOOD)):
+        now = START + 2 * index
+        for gw in (1, 2, 3):
+            calls.trunk_group_reported(now, gw, FREE_GROUP)
+        calls.tick(now)
         match kind:
             case "withdrawn at once":
-                calls.set_up_withdrawn(START, "flood", id)
+                calls.set_up_withdrawn(now, "flood", id)
             case "unsound":
-                calls.set_up_invalid(START, "flood", id, "field left is missing or makes no sense")
+                calls.set_up_invalid(now, "flood", id, "field left is missing or makes no sense")
             case "released by a switch":
-                calls.switch_released(START, 2, 99, id, 16, {})
+                calls.switch_released(now, 2, 99, id, 16, {})
             case "forwarded and given up":
-                receive_set_up(calls, id, conn="flood", destination=2)
-                calls.caller_released(START, "flood", id, 16)
+                receive_set_up(calls, id, now, conn="flood", destination=2)
+                calls.caller_released(now, "flood", id, 16)
 
 
 # Guards against a set-up that runs twice: its client left and sent it again on another connection, after a flood of others had
@@ -95,10 +99,10 @@
     receive_set_up(calls, A)
     calls.conn_lost(START, "c1")
     run_flood(calls, kind)
-    receive_set_up(calls, A, START + SECOND, "c2")
+    receive_set_up(calls, A, START + 2 * FLOOD, "c2")
     assert Counter(message.call_id for _, message in wire.sent("INVITE"))[A] == 1
     assert len(calls.ended_set_ups) <= 40_000
-    receive_set_up(calls, B, START + SECOND, "c2")
+    receive_set_up(calls, B, START + 2 * FLOOD, "c2")
     assert Counter(message.call_id for _, message in wire.sent("INVITE"))[B] == 1
 
 
