Keep at most 100 cancelled legs of one connection to a switch

What callers saw: nothing; memory of the process grows with each set-up that a client gives up while its switch answers no CANCEL, for as long as the connection is open. Cause: a cancelled leg was kept until its answer or the end of its connection. Change: cancelled legs are kept by connection; one with 100 of them gets no further set-up and is half closed, with which the switch gives them up. The test now reports free groups, since without them the module forwards 35 set-ups only.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -33,6 +33,7 @@
 DECLINED, ABORTED = 34, 41  # causes of Q.850: no circuit available, temporary failure
 INVALID_CONTENTS = 100  # Q.850: invalid information element contents
 NORMAL_CLEARING = 16  # Q.850
+MAX_CANCELLED_LEGS = 100  # of one connection to a switch
 BUSY_STATUSES = (486, 500)
 
 
@@ -64,7 +65,7 @@
         self.gws_to_review: set[int] = set()  # switches with calls that may end without another event
         self.named_calls = NamedCalls()
         self.ended_set_ups = EndedSetUps()
-        self.cancelled_legs: dict[tuple[str, Link], CancelledLeg] = {}
+        self.cancelled_legs: dict[Link, dict[str, CancelledLeg]] = {}  # by connection and the call's id
         self.leg_deadlines: list[tuple[int, int, int]] = []  # heap of (time, dialog, leg number)
         self.deferred_legs: list[tuple[Call, int]] = []  # call and leg number; sent once the caller's bytes are read
         self.next_dialog = 0
@@ -368,9 +369,8 @@
                 call.doubtful_gws.add(call.gw)
             self._end_leg(call, LegEnd.CUT if was_up and call.sent_at >= 0 else LegEnd.UNREACHABLE)
         self.by_link.pop(link, None)
-        for key in [key for key in self.cancelled_legs if key[1] == link]:
-            del self.cancelled_legs[key]  # a switch gives a set-up up when its connection ends
-            self._report_late_cut(key[0])
+        for id in self.cancelled_legs.pop(link, ()):  # a switch gives a set-up up when its connection ends
+            self._report_late_cut(id)
         connection = self.wire.connection(link)
         if connection.standing_calls:
             self._review_calls_at(self.switch_processes.sharing_address(connection.gw))
@@ -386,7 +386,7 @@
         self.now = now
         call = self._call_on_link(link, id)
         if call is None:
-            cancelled_leg = self.cancelled_legs.pop((id, link), None)
+            cancelled_leg = self._pop_cancelled_leg(id, link)
             if cancelled_leg is not None:
                 self._answered_after_cancel(id, link, cancelled_leg)
             return
@@ -423,6 +423,13 @@
             self._end_undelivered(call)
         self._report_leg_ends()
 
+    def _pop_cancelled_leg(self, id: str, link: Link) -> CancelledLeg | None:
+        cancelled_legs = self.cancelled_legs.get(link, {})
+        leg = cancelled_legs.pop(id, None)
+        if leg is not None and not cancelled_legs:
+            del self.cancelled_legs[link]
+        return leg
+
     def _end_undelivered(self, call: Call) -> None:
         """End a call whose answer could not be written, since its caller's connection had gone."""
         self.wire.log_call("call-ended", call.id, by="lost connection", cause=NORMAL_CLEARING, switch=self.switches.ids[call.gw])
@@ -460,7 +467,7 @@
     def switch_refused(self, now: int, gw: int, link: Link, id: str, status: int, fail_word: str, report: dict[str, float]) -> None:
         """A final response from 300 on. `report`: the switch's Link-State, empty without one."""
         self.now = now
-        self.cancelled_legs.pop((id, link), None)
+        self._pop_cancelled_leg(id, link)
         free, size = circuits_in_report(report)
         call = self._call_on_link(link, id)
         if call is None:
@@ -683,7 +690,10 @@
             call.sent_at = -1
             self.wire.retire_link(link)
             return False
-        self.cancelled_legs[call.id, link] = CancelledLeg(call.gw, call.leg_count, call.number)
+        cancelled_legs = self.cancelled_legs.setdefault(link, {})
+        cancelled_legs[call.id] = CancelledLeg(call.gw, call.leg_count, call.number)
+        if len(cancelled_legs) >= MAX_CANCELLED_LEGS:  # the switch answers none of them; it gives them up with the connection
+            self.wire.retire_link(link)
         call.doubtful_gws.add(call.gw)
         self.wire.log_call(
             "leg-called-off", call.id, switch=self.switches.ids[call.gw], leg=call.leg_count, after_ms=self._leg_age_ms(call)
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -7,7 +7,7 @@
 
 import pytest
 from test_service_caller_connections import FakeOwner
-from test_service_calls import FREE_GROUP, GUARD, START, RecordingWire, make_calls, receive_set_up
+from test_service_calls import FREE_GROUP, START, RecordingWire, make_calls, receive_set_up
 from test_service_switch_connections import FakeOwner as SwitchOwner
 
 from gingergap.service.caller_connections import CallerConnections
@@ -72,12 +72,16 @@
     assert calls.switches.ids[calls.by_id[A].gw] == "s-77"
 
 
+def pass_time(calls, now):
+    for gw in (1, 2, 3):
+        calls.trunk_group_reported(now, gw, FREE_GROUP)
+    calls.tick(now)
+
+
 def run_flood(calls, kind):
     for index, id in enumerate(ids(FLOOD)):
         now = START + 2 * index
-        for gw in (1, 2, 3):
-            calls.trunk_group_reported(now, gw, FREE_GROUP)
-        calls.tick(now)
+        pass_time(calls, now)
         match kind:
             case "withdrawn at once":
                 calls.set_up_withdrawn(now, "flood", id)
@@ -111,7 +115,8 @@
     wire = SharedLinkWire()
     calls = make_calls(wire)
     for index, id in enumerate(ids(3_000)):
-        now = START + index * GUARD
+        now = START + 10 * index
+        pass_time(calls, now)
         receive_set_up(calls, id, now, conn="flood")
         calls.caller_released(now, "flood", id, 16)
         for link in [link for link in wire.retired if link in wire.gw_of]:
