Keep the releases that wait for a caller; bound those of unknown calls by their switch

Cause: CallerConnections kept the latest 1000 of all, whoever told them. Change: releases of calls that this process knows are all kept, as there are no more of them than calls; of unknown ones 1000, which the switches share (FairShare).

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -15,13 +15,14 @@
 from ..caller_protocol import json_lines
 from ..transport.stream import PeerState, create_listener
 from .caller_connection import HALF_CLOSE_TIMEOUT, CallerConnection, Owner
+from .fair_share import FairShare
 
 LINE_TIMEOUT = 1.5  # seconds in which a connection must have sent its first line, or the rest of a line
 IDLE_TIMEOUT = 8.0  # seconds without a call before a connection is closed; callers close it themselves after 4
 KNOWN_CALLER_WAIT = 0.4  # seconds a release waits for a known caller; it is owed within 1 second
 SET_UP_SENDER_WAIT = 0.7  # and for one that has sent a set-up, before it goes to one in the middle of a line
 LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
-MAX_PENDING = 1000
+MAX_PENDING_UNKNOWN = 1000  # releases of calls that this process does not know; switches share them
 ANSWER_READ_TIME = 1.0  # seconds after an answer in which a release on another connection might be read before it
 MAX_RELEASE_DELAY = 0.6  # seconds that a release is delayed for that; it is owed within 1 second
 OVERDUE_HALF_CLOSE_TIMEOUT = 0.1  # as HALF_CLOSE_TIMEOUT, where the earliest SIGKILL is near
@@ -29,12 +30,14 @@
 
 
 class PendingRelease(NamedTuple):
-    """A release of a call that waits for a caller's connection, and at least until `not_before`."""
+    """A release of a call that waits for a caller's connection, and at least until `not_before`. `unknown_from`: the gw of the
+    switch that told it, for a call that this process does not know."""
 
     queued_at: float
     not_before: float
     id: str
     cause: int
+    unknown_from: int | None = None
 
 
 class CallerConnections:
@@ -45,6 +48,7 @@
         self.open: dict[CallerConnection, None] = {}
         self.half_closed_by_peer: dict[CallerConnection, None] = {}  # those whose peers have shut down their sending side
         self.pending_releases: list[PendingRelease] = []
+        self.unknown_share = FairShare(MAX_PENDING_UNKNOWN)  # of the pending ones, by the switch that told them
         self.listener: socket.socket | None = None
         self.last_message_at = -math.inf  # last message about a call, on any connection
         self.half_close_unnoticed_until = 0.0  # callers may still send on connections that were half-closed
@@ -121,8 +125,10 @@
 
     # --- releases of calls ---
 
-    def send_release(self, conn: CallerConnection | None, id: str, cause: int) -> None:
-        """Send a release on a caller's connection, or on another if that has gone (`None`: on any); later if there is none."""
+    def send_release(self, conn: CallerConnection | None, id: str, cause: int, unknown_from: int | None = None) -> None:
+        """Send a release on a caller's connection, or on another if that has gone (`None`: on any); later if there is none.
+
+        `unknown_from`: as of PendingRelease. There are no more releases of known calls than such calls; the others are bounded."""
         now = self.owner.seconds()
         not_before = now
         if conn is None or not conn.can_receive_release():
@@ -132,8 +138,12 @@
         if conn is not None and not_before <= now and self._write_release(conn, id, cause):
             return
         self.owner.detail_log("release-waits", id=id, cause=cause, callers=len(self), known=conn is not None)
-        self.pending_releases.append(PendingRelease(now, not_before, id, cause))
-        del self.pending_releases[:-MAX_PENDING]
+        if unknown_from is not None:
+            if not self.unknown_share.admits(unknown_from):
+                self.owner.calls.increment("releases of unknown calls dropped")
+                return
+            self.unknown_share.take(unknown_from)
+        self.pending_releases.append(PendingRelease(now, not_before, id, cause, unknown_from))
 
     def _write_release(self, conn: CallerConnection, id: str, cause: int, waited: float = 0.0) -> bool:
         """Returns whether the connection can still be written to."""
@@ -159,6 +169,10 @@
             release for release in due if not self._write_release(caller, release.id, release.cause, now - release.queued_at)
         ]
         self.pending_releases = undelivered + [release for release in self.pending_releases if release.not_before > latest]
+        self.unknown_share.clear()
+        for release in self.pending_releases:
+            if release.unknown_from is not None:
+                self.unknown_share.take(release.unknown_from)
 
     def has_pending_release(self) -> bool:
         """Whether a release is pending, and a connection is still open for it."""
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -503,7 +503,7 @@
             if id not in self.ended_set_ups:  # established before this process started
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True, owner=gw)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
-                self.wire.send_release(None, id, cause)
+                self.wire.send_release(None, id, cause, unknown_from=gw)
         elif call.established and self.switch_processes.share_address(gw, call.gw):
             # A BYE of another switch ends an earlier leg that this proxy had given up.
             self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switches.ids[gw])
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -119,8 +119,8 @@
     def send_to_caller(self, conn: CallerConnection, data: bytes) -> bool:
         return conn.send_line(data)
 
-    def send_release(self, conn: CallerConnection | None, id: str, cause: int) -> None:
-        self.callers.send_release(conn, id, cause)
+    def send_release(self, conn: CallerConnection | None, id: str, cause: int, unknown_from: int | None = None) -> None:
+        self.callers.send_release(conn, id, cause, unknown_from)
 
     def half_close_unused(self, conn: CallerConnection) -> None:
         self.callers.half_close_unused(conn)
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -31,8 +31,9 @@
     def send_to_caller(self, conn: Conn, data: bytes) -> bool:
         """Write to that connection only. Returns whether it can still be written to."""
 
-    def send_release(self, conn: Conn | None, id: str, cause: int) -> None:
-        """Report the end of an established call on that connection, else to any caller able to receive it, now or later."""
+    def send_release(self, conn: Conn | None, id: str, cause: int, unknown_from: int | None = None) -> None:
+        """Report the end of an established call on that connection, else to any caller able to receive it, now or later.
+        `unknown_from`: the gw of the switch that told it, for a call that this process does not know."""
 
     def has_unread(self, conn: Conn) -> bool:
         """Whether bytes from the caller wait to be read; they may withdraw its set-up."""
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -131,8 +131,10 @@
     connections = CallerConnections(FakeOwner(), 10)
     connections.send_release(None, A, 41)
     for id in ids(FLOOD):
-        connections.send_release(None, id, 16, is_call_known=False)
-    assert connections.pending_releases[0].id == A and len(connections.pending_releases) <= 5_000
+        connections.send_release(None, id, 16, unknown_from=1)
+    connections.send_release(None, B, 16, unknown_from=2)
+    assert connections.pending_releases[0].id == A and connections.pending_releases[-1].id == B
+    assert len(connections.pending_releases) <= 5_000
 
 
 # Guards against a call that stands for good at its switch, as its release, which waits for a connection, is pushed out by those of
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -18,7 +18,9 @@
 
     def __init__(self):
         self.now, self.shutting_down = 1000.0, False
-        self.calls = SimpleNamespace(by_conn={}, conn_lost=lambda *args: None, set_up_invalid=lambda *args: None)
+        self.calls = SimpleNamespace(
+            by_conn={}, conn_lost=lambda *args: None, set_up_invalid=lambda *args: None, increment=lambda counter: None
+        )
 
     def clock(self):
         return int(self.now * 10_000)
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -64,7 +64,7 @@
         self.sent_to_callers.append((conn, json.loads(data)))
         return True
 
-    def send_release(self, conn, id, cause):
+    def send_release(self, conn, id, cause, unknown_from=None):
         self.sent_to_callers.append((conn, {"type": "release", "id": id, "fields": {}, "cause": cause}))
 
     def call_established(self, conn):
