Share the room for messages that wait for a connection to a switch

What callers saw: nothing in the report; a call stays at its switch when 1000 others are named there and released, as its BYE waits for a connection and is pushed out. Cause: SwitchConnections kept the latest 1000 messages, whoever they were sent for. Change: callers' connections share the 1000 (FairShare); what finds no room is dropped and counted. The protocol of the owner is named Process here.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -441,7 +441,7 @@
         """End an established call at the process that answered it."""
         bye = sip_messages.bye(call.number, call.id, call.leg_count + 1, cause)
         if call.connection is None or not self.wire.send_on_connection(call.connection, bye):
-            self.wire.send_to_switch(call.gw, bye)
+            self.wire.send_to_switch(call.gw, bye, call.owner)
 
     def _answered_after_cancel(self, id: str, link: Link, leg: CancelledLeg) -> None:
         """Release a leg whose answer crossed its CANCEL. A switch identifies calls by id alone, so while a later leg of the
@@ -462,7 +462,7 @@
     def _release_cancelled_legs(self, call: Call, legs: list[CancelledLeg]) -> None:
         for leg in legs:
             call.unreleased_legs.remove(leg)
-            self.wire.send_to_switch(leg.gw, sip_messages.bye(leg.number, call.id, leg.leg + 1, NORMAL_CLEARING))
+            self.wire.send_to_switch(leg.gw, sip_messages.bye(leg.number, call.id, leg.leg + 1, NORMAL_CLEARING), call.owner)
 
     def switch_refused(self, now: int, gw: int, link: Link, id: str, status: int, fail_word: str, report: dict[str, float]) -> None:
         """A final response from 300 on. `report`: the switch's Link-State, empty without one."""
@@ -594,7 +594,7 @@
         own_port = call.connection.own_port if call.connection is not None else 0
         self.wire.log_call("call-cut", call.id, switch=self.switches.ids[call.gw], why=end.name, own_port=own_port)
         for gw in may_run:
-            self.wire.send_to_switch(gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED))
+            self.wire.send_to_switch(gw, sip_messages.bye(call.number, call.id, call.leg_count + 1, ABORTED), call.owner)
         self.wire.send_release(call.conn, call.id, ABORTED)
         self._end_call(call, LegEnd.CUT)
 
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -163,10 +163,10 @@
     def withdraw_unsent(self, link: SwitchConnection, data: bytes) -> bool:
         return link.cancel_write(data)
 
-    def send_to_switch(self, gw: int, data: bytes) -> None:
+    def send_to_switch(self, gw: int, data: bytes, owner: CallerConnection | None = None) -> None:
         switch = self.switches.get(gw)
         if switch is not None:
-            switch.send(data)
+            switch.send(data, owner)
 
     def retire_link(self, link: SwitchConnection) -> None:
         link.retired = True
@@ -222,6 +222,9 @@
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
         self.calls.increment(f"link closed: {reason[:60]}")
 
+    def message_dropped(self, switch: SwitchConnections) -> None:
+        self.calls.increment("messages to switches dropped")
+
     def ping_received(self, caller: CallerConnection, id: str) -> None:
         if self.ready:
             self.calls.ping_received(self.clock(), caller, id, self.shutdown_started is None)
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -14,6 +14,7 @@
 from ..sip.message import BadMessageError
 from ..switch_protocol.sip_messages import SwitchMessageParser
 from ..transport.stream import Stream
+from .fair_share import FairShare, Owner
 from .switch_processes import EARLY_ANSWER_TIME
 from .wire import ProcessConnection
 
@@ -26,12 +27,13 @@
 RETRY_INTERVAL = 0.2  # seconds between attempts to connect
 CONNECT_TIMEOUT = 3.0  # seconds until an attempt that is late is given up
 MAX_LATE_LINKS = 3
+MAX_UNSENT = 1000  # messages that wait for the next connection
 MAX_UNANSWERED_PROBES = 2  # open to a switch that accepts connections and says nothing on them
 UNITS_PER_SECOND = 10_000  # of the owner's clock
 
 
-class Owner(Protocol):
-    """Receives the events of connections: the proxy's process."""
+class Process(Protocol):
+    """Receives the events of connections."""
 
     def clock(self) -> int:
         """Unix time in tenths of a millisecond."""
@@ -53,6 +55,9 @@
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None: ...
 
+    def message_dropped(self, switch: SwitchConnections) -> None:
+        """A message waited for a connection, and there is no room for it."""
+
     def max_idle_links(self) -> int:
         """Number of connections to one switch that may stay open while it is quiet."""
 
@@ -146,12 +151,13 @@
 class SwitchConnections:
     """The connections to one switch, by its id: another switch may appear at the same address. Times in seconds."""
 
-    def __init__(self, owner: Owner, gw: int, address: tuple[str, int], connect_timeout: float, started: int = 0) -> None:
+    def __init__(self, owner: Process, gw: int, address: tuple[str, int], connect_timeout: float, started: int = 0) -> None:
         """`started`: of the switch's process, in tenths of a millisecond."""
         self.owner, self.gw, self.address, self.connect_timeout, self.started = owner, gw, address, connect_timeout, started
         self.links: list[SwitchConnection] = []
         self.reporting_link: SwitchConnection | None = None  # the one whose reports are used
         self.unsent: list[bytes] = []  # for the next connection
+        self.unsent_share = FairShare(MAX_UNSENT)
         self.listed = True  # by the exchange list; else the connections are kept for established calls only
         self.lost_link = False  # a connection was lost: what the switch wrote to it is repeated on the next one
         self.last_read_at = self.last_attempt_at = 0.0
@@ -202,14 +208,18 @@
             return self._open_link()
         return candidates[by_load[0][2]] if by_load else self._open_link()
 
-    def send(self, data: bytes) -> None:
-        """Write on any connection, or on the next that is opened; at most 1000 messages wait for one."""
+    def send(self, data: bytes, owner: Owner = None) -> None:
+        """Write on any connection, or on the next that is opened. `owner`: the caller's connection that it is sent for; owners
+        share the room for messages that wait."""
         for link in self.links:
             if link.up and link.is_usable():
                 link.write(data)
                 return
+        if not self.unsent_share.admits(owner):
+            self.owner.message_dropped(self)
+            return
+        self.unsent_share.take(owner)
         self.unsent.append(data)
-        del self.unsent[:-1000]
 
     def close_unused_opening_links(self) -> None:
         """Close connections that are not up yet and for which no set-up waits."""
@@ -232,6 +242,7 @@
         link.note_read()
         link.record.up_at = link.record.last_read_at
         unsent, self.unsent = self.unsent, []
+        self.unsent_share.clear()
         for data in unsent:
             link.write(data)
         self._choose_reporting_link()
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -66,8 +66,9 @@
     def withdraw_unsent(self, link: Link, data: bytes) -> bool:
         """Remove `data` from the connection's write queue. Returns whether it was still there."""
 
-    def send_to_switch(self, gw: int, data: bytes) -> None:
-        """Write on any connection to the switch, or on the next that is opened."""
+    def send_to_switch(self, gw: int, data: bytes, owner: Conn | None = None) -> None:
+        """Write on any connection to the switch, or on the next that is opened. `owner`: the caller's connection that it is sent
+        for; they share the room for messages that wait."""
 
     def retire_link(self, link: Link) -> None:
         """Send no further set-up on this connection: a set-up on it was never answered."""
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -109,7 +109,7 @@
             self.sent_to_switches = [entry for entry in self.sent_to_switches if entry[0] != link or entry[1].method != "INVITE"]
         return link in self.stopped_reading
 
-    def send_to_switch(self, gw, data):
+    def send_to_switch(self, gw, data, owner=None):
         self.sent_to_switches += [(gw, message) for message in Framer().feed(data)]
 
     def retire_link(self, link):
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -51,6 +51,9 @@
     def link_unreadable(self, link, reason):
         pass
 
+    def message_dropped(self, switch):
+        pass
+
 
 @pytest.fixture
 def switch(monkeypatch):
