Bound the bytes of open set-ups, and share them and their number by connection

Cause: OpenCap bounds their number (20,000), not their size, and one client could use it up. Change: open set-ups hold 8 MiB at most (each its description twice and 1000 bytes); connections share that and OpenCap (FairShare). A set-up without room is refused with a wait. Invariants of the events in any order: each share holds exactly what stands.

--- a/gingergap/service/call.py
+++ b/gingergap/service/call.py
@@ -44,10 +44,12 @@
         "latest_start",
         "connection",
         "owner",
+        "held_bytes",
     )
 
     def __init__(self, id: str, dialog: int, conn: Conn | None, traffic_type: str, number: str, sdp: str, circuits: int) -> None:
         self.id, self.dialog, self.conn = id, dialog, conn
+        self.held_bytes = 0  # of memory, while it is open
         self.owner = conn  # also once that connection has closed
         self.traffic_type, self.number, self.sdp, self.circuits = traffic_type, number, sdp, circuits
         self.gw = -1
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -22,6 +22,7 @@
 from .call import Call, CancelledLeg
 from .diagnostics import Diagnostics
 from .ended_set_ups import EndedSetUps, EndOfSetUp
+from .fair_share import FairShare
 from .named_calls import NamedCalls
 from .shutdown import ShutdownSchedule
 from .switch_directory import SwitchDirectory
@@ -33,6 +34,8 @@
 DECLINED, ABORTED = 34, 41  # causes of Q.850: no circuit available, temporary failure
 INVALID_CONTENTS = 100  # Q.850: invalid information element contents
 NORMAL_CLEARING = 16  # Q.850
+MAX_OPEN_BYTES = 8 << 20  # of open set-ups; connections share them
+SET_UP_BYTES = 1000  # of an open set-up, besides its description
 MAX_CANCELLED_LEGS = 100  # of one connection to a switch
 BUSY_STATUSES = (486, 500)
 
@@ -54,7 +57,8 @@
         own_exchange, proxies, self.traffic_types, controller_options = controller_arguments(settings_reader)
         self.type_indices = {str(lane.get("Name", index)): index for index, lane in enumerate(settings_reader.get("Lanes", list))}
         self.max_circuits = settings_reader.section("Specifics").get("ClassWidth", list, [])  # of one call, by traffic type
-        self.max_open = settings_reader.section("Ceilings").get("OpenCap", int, 20_000)
+        self.open_share = FairShare(settings_reader.section("Ceilings").get("OpenCap", int, 20_000))  # calls, by connection
+        self.bytes_share = FairShare(MAX_OPEN_BYTES)  # of open set-ups, by connection
         self.switches = SwitchDirectory()
         self.by_id: dict[str, Call] = {}
         self.by_dialog: dict[int, Call] = {}
@@ -156,14 +160,14 @@
         ):
             self.set_up_invalid(now, conn, id, "field left, width or dest is out of range")
             return
-        if len(self.by_dialog) >= self.max_open:
+        size = SET_UP_BYTES + 2 * len(sdp)  # it stands in the set-up and in its INVITE
+        if not (self.open_share.admits(conn) and self.bytes_share.admits(conn, size) and self.ended_set_ups.admits(conn)):
             self._refuse_at_once(conn, id, "too many open", DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
             return
-        if not self.ended_set_ups.admits(conn):
-            self._refuse_at_once(conn, id, "too many ended of late", DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
-            return
         call = Call(id, self.next_dialog, conn, traffic_type, number, sdp, circuits)
-        call.received_at = now
+        call.received_at, call.held_bytes = now, size
+        self.open_share.take(conn)
+        self.bytes_share.take(conn, size)
         call.resubmitted = id in self.ended_set_ups
         self.ended_set_ups.remove(id)
         self.next_dialog += 1
@@ -416,7 +420,8 @@
             self.gws_to_review.add(gw)
         self.wire.call_established(call.conn)
         delivered = self.wire.send_to_caller(call.conn, json_lines.encode_answer(id, sdp))
-        call.sdp, call.invite, call.used_links = "", b"", set()
+        call.invite, call.used_links = b"", set()
+        self._drop_description(call)
         self._release_cancelled_legs(call, [leg for leg in call.unreleased_legs if leg.gw != gw])
         self.controller.dialog_established(now, call.dialog, setup_duration)
         if not delivered:
@@ -781,4 +786,12 @@
             del self.by_id[call.id]
             self.ended_set_ups.add(self.now, call.id, call.end_reason, call.conn, call.forwarded, call.established, call.owner)
         if all(entry[0] is not call for entry in self.pending_leg_ends):
-            self.by_dialog.pop(call.dialog, None)
+            self._drop_description(call)
+            if self.by_dialog.pop(call.dialog, None) is not None:
+                self.open_share.give_back(call.owner)
+
+    def _drop_description(self, call: Call) -> None:
+        call.sdp = ""
+        if call.held_bytes:
+            self.bytes_share.give_back(call.owner, call.held_bytes)
+            call.held_bytes = 0
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -152,7 +152,6 @@
 def test_the_bytes_of_open_set_ups_are_bounded_and_one_client_leaves_room_for_others():
     wire = RecordingWire()
     calls = make_calls(wire)
-    calls.max_open = 20_000
     for id in ids(4_000):
         calls.set_up_received(START, "flood", id, "voice", 1500, "7f", 1, 1, -1, False, False, False, "a=" + "x" * 15_000)
     held = sum(len(call.sdp) + len(call.invite) for call in calls.by_dialog.values())
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -726,6 +726,17 @@
         assert set(self.calls.by_id) >= {id for id, legs in self.legs_out.items() if legs}
         assert len(self.calls.by_dialog) >= len(self.calls.controller.dialogs)
 
+    @invariant()
+    def shares_count_what_is_held(self):
+        calls = self.calls
+        assert calls.open_share.held == sum(calls.open_share.by_owner.values()) == len(calls.by_dialog)
+        assert calls.bytes_share.held == sum(call.held_bytes for call in calls.by_dialog.values())
+        ended = calls.ended_set_ups
+        assert ended.forwarded_share.held == sum(each.forwarded for each in ended.by_id.values())
+        assert len(ended.others) == len(ended.by_id) - ended.forwarded_share.held == sum(map(len, ended.others_by_owner.values()))
+        standing = Counter(call.connection for held in calls.established.values() for call in held.values())
+        assert all(connection.standing_calls == standing[connection] for connection in self.wire.connections.values())
+
     def teardown(self):
         if not hasattr(self, "calls"):
             return
