Bound the names of counters that peers can make up

Cause: counters were named after the text of errors. Change: increment takes such text as a detail; the first 100 details are told apart, further ones are counted under the counter's own name.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -81,7 +81,7 @@
         try:
             self.parser.feed(data)
         except InvalidLineError as error:
-            self.owner.calls.increment(f"closed: {str(error)[:60]}")
+            self.owner.calls.increment("closed", str(error)[:60])
             self._close_unreadable(str(error)[:60])
 
     def _close_unreadable(self, reason: str) -> None:
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -36,6 +36,8 @@
 NORMAL_CLEARING = 16  # Q.850
 MAX_OPEN_BYTES = 8 << 20  # of open set-ups; connections share them
 SET_UP_BYTES = 1000  # of an open set-up, besides its description
+MAX_DETAIL_COUNTS = 100
+MAX_FAIL_WORD = 20  # characters
 MAX_CANCELLED_LEGS = 100  # of one connection to a switch
 BUSY_STATUSES = (486, 500)
 
@@ -76,6 +78,7 @@
         self.pending_leg_ends: deque[tuple[Call, int, LegEnd]] = deque()
         self.now = self.next_tick_at = now
         self.counts: dict[str, int] = {}
+        self.detail_counts = 0  # of those counts, that are named after what a peer sent
         self.controller = controller_factory(self, seed, own_exchange, proxies, self.traffic_types, **controller_options)
         self.controller.start(now)
 
@@ -204,7 +207,7 @@
 
     def _refuse_at_once(self, conn: Conn, id: str, reason: str, cause: int, wait: int, forwarded: bool = False) -> None:
         """Refuse a set-up that is not passed to the controller. `wait`: milliseconds; `forwarded`: it was, when it came before."""
-        self.increment(f"refused: {reason}")
+        self.increment("refused", reason)
         self.wire.log_call("set-up-refused", id, why=reason)
         self.wire.send_to_caller(conn, json_lines.encode_release(id, cause, wait))
         self.ended_set_ups.add(self.now, id, EndOfSetUp.ANSWERED, conn, forwarded)
@@ -488,7 +491,7 @@
             if status == 480
             else LegEnd.CUT
         )
-        self.increment(f"legs refused {status} {fail_word}")
+        self.increment("legs refused", f"{status} {fail_word[:MAX_FAIL_WORD]}")
         if self.diagnostics is not None:
             dialog = self.controller.dialogs.get(call.dialog)
             self.diagnostics.leg_ended(
@@ -656,8 +659,15 @@
 
     # --- internal ---
 
-    def increment(self, counter: str) -> None:
-        self.counts[counter] = self.counts.get(counter, 0) + 1
+    def increment(self, counter: str, detail: str = "") -> None:
+        """Count an event; `detail`, which peers can make up, is told apart for the first ones only."""
+        name = f"{counter}: {detail}" if detail else counter
+        if detail and name not in self.counts:
+            if self.detail_counts < MAX_DETAIL_COUNTS:
+                self.detail_counts += 1
+            else:
+                name = counter
+        self.counts[name] = self.counts.get(name, 0) + 1
 
     def _send_invite(self, call: Call) -> None:
         call.sent_at, call.forwarded = self.now, True
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -220,7 +220,7 @@
         return max(1, min(MAX_LINKS, share))
 
     def link_unreadable(self, link: SwitchConnection, reason: str) -> None:
-        self.calls.increment(f"link closed: {reason[:60]}")
+        self.calls.increment("link closed", reason[:60])
 
     def message_dropped(self, switch: SwitchConnections) -> None:
         self.calls.increment("messages to switches dropped")
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -165,9 +165,9 @@
 def test_the_names_of_counters_are_bounded():
     calls = make_calls(RecordingWire())
     for index in range(FLOOD):
-        calls.increment(f"closed: not a line of a caller: {index}")
+        calls.increment("closed", f"not a line of a caller: {index}")
     calls.increment("declined")
-    assert len(calls.counts) < 1_000 and calls.counts["declined"] == 1
+    assert len(calls.counts) < 1_000 and calls.counts["declined"] == 1 and sum(calls.counts.values()) == FLOOD + 1
 
 
 # Guards against a flood of log lines that leaves out those of other connections: what one kind of event uses up is its own.
