Share the lines of the detail log by kind of event

What callers saw: nothing; a flood on one connection left the lines of all other calls out of the log, as call-cut and release-sent, which a report needs. Cause: one budget of 300 lines a second for all. Change: 300 lines a second of one kind of event, 600 in all, shared (FairShare).

--- a/gingergap/service/log.py
+++ b/gingergap/service/log.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-MAX_DETAILS = 300  # lines a second: a flood of bad requests must not cause a flood of log lines
+from .fair_share import FairShare
+
+MAX_DETAILS = 300  # lines of one kind a second: a flood of bad requests must not cause a flood of log lines
 
 
 def log(event: str, **fields: Any) -> None:
@@ -20,7 +22,8 @@
 
 
 class DetailLog:
-    """Logs events of single calls and connections, at most `MAX_DETAILS` a second; the number dropped is logged.
+    """Logs events of single calls and connections, at most `MAX_DETAILS` a second of one kind and twice as many in all, so that a
+    flood of one does not leave out the others; the number dropped is logged.
 
     `clock` returns seconds; `write` takes an event and its fields.
     """
@@ -28,16 +31,18 @@
     def __init__(self, clock: Callable[[], float], write: Callable[..., None] = log) -> None:
         self.clock, self.write = clock, write
         self.second = 0
-        self.written = self.dropped = 0  # in the current second
+        self.written = FairShare(2 * MAX_DETAILS)  # in the current second, by event
+        self.dropped = 0
 
     def __call__(self, event: str, **fields: Any) -> None:
         second = int(self.clock())
         if second != self.second:
             if self.dropped:
                 self.write("lines-left-out", count=self.dropped)
-            self.second, self.written, self.dropped = second, 0, 0
-        if self.written >= MAX_DETAILS:
+            self.second, self.dropped = second, 0
+            self.written.clear()
+        if not self.written.admits(event):
             self.dropped += 1
             return
-        self.written += 1
+        self.written.take(event)
         self.write(event, **fields)
