--- a/tests/floods.py
+++ b/tests/floods.py
@@ -88,6 +88,7 @@
     "releases": lambda id: _line("release", id, cause=16),
     "pings": lambda id: _line("ping", id, cause=0),
     "many fields": _many_fields,
+    "blank lines": lambda id: b"\n" * 100,
 }
 
 
