Release at most 50 calls named at unlisted switches at a time

Cause: calls named together all end 2 s later in one run of the timer, thousands of them. Change: NamedCalls.due returns 50 at most; the next run of the timer, 10 ms later, takes the next. Two tests tick as often as that takes.

--- a/gingergap/service/named_calls.py
+++ b/gingergap/service/named_calls.py
@@ -9,6 +9,7 @@
 from .wire import Conn
 
 CAPACITY = 8_000  # calls
+MAX_DUE = 50  # calls at a time, so that other events are not delayed
 
 
 class NamedCalls:
@@ -55,10 +56,10 @@
         self.waiting[id] = until
 
     def due(self, now: int) -> list[str]:
-        """The ids of the calls that have waited for long enough; they no longer wait."""
+        """The ids of calls that have waited for long enough, up to MAX_DUE of them; they no longer wait."""
         found = []
         for id, until in self.waiting.items():
-            if until > now:
+            if until > now or len(found) == MAX_DUE:
                 break
             found.append(id)
         for id in found:
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -12,6 +12,7 @@
 
 from gingergap.service.caller_connections import CallerConnections
 from gingergap.service.log import DetailLog
+from gingergap.service.named_calls import MAX_DUE
 from gingergap.service.switch_connections import SwitchConnections
 
 A, B = "a" * 16, "b" * 16
@@ -66,7 +67,8 @@
     for now in (START, START + 3 * SECOND):
         for index, id in enumerate(ids(FLOOD // 10)):
             name_call(calls, id, "flood", f"x-{now}-{index}", now)
-        calls.tick(now + 1)
+        for _ in range(FLOOD // MAX_DUE):
+            calls.tick(now + 1)
     assert len(calls.switches.ids) < 2_000
     name_call(calls, A, "c1", "s-77", START + 3 * SECOND)
     assert calls.switches.ids[calls.by_id[A].gw] == "s-77"
--- a/tests/test_switch_processes.py
+++ b/tests/test_switch_processes.py
@@ -10,6 +10,7 @@
 from test_service_calls import START, RecordingWire, make_calls, receive_set_up
 
 from gingergap.host import GwState
+from gingergap.service.named_calls import MAX_DUE
 from gingergap.service.switch_directory import MAX_UNLISTED
 from gingergap.service.switch_processes import (
     ANNOUNCEMENT_TIME,
@@ -360,6 +361,8 @@
     switches = script.calls.switches
     assert len(switches.ids) == len(switches.exchange_numbers) + MAX_UNLISTED + 1
     script.play("waits_for_the_list")
+    for _ in range(MAX_UNLISTED // MAX_DUE + 1):
+        script.calls.tick(script.now)
     assert list(script.calls.by_id) == [A]
 
 
