Give callers' connections turns by the work they cause, and stop reading from those that read nothing

What callers saw: beside a client at full speed, or hundreds that write many fields or read nothing, answers come late or never: on a quarter of a core up to 10 s, with most set-ups refused by the module, which takes the delay for the switch's. Cause: a connection handled all lines of 16 KiB before anything else ran, some 80 set-ups or 230 pings, and each of hundreds did so in turn. What was sent to a client that reads nothing was queued up to 256 KiB. A closed connection kept its buffer until the collector ran. Change: transport/turns.py: what was read is handled in turns of 16 messages; known callers' turns take half of the time at most, those of other clients a quarter, and the one that has worked least goes next. Time spent waiting counts against a set-up's time left. Nothing is read from a client with 8 KiB queued; lines in many small pieces are read 20 times a second; a closed connection drops its buffer; eight connections are accepted at a time. Lines are split at once, not moved in the buffer one by one.

--- a/gingergap/caller_protocol/json_lines.py
+++ b/gingergap/caller_protocol/json_lines.py
@@ -7,6 +7,7 @@
 """
 
 import re
+from collections import deque
 from collections.abc import Iterator
 from enum import Enum
 from typing import Protocol
@@ -119,46 +120,69 @@
     def __init__(self, handler: CallerLineHandler, max_line_bytes: int = MAX_LINE_BYTES) -> None:
         self.handler, self.max_line_bytes = handler, max_line_bytes
         self.buffer = bytearray()  # an incomplete line
-        self.scanned = 0  # bytes of the buffer known to hold no line feed
+        self.pending: deque[tuple[_CallerMessage, _DiscardReason | None]] = deque()
+        self.failure: InvalidLineError | None = None  # raised once the pending messages are passed on
 
     def feed(self, data: bytes) -> None:
-        """Pass the complete lines to the handler. Raises InvalidLineError after the lines before the invalid one were passed.
+        """Pass the complete lines to the handler. Raises InvalidLineError after the lines before the invalid one were passed."""
+        self.receive(data)
+        while self.has_pending():
+            self.dispatch(len(self.pending))
+
+    def receive(self, data: bytes) -> None:
+        """Take the lines of one read; `dispatch` passes them to the handler.
 
         All lines of one read are examined before the first is passed on: a set-up whose release follows is reported as
         withdrawn, and set-ups that share an id are all refused, since an answer could not be assigned to one of them.
         """
-        self.buffer += data
         messages: list[_CallerMessage] = []
-        failure: InvalidLineError | None = None
         try:
-            for line in self._complete_lines():
+            for line in self._complete_lines(data):
                 messages.append(_parse_line(line))
         except InvalidLineError as error:
-            failure = error
+            self.failure = error
         discarded = _discarded_set_ups(messages)
-        if failure is not None:  # the connection is about to be closed, which would cancel these set-ups at once
+        if self.failure is not None:  # the connection is about to be closed, which would cancel these set-ups at once
             discarded = {
                 index: _DiscardReason.INVALID_LINE_FOLLOWS for index, message in enumerate(messages) if _is_set_up_request(message)
             } | discarded
-        for index, message in enumerate(messages):
-            self._dispatch(message, discarded.get(index))
-        if failure is not None:
+        self.pending += [(message, discarded.get(index)) for index, message in enumerate(messages)]
+
+    def has_pending(self) -> bool:
+        """Whether `dispatch` has messages to pass on, or an invalid line to report."""
+        return bool(self.pending) or self.failure is not None
+
+    def dispatch(self, max_messages: int) -> None:
+        """Pass up to `max_messages` on. Raises InvalidLineError after the last one before an invalid line."""
+        for _ in range(max_messages):
+            if not self.pending:
+                break
+            self._dispatch(*self.pending.popleft())
+        if not self.pending and self.failure is not None:
+            failure, self.failure = self.failure, None
             raise failure
 
-    def _complete_lines(self) -> Iterator[bytes]:
-        """Remove and yield the complete lines in the buffer; raises InvalidLineError for one over the size limit."""
-        while True:
-            end = self.buffer.find(b"\n", self.scanned)
-            if end < 0 and len(self.buffer) <= self.max_line_bytes:
-                self.scanned = len(self.buffer)
-                return
-            if end < 0 or end > self.max_line_bytes:
-                raise InvalidLineError("a line over the size limit")
-            line = bytes(self.buffer[:end])
-            del self.buffer[: end + 1]
-            self.scanned = 0
-            if line.strip():
-                yield line
+    def discard(self) -> None:
+        """The connection is closed: nothing more is passed on."""
+        self.buffer.clear()
+        self.pending.clear()
+        self.failure = None
+
+    def _complete_lines(self, data: bytes) -> Iterator[bytes]:
+        """Add `data` to the incomplete line, and yield the complete ones; raises InvalidLineError for one over the size limit."""
+        end = data.rfind(b"\n")
+        if end >= 0:
+            lines = (bytes(self.buffer) + data[:end]).split(b"\n")
+            self.buffer.clear()
+            data = data[end + 1 :]
+            for line in lines:
+                if len(line) > self.max_line_bytes:
+                    raise InvalidLineError("a line over the size limit")
+                if line.strip():
+                    yield line
+        self.buffer += data
+        if len(self.buffer) > self.max_line_bytes:
+            raise InvalidLineError("a line over the size limit")
 
     def _dispatch(self, message: _CallerMessage, discard_reason: _DiscardReason | None) -> None:
         match message.type:
--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -10,12 +10,19 @@
 from ..caller_protocol import json_lines
 from ..caller_protocol.json_lines import CallerLineParser, InvalidLineError
 from ..transport.stream import PeerState, Stream
+from ..transport.turns import Work
 
 if TYPE_CHECKING:
     from .caller_connections import CallerConnections
 
 MAX_QUEUED_BYTES = 1 << 18
 WRITE_TIMEOUT = 2.0  # seconds
+CALLER_READ_SIZE = 1 << 13  # bytes
+MAX_MESSAGES_PER_TURN = 16
+MAX_PIECES_AT_ONCE = 4
+PIECE_INTERVAL = 0.05  # seconds between two reads of a line that comes in more pieces
+MAX_QUEUED_FOR_READING = 1 << 13  # bytes queued for a peer that does not read, from which on nothing more is read from it
+UNREAD_CHECK_INTERVAL = 0.02  # seconds
 RESET_TIME = 50  # tenths of a millisecond within which a progress to a caller that has gone is answered by a reset
 ANSWER_SETTLE_TIME = 0.4  # seconds: most releases soon after an answer can still be sent on the connection of the answer
 HALF_CLOSE_TIMEOUT = 0.2  # seconds at a shutdown in which callers may close their side of half-closed connections
@@ -64,7 +71,11 @@
         """`port`: the peer's, by which the log names the connection."""
         super().__init__(sock, max_queued_bytes=MAX_QUEUED_BYTES, write_timeout=WRITE_TIMEOUT)
         self.connections, self.owner = connections, connections.owner
+        self.read_size = CALLER_READ_SIZE
         self.parser = CallerLineParser(self)
+        self.work = Work()
+        self.waits_for_turn = False  # with what was read and is not in the parser yet
+        self.pieces = 0  # reads in a row that ended in the middle of a line
         self.port = port
         self.accepted_at = self.last_read_at = self.owner.seconds()
         self.has_sent_message = self.is_known_caller = self.has_sent_set_up = False
@@ -78,16 +89,44 @@
         if self.unreadable:
             return
         self.last_read_at = self.owner.seconds()
+        data_left: bytes | None = data
+        while (data_left is not None or self.parser.has_pending()) and not self.closed:
+            self._handle_in_turn(data_left)
+            data_left = None
+        self._rest_if_slow(len(data))
+
+    def _handle_in_turn(self, data: bytes | None) -> None:
+        """Take in what was read, if anything, and handle as many messages as a turn has."""
+        turns = self.connections.turns_of(self)
+        self.waits_for_turn = True
+        turns.begin(self.work)
+        self.waits_for_turn = False
         try:
-            self.parser.feed(data)
+            if data is not None and not self.closed:
+                self.parser.receive(data)
+            self.parser.dispatch(MAX_MESSAGES_PER_TURN)
         except InvalidLineError as error:
             self.owner.calls.increment("closed", str(error)[:60])
             self._close_unreadable(str(error)[:60])
+        finally:
+            turns.end(self.work)
+
+    def _rest_if_slow(self, size: int) -> None:
+        """Rest while the peer reads nothing of what is queued for it, and a moment if it writes a line in many pieces. `size`: of
+        the last read, in bytes."""
+        self.pieces = self.pieces + 1 if self.parser.buffer and size < CALLER_READ_SIZE else 0
+        if self.pieces > MAX_PIECES_AT_ONCE and not self.closed:
+            gevent.sleep(PIECE_INTERVAL)
+        while self.queued > MAX_QUEUED_FOR_READING and not self.closed and not self.finishing:
+            gevent.sleep(UNREAD_CHECK_INTERVAL)
+
+    def is_readable(self) -> bool:
+        return self.waits_for_turn or self.parser.has_pending() or super().is_readable()
 
     def _close_unreadable(self, reason: str) -> None:
         """Close the connection after an invalid line. Set-ups that are open on it get their refusals first."""
         self.unreadable = True
-        self.parser.buffer.clear()
+        self.parser.discard()
         if self not in self.owner.calls.by_conn:
             self.close(True, reason)
             return
@@ -133,6 +172,7 @@
 
     def connection_lost(self, reset: bool) -> None:
         self.connections.connection_closed(self)
+        self.parser.discard()  # freed at once: the connection itself is in a cycle of references
 
     def is_idle(self) -> bool:
         """Whether no answer is owed on it and nothing from its peer waits to be read, so that it may be closed."""
@@ -159,7 +199,9 @@
         self.has_sent_message = True
         self.connections.last_message_at = self.owner.seconds()
 
-    def set_up_received(self, id: str, *arguments: Any) -> None:
+    def set_up_received(self, id: str, traffic_type: str, time_left: int, *more: Any) -> None:
+        waited_for_turn = round(1000 * (self.owner.seconds() - self.last_read_at))
+        arguments = (traffic_type, max(1, time_left - waited_for_turn), *more)
         self._mark_active()
         if self.finishing:  # the set-up crossed the half-close: its caller sends it again on another connection
             self.owner.detail_log("set-up-crossed-close", id=id)
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import math
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 
 from ..caller_protocol import json_lines
 from ..transport.stream import PeerState, create_listener
+from ..transport.turns import YIELD_TIME, TurnQueue
 from .caller_connection import HALF_CLOSE_TIMEOUT, CallerConnection, Owner
 from .fair_share import FairShare
 
@@ -22,6 +24,9 @@
 KNOWN_CALLER_WAIT = 0.4  # seconds a release waits for a known caller; it is owed within 1 second
 SET_UP_SENDER_WAIT = 0.7  # and for one that has sent a set-up, before it goes to one in the middle of a line
 LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
+KNOWN_CALLERS_SHARE = 2  # known callers' lines take one part in so many of the time at most
+OTHERS_SHARE = 4  # and those of other clients one in so many
+MAX_ACCEPTED_AT_ONCE = 8  # connections
 MAX_PENDING_UNKNOWN = 1000  # releases of calls that this process does not know; switches share them
 ANSWER_READ_TIME = 1.0  # seconds after an answer in which a release on another connection might be read before it
 MAX_RELEASE_DELAY = 0.6  # seconds that a release is delayed for that; it is owed within 1 second
@@ -46,6 +51,7 @@
     def __init__(self, owner: Owner, max_connections: int) -> None:
         self.owner, self.max_connections = owner, max_connections
         self.open: dict[CallerConnection, None] = {}
+        self.known_turns, self.other_turns = TurnQueue(KNOWN_CALLERS_SHARE), TurnQueue(OTHERS_SHARE)
         self.half_closed_by_peer: dict[CallerConnection, None] = {}  # those whose peers have shut down their sending side
         self.pending_releases: list[PendingRelease] = []
         self.unknown_share = FairShare(MAX_PENDING_UNKNOWN)  # of the pending ones, by the switch that told them
@@ -56,6 +62,9 @@
     def __len__(self) -> int:
         return len(self.open)
 
+    def turns_of(self, caller: CallerConnection) -> TurnQueue:
+        return self.known_turns if caller.is_known_caller else self.other_turns
+
     def connection_closed(self, caller: CallerConnection) -> None:
         self.open.pop(caller, None)
         self.half_closed_by_peer.pop(caller, None)
@@ -80,7 +89,11 @@
         self.acceptor = gevent.spawn(self._accept)
 
     def _accept(self) -> None:
-        while self.listener is not None:
+        for count in itertools.count(1):
+            if self.listener is None:
+                return
+            if count % MAX_ACCEPTED_AT_ONCE == 0:
+                gevent.sleep(YIELD_TIME)
             try:
                 sock, address = self.listener.accept()
             except OSError:  # for example no file descriptor is left: close an idle connection
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -19,7 +19,7 @@
 from ..exchange_list.long_poll import Batch, EventBusError, ListedSwitch, events_after, parse_address, state_of
 from ..host import GwState
 from ..platform_settings import BadFieldError, SettingsReader
-from ..transport.stream import YIELD_TIME
+from ..transport.turns import YIELD_TIME
 from . import early_signals
 from .caller_connection import CallerConnection
 from .caller_connections import OVERDUE_HALF_CLOSE_TIMEOUT, CallerConnections
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -14,12 +14,13 @@
 import gevent
 from gevent import socket
 
+from .turns import YIELD_TIME
+
 READ_SIZE = 16_384
 MAX_BYTES_PER_TURN = 16_384  # read from one connection before other greenlets run
 LISTEN_BACKLOG = 512
 READ_TIME_AFTER_ERROR = 0.1  # seconds after a failed write in which bytes that the peer wrote before are still read
 LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
-YIELD_TIME = 0.0005  # seconds; more than 0, since up to fifty sleep(0) callbacks run before the loop checks timers
 
 
 def create_listener(address: tuple[str, int]) -> socket.socket:
@@ -52,6 +53,7 @@
     def __init__(self, sock: socket.socket | None, *, max_queued_bytes: int, write_timeout: float) -> None:
         self.connecting_sock: socket.socket | None = None  # while `connect` blocks
         self.sock, self.max_queued_bytes, self.write_timeout = sock, max_queued_bytes, write_timeout
+        self.read_size = READ_SIZE
         self.queue: deque[bytes] = deque()
         self.queued = 0  # bytes
         self.closed = self.finishing = False  # finishing: no more writes are accepted, bytes are still read
@@ -168,7 +170,7 @@
         keep_open = False
         reason = "exception in an event handler"
         try:
-            while not self.closed and (data := self.sock.recv(READ_SIZE)):
+            while not self.closed and (data := self.sock.recv(self.read_size)):
                 self.data_received(data)
                 bytes_this_turn += len(data)
                 if bytes_this_turn >= MAX_BYTES_PER_TURN:
