--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -21,6 +21,7 @@
 
 LINE_TIMEOUT = 1.5  # seconds in which a connection must have sent its first line, or the rest of a line
 IDLE_TIMEOUT = 8.0  # seconds without a call before a connection is closed; callers close it themselves after 4
+CALLER_REST_TIME = 4.0  # seconds after which callers close a connection on which they have no call
 KNOWN_CALLER_WAIT = 0.4  # seconds a release waits for a known caller; it is owed within 1 second
 SET_UP_SENDER_WAIT = 0.7  # and for one that has sent a set-up, before it goes to one in the middle of a line
 LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
@@ -125,17 +126,28 @@
         listener.close()
 
     def _make_room(self) -> bool:
-        """Close the oldest connection that has sent nothing, else the one idle for longest. Connections that had established
-        calls are closed last, since releases can be sent only on them."""
-        by_conn = self.owner.calls.by_conn
-        idle = [caller for caller in self.open if not (caller in by_conn or caller.queue or caller.is_readable())]
-        if not idle:
+        """Close a connection for a new one. Returns whether there was one that may be closed."""
+        caller = self._least_used()
+        if caller is None:
             return False
-        min(idle, key=lambda caller: (caller.is_known_caller, caller.has_sent_message, caller.last_read_at)).close(
-            True, "closed to make room for a new connection"
-        )
+        caller.close(True, "closed to make room for a new connection")
         return True
 
+    def _least_used(self) -> CallerConnection | None:
+        """Of those without open set-ups: the oldest one that has sent nothing, else the one idle for longest; else one whose
+        peer reads nothing. Known callers come last, and not while they are in use: releases can be sent on them only."""
+        by_conn = self.owner.calls.by_conn
+        without_set_ups = [caller for caller in self.open if caller not in by_conn]
+        in_use_after = self.owner.seconds() - CALLER_REST_TIME
+        idle = [
+            caller
+            for caller in without_set_ups
+            if not (caller.queue or caller.is_readable() or caller.is_known_caller and caller.last_read_at > in_use_after)
+        ]
+        if idle:
+            return min(idle, key=lambda caller: (caller.is_known_caller, caller.has_sent_message, caller.last_read_at))
+        return max((caller for caller in without_set_ups if caller.queue), key=lambda caller: caller.queued, default=None)
+
     # --- releases of calls ---
 
     def send_release(self, conn: CallerConnection | None, id: str, cause: int, unknown_from: int | None = None) -> None:
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -29,6 +29,7 @@
 SETTLE_TIME = 1.0  # seconds after the flood
 CHUNK_LINES = 200  # written at once by a flooding client
 CROWD = 400  # clients
+SOCKETS = 256  # descriptors of the process; half of them are for callers
 CIRCUITS = 20_000  # of a switch: none is refused for want of one
 RECONNECT_TIME = 0.02  # seconds
 LONG_DESCRIPTION = "a=" + "x" * 15_000 + "\r\n"
@@ -251,7 +252,7 @@
     return busy
 
 
-def measure(kind: str, seconds: float, folder: Path, sockets: int = 1024, share: int = 1) -> Measured:
+def measure(kind: str, seconds: float, folder: Path, sockets: int = SOCKETS, share: int = 1) -> Measured:
     """Flood a service process with lines, or clients, of a kind."""
     switches = {name: scripted.Switch(circuits=CIRCUITS) for name in ("s1", "s2")}
     service = scripted.Service(folder, sockets=sockets, **switches)
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -229,3 +229,36 @@
     assert connections.are_active()
     caller.close()
     assert not connections.are_active()
+
+
+def accept_another(connections, listener):
+    peer = socket.create_connection(listener.getsockname())
+    connections._add(listener.accept()[0], peer.getsockname()[1])
+    return peer, list(connections.open)[-1]
+
+
+# Guards against a caller in use that is closed for a crowd of clients that write slowly or read nothing, as it rests between two
+# set-ups while they do not (report 4fae32, picture b).
+@pytest.mark.parametrize("crowd", ["writes", "reads nothing", "has a set-up open"])
+def test_a_caller_in_use_is_not_closed_to_make_room(connected_caller, monkeypatch, crowd):
+    monkeypatch.setattr("gingergap.service.caller_connections.gevent.spawn", lambda *args: None)
+    caller, peer, connections = connected_caller
+    caller.is_known_caller = caller.has_sent_message = True
+    others = []
+    for _ in range(30):
+        other_peer, other = accept_another(connections, connections.listening)
+        others.append((other_peer, other))
+        match crowd:
+            case "writes":
+                other.is_readable = lambda: True
+            case "reads nothing":
+                other.queue, other.queued = [b"pong"], 4
+            case "has a set-up open":
+                connections.owner.calls.by_conn[other] = {"a" * 16: None}
+        connections.owner.now += 0.1
+    assert not caller.closed and len(connections.open) <= connections.max_connections
+    if crowd == "reads nothing":
+        assert not others[-1][1].closed
+    for other_peer, other in others:
+        other_peer.close()
+        other.close()
