--- a/tests/test_service_ended_requests.py
+++ b/tests/test_service_ended_requests.py
@@ -6,6 +6,7 @@
 
 import json
 import queue
+import signal
 import socket
 import struct
 import time
@@ -248,3 +249,26 @@
     assert switch.next("CANCEL")[1].call_id == A
     time.sleep(SETTLE_TIME)
     assert methods_received(switch).count("INVITE") == 0
+
+
+# Guards against set-ups that are sent on after their client has gone: it closed its connection with many of them still unread
+# (report 4fae32, picture d). One that the client sends again on another connection runs once.
+@pytest.mark.parametrize("by_reset", [True, False])
+def test_unread_set_ups_of_a_client_that_has_gone_are_not_sent_on(start, by_reset):
+    service = start()
+    gone = service.caller()
+    service.process.send_signal(signal.SIGSTOP)
+    ids = [f"{index:016x}" for index in range(1, 200)]
+    for id in ids:
+        gone.sock.sendall(set_up_line(id))
+    if by_reset:
+        gone.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    gone.file.close()
+    gone.sock.close()
+    service.process.send_signal(signal.SIGCONT)
+    time.sleep(SETTLE_TIME)
+    caller = service.caller()
+    caller.sock.sendall(set_up_line(ids[0]))
+    assert ("answer", None) in lines_until_silent(caller, SETTLE_TIME)
+    invited = [message.call_id for _, message in service.switches["s1"].received.queue if message.method == "INVITE"]
+    assert invited == [ids[0]]
