Bound the set-ups and pings that wait: of a half-closed caller, and until the process is ready

What callers saw: nothing; both lists grew with what a client wrote in 5 ms, or in the first 0.7 s of a process. Change: 100 held set-ups of one connection, further ones are refused; 1000 held pings, which connections share, further ones fail at once. Result: two rows, new with the change: they pass. That they fail without it is by reading.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -23,6 +23,7 @@
 PIECE_INTERVAL = 0.05  # seconds between two reads of a line that comes in more pieces
 MAX_QUEUED_FOR_READING = 1 << 13  # bytes queued for a peer that does not read, from which on nothing more is read from it
 UNREAD_CHECK_INTERVAL = 0.02  # seconds
+MAX_HELD_SET_UPS = 100  # of one connection
 RESET_TIME = 50  # tenths of a millisecond within which a progress to a caller that has gone is answered by a reset
 ANSWER_SETTLE_TIME = 0.4  # seconds: most releases soon after an answer can still be sent on the connection of the answer
 HALF_CLOSE_TIMEOUT = 0.2  # seconds at a shutdown in which callers may close their side of half-closed connections
@@ -219,6 +220,9 @@
     def _hold(self, set_up: HeldSetUp) -> None:
         """Hold a set-up of a caller that has shut down its sending side and may have gone. It is sent a progress; unless that
         causes a reset within RESET_TIME, the set-up is accepted."""
+        if len(self.held_set_ups) >= MAX_HELD_SET_UPS:
+            self.owner.calls.refuse_set_up(self.owner.clock(), self, set_up.id, "too many held")
+            return
         self.held_set_ups.append(set_up)
         self.write(json_lines.encode_progress(set_up.id))
 
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -165,7 +165,7 @@
             return
         size = SET_UP_BYTES + 2 * len(sdp)  # it stands in the set-up and in its INVITE
         if not (self.open_share.admits(conn) and self.bytes_share.admits(conn, size) and self.ended_set_ups.admits(conn)):
-            self._refuse_at_once(conn, id, "too many open", DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
+            self.refuse_set_up(now, conn, id, "too many open")
             return
         call = Call(id, self.next_dialog, conn, traffic_type, number, sdp, circuits)
         call.received_at, call.held_bytes = now, size
@@ -198,6 +198,11 @@
         if not self._handle_known_id(conn, id):
             self._refuse_at_once(conn, id, reason, INVALID_CONTENTS, 0)
 
+    def refuse_set_up(self, now: int, conn: Conn, id: str, reason: str) -> None:
+        """Refuse a set-up for want of room here. Its caller may try again later."""
+        self.now = now
+        self._refuse_at_once(conn, id, reason, DECLINED, self.controller.max_hold_off // UNITS_PER_MS)
+
     def set_up_withdrawn(self, now: int, conn: Conn, id: str) -> None:
         """A set-up was received together with its release, so no answer is expected."""
         self.now = now
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -27,6 +27,7 @@
 from .configuration import Configuration, configuration_from_environment, read_configuration
 from .diagnostics import Diagnostics
 from .event_bus import EventBusClient
+from .fair_share import FairShare
 from .log import DetailLog, log
 from .shutdown import ShutdownSchedule
 from .switch_connections import MAX_LINKS, SwitchConnection, SwitchConnections, to_clock
@@ -38,6 +39,7 @@
 COUNTS_TICKS = 1000  # ticks between two log lines of counts
 SHUTDOWN_LOG_TICKS = 50  # ticks between two log lines about a shutdown
 IDLE_LINKS_EIGHTHS = 3  # of all descriptors, for idle connections to switches; callers may hold half
+MAX_HELD_PINGS = 1000  # until the process is ready; connections share them
 READY_TIMEOUT = 0.7  # seconds after the start for which pings are held until all switches have reported their trunk groups
 SWITCH_HALF_CLOSE_TIMEOUT = 0.05  # seconds at a shutdown in which switches may close their side of half-closed connections
 
@@ -57,6 +59,7 @@
         self.switches: dict[int, SwitchConnections] = {}  # by gw
         self.detail_log = DetailLog(self.seconds)
         self.held_pings: list[tuple[CallerConnection, str]] = []
+        self.held_pings_share = FairShare(MAX_HELD_PINGS)
         self.started = self.seconds()
         self.ready = False
         self.shutdown_started: float | None = None  # seconds
@@ -228,8 +231,11 @@
     def ping_received(self, caller: CallerConnection, id: str) -> None:
         if self.ready:
             self.calls.ping_received(self.clock(), caller, id, self.shutdown_started is None)
-        else:
+        elif self.held_pings_share.admits(caller):
+            self.held_pings_share.take(caller)
             self.held_pings.append((caller, id))
+        else:
+            self.calls.ping_received(self.clock(), caller, id, False)
 
     # --- exchange list ---
 
@@ -323,6 +329,7 @@
             for caller, id in self.held_pings:
                 self.ping_received(caller, id)
             self.held_pings.clear()
+            self.held_pings_share.clear()
 
     # --- signals and shutdown ---
 
--- a/tests/test_service_bounds.py
+++ b/tests/test_service_bounds.py
@@ -4,17 +4,24 @@
 """
 
 from collections import Counter
+from socket import SHUT_WR
+from types import SimpleNamespace
 
 import pytest
+import test_service_caller_connections as caller_connections
 from test_service_caller_connections import FakeOwner
 from test_service_calls import FREE_GROUP, START, RecordingWire, make_calls, receive_set_up
 from test_service_switch_connections import FakeOwner as SwitchOwner
 
 from gingergap.service.caller_connections import CallerConnections
+from gingergap.service.fair_share import FairShare
 from gingergap.service.log import DetailLog
 from gingergap.service.named_calls import MAX_DUE
+from gingergap.service.process import Process
 from gingergap.service.switch_connections import SwitchConnections
 
+connected_caller = caller_connections.connected_caller
+
 A, B = "a" * 16, "b" * 16
 FLOOD = 25_000  # more than any table holds
 SECOND = 10_000
@@ -139,6 +146,31 @@
     assert len(connections.pending_releases) <= 5_000
 
 
+# Guards against memory that grows with set-ups of a client that has shut down its sending side: they wait for a sign that it reads.
+def test_held_set_ups_of_one_connection_are_bounded(connected_caller):
+    caller, peer, connections = connected_caller
+    refused = []
+    connections.owner.calls.by_id = {}
+    connections.owner.calls.refuse_set_up = lambda now, conn, id, reason: refused.append(id)
+    peer.shutdown(SHUT_WR)
+    for id in ids(200):
+        caller.set_up_received(id, "voice", 1500, "7f", 1, 1, -1, False, False, False, "x")
+    assert len(caller.held_set_ups) + len(refused) == 200 and len(caller.held_set_ups) <= 100
+
+
+# Guards against memory that grows with the pings that wait until a process is ready.
+def test_pings_that_wait_for_the_start_are_bounded_and_answered():
+    process = SimpleNamespace(ready=False, shutdown_started=None, held_pings=[], held_pings_share=FairShare(10))
+    answered = []
+    process.clock = lambda: START
+    process.calls = SimpleNamespace(ping_received=lambda now, caller, id, passed: answered.append((id, passed)))
+    for id in ids(100):
+        Process.ping_received(process, "flood", id)
+    Process.ping_received(process, "c1", A)
+    assert len(answered) == 95 and not any(passed for _, passed in answered)
+    assert ("c1", A) in process.held_pings
+
+
 # Guards against a call that stands for good at its switch, as its release, which waits for a connection, is pushed out by those of
 # calls that another client names and releases.
 def test_unsent_messages_of_one_client_do_not_push_out_those_of_others():
