Let short turns follow each other, and bytes that complete no line take none

Cause: each turn waited for a timer of at least 0.5 ms, so that some 700 turns a second were all there were, and each byte of the crowd took one; of those that wait the one that has worked least goes first, which those bytes always were. Change: turns are paid for in advance up to 5 ms, and follow at once until then; what completes no line is added to the line without a turn.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from ..caller_protocol import json_lines
-from ..caller_protocol.json_lines import CallerLineParser, InvalidLineError
+from ..caller_protocol.json_lines import MAX_LINE_BYTES, CallerLineParser, InvalidLineError
 from ..transport.stream import PeerState, Stream
 from ..transport.turns import Work
 
@@ -90,20 +90,25 @@
         if self.unreadable:
             return
         self.last_read_at = self.owner.seconds()
-        data_left: bytes | None = data
-        while (data_left is not None or self.parser.has_pending()) and not self.closed:
-            self._handle_in_turn(data_left)
-            data_left = None
+        if b"\n" in data or len(self.parser.buffer) + len(data) > MAX_LINE_BYTES:
+            self._handle_in_turns(data)
+        else:
+            self.parser.receive(data)  # no line is complete: nothing to handle
         self._rest_if_slow(len(data))
 
-    def _handle_in_turn(self, data: bytes | None) -> None:
-        """Take in what was read, if anything, and handle as many messages as a turn has."""
+    def _handle_in_turns(self, data: bytes) -> None:
+        """Take in what was read, and handle as many messages in each turn as a turn has."""
+        self._handle_in_turn(data)
+        while self.parser.has_pending() and not self.closed:
+            self._handle_in_turn(b"")
+
+    def _handle_in_turn(self, data: bytes) -> None:
         turns = self.connections.turns_of(self)
         self.waits_for_turn = True
         turns.begin(self.work)
         self.waits_for_turn = False
         try:
-            if data is not None and not self.closed:
+            if data and not self.closed:
                 self.parser.receive(data)
             self.parser.dispatch(MAX_MESSAGES_PER_TURN)
         except InvalidLineError as error:
--- a/gingergap/transport/turns.py
+++ b/gingergap/transport/turns.py
@@ -1,8 +1,8 @@
 """Shares the time of a process between connections whose peers may send as fast as they can.
 
-What was read from a connection is handled in turns, one at a time. After a turn the next one waits so long that all turns of
-a queue together take one in `share` parts of the time; the rest is for everything else. Of those that wait, the connection that
-has worked least of late has the next turn, so one with little to say does not wait for the others.
+What was read from a connection is handled in turns, one at a time. All turns of a queue together take one in `share` parts of the
+time, beyond a short burst; the rest is for everything else. Of those that wait, the connection that has worked least of late
+has the next turn, so one with little to say does not wait for the others.
 """
 
 import heapq
@@ -13,6 +13,7 @@
 from gevent.event import Event
 
 YIELD_TIME = 0.0005  # seconds; more than 0, since up to fifty sleep(0) callbacks run before the loop checks timers
+BURST_TIME = 0.005  # seconds of work and of the pauses for it that may be due before a turn waits
 HALF_LIFE = 1.0  # seconds in which work counts half
 
 
@@ -39,17 +40,17 @@
         self.waiting: list[tuple[float, int, Event]] = []  # heap of (work of late, order, what wakes the greenlet)
         self.order = itertools.count()
         self.is_taken = False  # a turn is under way, or granted
-        self.free_at = 0.0  # when the next turn may begin
+        self.paid_until = 0.0  # when the turns so far will have taken their part of the time only
         self.began_at = 0.0
 
     def begin(self, work: Work) -> None:
         """Wait for a turn. `end` must follow, without switching greenlets in between."""
         now = time.monotonic()
-        if self.is_taken or now < self.free_at:
+        if self.is_taken or self.paid_until - BURST_TIME > now:
             granted = Event()
             heapq.heappush(self.waiting, (work.of_late(now), next(self.order), granted))
             if not self.is_taken:
-                self._grant_later(now)
+                self._grant_next(now)
             granted.wait()
         self.is_taken, self.began_at = True, time.monotonic()
 
@@ -57,13 +58,14 @@
         now = time.monotonic()
         worked = now - self.began_at
         work.add(now, worked)
-        self.is_taken, self.free_at = False, now + worked * (self.share - 1)
+        self.is_taken = False
+        self.paid_until = max(self.paid_until, self.began_at) + worked * self.share
         if self.waiting:
-            self._grant_later(now)
+            self._grant_next(now)
 
-    def _grant_later(self, now: float) -> None:
+    def _grant_next(self, now: float) -> None:
         self.is_taken = True
-        gevent.spawn_later(max(YIELD_TIME, self.free_at - now), self._grant)
+        gevent.spawn_later(max(0.0, self.paid_until - BURST_TIME - now), self._grant)
 
     def _grant(self) -> None:
         heapq.heappop(self.waiting)[2].set()
