Know a call that has ended for 60 s, so that its release is told once

Cause: finished set-ups are forgotten after 10 s; a switch repeats a release on the next connection that it accepts, and the end of an unknown call is told to any caller. Change: the ids of calls that stood here are known for 60 s, 20,000 at most.

--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -513,7 +513,7 @@
         self._report_trunk_group(gw, free, size)
         call = self.by_id.get(id)
         if call is None:
-            if id not in self.ended_set_ups:  # established before this process started
+            if not self.ended_set_ups.knows_release(id):  # established before this process started
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True, owner=gw)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
                 self.wire.send_release(None, id, cause, unknown_from=gw)
--- a/gingergap/service/ended_set_ups.py
+++ b/gingergap/service/ended_set_ups.py
@@ -14,6 +14,8 @@
 from .fair_share import FairShare, Owner
 
 RETENTION_TIME = 100_000  # tenths of a millisecond
+RELEASE_RETENTION_TIME = 600_000  # tenths of a millisecond; a switch repeats a release on the next connection that is opened
+MAX_RELEASED = 20_000  # calls whose release may be repeated
 MAX_FORWARDED = 20_000  # set-ups that were forwarded to a switch; connections share them
 MAX_RETAINED = 20_000  # other set-ups
 MAX_OF_ONE_OWNER = MAX_RETAINED // 8  # of those, where no more are kept
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.by_id: dict[str, EndedSetUp] = {}
         self.forwarded_share = FairShare(MAX_FORWARDED)
+        self.released: dict[str, int] = {}  # calls that stood here: until when their release may be repeated
         self.others: dict[str, None] = {}  # ids of those that were not forwarded
         self.others_by_owner: dict[Owner, dict[str, None]] = {}
 
@@ -65,6 +68,10 @@
     def get(self, id: str) -> EndedSetUp | None:
         return self.by_id.get(id)
 
+    def knows_release(self, id: str) -> bool:
+        """Whether a release of the call by a switch is not news: it has ended."""
+        return id in self.by_id or id in self.released
+
     def admits(self, conn: Conn) -> bool:
         """Whether there is room for another set-up of the connection that may be forwarded."""
         return self.forwarded_share.admits(conn)
@@ -84,6 +91,10 @@
         owner = conn if owner is None else owner
         connections = (conn,) if conn is not None else ()
         self.by_id[id] = EndedSetUp(reason, connections, forwarded, stood, owner, now + RETENTION_TIME)
+        if forwarded and stood:
+            self.released[id] = now + RELEASE_RETENTION_TIME
+            if len(self.released) > MAX_RELEASED:
+                del self.released[next(iter(self.released))]
         if forwarded:
             self.forwarded_share.take(owner)
             return
@@ -106,6 +117,8 @@
             del self.others_by_owner[ended.owner]
 
     def remove_expired(self, now: int) -> None:
+        while self.released and self.released[next(iter(self.released))] <= now:
+            del self.released[next(iter(self.released))]
         while self.by_id:
             id = next(iter(self.by_id))
             if self.by_id[id].expires_at > now:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -491,6 +491,20 @@
     assert len(wire.sent("INVITE")) == 1
 
 
+# Guards against a call whose release is told twice: its switch repeats it on the next connection, which it may accept much later
+# (dense trial, seed 2).
+def test_a_release_that_a_switch_repeats_later_is_told_once():
+    wire = RecordingWire()
+    calls = make_calls(wire)
+    receive_set_up(calls)
+    link = wire.sent("INVITE")[0][0]
+    calls.switch_answered(START + 200, 1, link, "a" * 16, "x\r\n")
+    calls.switch_released(START + 900, 1, link, "a" * 16, 16, {})
+    calls.tick(START + 2 * RETENTION_TIME)
+    calls.switch_released(START + 2 * RETENTION_TIME, 1, 99, "a" * 16, 16, {})
+    assert [line["type"] for line in wire.sent_for("a" * 16)] == ["answer", "release"]
+
+
 # Guards against memory that grows with the number of finished set-ups.
 def test_finished_set_ups_are_removed_after_their_retention_time():
     wire = RecordingWire()
