Take what a turn of callers took for work up to 20 ms only

What callers saw: nothing yet; found by reading: a process that stands still for 2.8 s within a turn would keep all known callers' lines waiting for as long again. Cause: the time of a turn is told by the clock, so that a pause of the process counts as work. Change: MAX_TURN_TIME. Rows for this and for the order of turns. Result: the row of the pause failed before and passes.

--- a/gingergap/transport/turns.py
+++ b/gingergap/transport/turns.py
@@ -14,6 +14,7 @@
 
 YIELD_TIME = 0.0005  # seconds; more than 0, since up to fifty sleep(0) callbacks run before the loop checks timers
 BURST_TIME = 0.005  # seconds of work and of the pauses for it that may be due before a turn waits
+MAX_TURN_TIME = 0.02  # seconds; what took longer was a pause of the process
 HALF_LIFE = 1.0  # seconds in which work counts half
 
 
@@ -56,7 +57,7 @@
 
     def end(self, work: Work) -> None:
         now = time.monotonic()
-        worked = now - self.began_at
+        worked = min(now - self.began_at, MAX_TURN_TIME)
         work.add(now, worked)
         self.is_taken = False
         self.paid_until = max(self.paid_until, self.began_at) + worked * self.share
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Transport on real loopback sockets: message framing, unreachable peers, peers that never read, and invalid input."""
 
 import socket as system
+import time
 
 import gevent
 import pytest
@@ -12,6 +13,7 @@
 from gingergap.standins.player import free_ports
 from gingergap.transport.sockets import Sockets
 from gingergap.transport.stream import Stream
+from gingergap.transport.turns import TurnQueue, Work
 
 OPTIONS = (
     b"OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP h;branch=z9hG4bK%d\r\nFrom: <sip:a>;tag=1\r\nTo: <sip:b>\r\n"
@@ -228,3 +230,33 @@
     assert bytes(received) == first + third
     stream.close()
     peer.close()
+
+
+# Guards against callers that wait for seconds after a pause of the process: it fell into a turn, and was taken for work.
+def test_a_pause_of_the_process_within_a_turn_does_not_delay_the_next_ones(monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr("gingergap.transport.turns.time.monotonic", lambda: now[0])
+    queue = TurnQueue(2)
+    queue.begin(Work())
+    now[0] += 3.0
+    queue.end(Work())
+    assert queue.paid_until - now[0] <= 0.04
+
+
+# Guards against a client that has its turn after all others have theirs, though it has worked least.
+def test_the_connection_that_has_worked_least_has_the_next_turn():
+    queue, order = TurnQueue(2), []
+    busy, quiet = Work(), Work()
+    busy.add(time.monotonic(), 1.0)
+
+    def take_turn(name, work):
+        queue.begin(work)
+        order.append(name)
+        queue.end(work)
+
+    queue.begin(first := Work())
+    others = [gevent.spawn(take_turn, name, work) for name, work in (("busy", busy), ("quiet", quiet))]
+    gevent.sleep(0)
+    queue.end(first)
+    gevent.joinall(others)
+    assert order == ["quiet", "busy"]
