review: stand-in switches give up a set-up on its own connection only

Cause: a stand-in answered on the first connection of a set-up that had been cancelled there and sent again on another. Change: answer and CANCEL go by the connection of the set-up.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -207,9 +207,9 @@
                 self.on_invite(self, connection, message)
             else:
                 self.later(self.delay, self.answer, connection, message.id)
-        elif message.method == "CANCEL" and message.id in self.open:
-            own = self.open.pop(message.id)
-            own.send(sip("SIP/2.0 487 Request Terminated", message.id, "INVITE"))
+        elif message.method == "CANCEL" and self.open.get(message.id) is connection:
+            del self.open[message.id]
+            connection.send(sip("SIP/2.0 487 Request Terminated", message.id, "INVITE"))
         elif message.method == "BYE":
             self.byes.append(message.id)
             self.standing.pop(message.id, None)
@@ -231,7 +231,7 @@
             self.later(self.hold, self.end_call, id)
 
     def answer(self, connection, id):
-        if id not in self.open:
+        if self.open.get(id) is not connection:  # given up, or tried again since
             return
         self.stands(connection, id)
         connection.send(sip("SIP/2.0 200 OK", id, "INVITE", self.report(), self.description(id)))
