--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption. What was sent, answered and run goes to record.txt.
 cd "$(dirname "$0")" || exit 2
 test -x ../../.venv/bin/python || exit 2
 exec ../../.venv/bin/python -B case.py
