Keep the end of a call owed until a caller can be told, also across restarts

Cause: connections to switches were opened for reasons of their own: at the start, to look for a quiet switch, in place of lost ones. A switch repeats a release once, on the next connection that is opened. The process took the repetition while nobody could be told, and ended with it. Two restarts in a row lose it in the same way, at the start of the process between them.

Change: releases that are owed are kept in a module of their own (release_delivery.py) until they are written on a connection of a caller; a copy to a client that may be faulty settles nothing. While nobody can be told, no connection is opened where a release may wait for it: before the first one of the process, at switches that told of an end that is still owed, and during a shutdown.

Why this works: the end lies with the switch until somebody is there, and every process may end meanwhile, killed or not.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -26,6 +26,8 @@
 MAX_HELD_SET_UPS = 100  # of one connection
 RESET_TIME = 50  # tenths of a millisecond within which a progress to a caller that has gone is answered by a reset
 ANSWER_SETTLE_TIME = 0.4  # seconds: most releases soon after an answer can still be sent on the connection of the answer
+LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
+HEALTH_CHECK_TIME = 0.7  # seconds after which a connection counts as one that is kept open
 HALF_CLOSE_TIMEOUT = 0.2  # seconds at a shutdown in which callers may close their side of half-closed connections
 
 
@@ -79,7 +81,12 @@
         self.pieces = 0  # reads in a row that ended in the middle of a line
         self.port = port
         self.accepted_at = self.last_read_at = self.owner.seconds()
-        self.has_sent_message = self.is_known_caller = self.has_sent_set_up = False
+        self.has_sent_message = self.has_named_call = False
+        self.has_sent_call_message = False  # other than tests and names of calls
+        self.has_sent_set_up = False  # a valid one
+        self.is_known_caller = False  # its peer is certainly a caller, as `Calls` found: see `Wire.caller_identified`
+        # See ReleaseDelivery: copies of releases that are not settled, and the sequence number of the last one as a tester.
+        self.has_copies, self.copied_at, self.last_copied_release = False, 0.0, 0
         self.held_set_ups: list[HeldSetUp] = []
         self.peer_half_closed = False  # its peer has shut down its sending side while set-ups were open on it
         self.unreadable = False  # an invalid line was received; nothing more is read
@@ -156,6 +163,14 @@
         if self.peer_half_closed and not (self.owner.is_shutting_down() or self.held_set_ups or self in self.owner.calls.by_conn):
             self.finish(HALF_CLOSE_TIMEOUT)
 
+    def is_in_mid_line(self) -> bool:
+        """Whether it has sent the beginning of a line as callers write them."""
+        return self.parser.buffer.startswith(LINE_PREFIX)
+
+    def is_unknown_sender(self, now: float) -> bool:
+        """Whether it has sent messages about calls, or part of one, that do not show whether its peer is a caller."""
+        return self.is_in_mid_line() or self.has_sent_call_message and now - self.accepted_at > HEALTH_CHECK_TIME
+
     def can_receive_release(self) -> bool:
         """Whether releases of calls may be sent here: its peer still reads, as far as is known."""
         if self.closed or self.finishing:
@@ -202,7 +217,7 @@
     # --- messages of the parser ---
 
     def _mark_active(self) -> None:
-        self.has_sent_message = True
+        self.has_sent_message = self.has_sent_call_message = True
         self.connections.last_message_at = self.owner.seconds()
 
     def set_up_received(self, id: str, traffic_type: str, time_left: int, *more: Any) -> None:
@@ -212,7 +227,6 @@
         if self.finishing:  # the set-up crossed the half-close: its caller sends it again on another connection
             self.owner.detail_log("set-up-crossed-close", id=id)
             return
-        self.has_sent_set_up = True
         self.connections.close_if_reset(id)
         match self.peer_state():
             case PeerState.CLOSED:
@@ -245,7 +259,7 @@
             self.finish_if_answered()
 
     def call_announced(self, id: str, traffic_type: str, number: str, switch: str) -> None:
-        self.has_sent_message = self.is_known_caller = True
+        self.has_sent_message = self.has_named_call = True
         self.owner.calls.call_announced(self.owner.clock(), self, id, traffic_type, number, switch)
 
     def release_received(self, id: str, cause: int) -> None:
--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -8,44 +8,25 @@
 import contextlib
 import itertools
 import math
-from typing import NamedTuple
 
 import gevent
 from gevent import socket
 
-from ..caller_protocol import json_lines
 from ..transport.stream import PeerState, create_listener
 from ..transport.turns import YIELD_TIME, TurnQueue
 from .caller_connection import HALF_CLOSE_TIMEOUT, CallerConnection, Owner
-from .fair_share import FairShare
+from .release_delivery import ReleaseDelivery
 
 LINE_TIMEOUT = 1.5  # seconds in which a connection must have sent its first line, or the rest of a line
 IDLE_TIMEOUT = 8.0  # seconds without a call before a connection is closed; callers close it themselves after 4
 CALLER_REST_TIME = 4.0  # seconds after which callers close a connection on which they have no call
-KNOWN_CALLER_WAIT = 0.4  # seconds a release waits for a known caller; it is owed within 1 second
-SET_UP_SENDER_WAIT = 0.7  # and for one that has sent a set-up, before it goes to one in the middle of a line
-LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
 KNOWN_CALLERS_SHARE = 2  # known callers' lines take one part in so many of the time at most
 OTHERS_SHARE = 2  # and those of other clients one in so many
 MAX_ACCEPTED_AT_ONCE = 8  # connections
-MAX_PENDING_UNKNOWN = 1000  # releases of calls that this process does not know; switches share them
-ANSWER_READ_TIME = 1.0  # seconds after an answer in which a release on another connection might be read before it
-MAX_RELEASE_DELAY = 0.6  # seconds that a release is delayed for that; it is owed within 1 second
 OVERDUE_HALF_CLOSE_TIMEOUT = 0.1  # as HALF_CLOSE_TIMEOUT, where the earliest SIGKILL is near
 CALLERS_QUIET_TIME = 1.0  # seconds without a message after which all callers have left; a slow one pauses for up to 0.5
 
 
-class PendingRelease(NamedTuple):
-    """A release of a call that waits for a caller's connection, and at least until `not_before`. `unknown_from`: the gw of the
-    switch that told it, for a call that this process does not know."""
-
-    queued_at: float
-    not_before: float
-    id: str
-    cause: int
-    unknown_from: int | None = None
-
-
 class CallerConnections:
     """The open connections from callers, in the order in which they were accepted."""
 
@@ -54,8 +35,7 @@
         self.open: dict[CallerConnection, None] = {}
         self.known_turns, self.other_turns = TurnQueue(KNOWN_CALLERS_SHARE), TurnQueue(OTHERS_SHARE)
         self.half_closed_by_peer: dict[CallerConnection, None] = {}  # those whose peers have shut down their sending side
-        self.pending_releases: list[PendingRelease] = []
-        self.unknown_share = FairShare(MAX_PENDING_UNKNOWN)  # of the pending ones, by the switch that told them
+        self.releases = ReleaseDelivery(owner, self)
         self.listener: socket.socket | None = None
         self.last_message_at = -math.inf  # last message about a call, on any connection
         self.half_close_unnoticed_until = 0.0  # callers may still send on connections that were half-closed
@@ -69,6 +49,7 @@
     def connection_closed(self, caller: CallerConnection) -> None:
         self.open.pop(caller, None)
         self.half_closed_by_peer.pop(caller, None)
+        self.releases.connection_closed(caller)
         open_set_ups = self.owner.calls.by_conn.get(caller, ())
         self.owner.detail_log(
             "caller-closed",
@@ -142,99 +123,49 @@
         idle = [
             caller
             for caller in without_set_ups
-            if not (caller.queue or caller.is_readable() or caller.is_known_caller and caller.last_read_at > in_use_after)
+            if not (
+                caller.queue
+                or caller.is_readable()
+                or (caller.is_known_caller or caller.has_named_call)
+                and caller.last_read_at > in_use_after
+            )
         ]
         if idle:
             return min(idle, key=lambda caller: (caller.is_known_caller, caller.has_sent_message, caller.last_read_at))
         return max((caller for caller in without_set_ups if caller.queue), key=lambda caller: caller.queued, default=None)
 
-    # --- releases of calls ---
-
-    def send_release(self, conn: CallerConnection | None, id: str, cause: int, unknown_from: int | None = None) -> None:
-        """Send a release on a caller's connection, or on another if that has gone (`None`: on any); later if there is none.
-
-        `unknown_from`: as of PendingRelease. There are no more releases of known calls than such calls; the others are bounded."""
-        now = self.owner.seconds()
-        not_before = now
-        if conn is None or not conn.can_receive_release():
-            if conn is not None and conn.finishing:  # its answer may not have been read yet
-                not_before = min(conn.answered_at + ANSWER_READ_TIME, now + MAX_RELEASE_DELAY)
-            conn = self._known_caller()
-        if conn is not None and not_before <= now and self._write_release(conn, id, cause):
-            return
-        self.owner.detail_log("release-waits", id=id, cause=cause, callers=len(self), known=conn is not None)
-        if unknown_from is not None:
-            if not self.unknown_share.admits(unknown_from):
-                self.owner.calls.increment("releases of unknown calls dropped")
-                return
-            self.unknown_share.take(unknown_from)
-        self.pending_releases.append(PendingRelease(now, not_before, id, cause, unknown_from))
-
-    def _write_release(self, conn: CallerConnection, id: str, cause: int, waited: float = 0.0) -> bool:
-        """Returns whether the connection can still be written to."""
-        self.owner.detail_log("release-sent", id=id, port=conn.port, waited_ms=round(waited * 1000))
-        return conn.send_line(json_lines.encode_release(id, cause))
+    # --- peers that can be told of the end of a call ---
 
     def call_established(self, conn: CallerConnection) -> None:
         """A call of this connection has been established."""
-        conn.is_known_caller = True
+        self.releases.caller_identified(conn)
         conn.answered_at = self.owner.seconds()
 
-    def send_pending_releases(self, overdue: bool = False) -> None:
-        """Send the pending releases that are due; all of them when `overdue`, as connections are about to be closed."""
-        now = self.owner.seconds()
-        latest = math.inf if overdue else now
-        due = [release for release in self.pending_releases if release.not_before <= latest]
-        if not due:
-            return
-        caller = self._caller_for_release(now - due[0].queued_at, overdue)
-        if caller is None:
-            return
-        undelivered = [
-            release for release in due if not self._write_release(caller, release.id, release.cause, now - release.queued_at)
-        ]
-        self.pending_releases = undelivered + [release for release in self.pending_releases if release.not_before > latest]
-        self.unknown_share.clear()
-        for release in self.pending_releases:
-            if release.unknown_from is not None:
-                self.unknown_share.take(release.unknown_from)
-
-    def has_pending_release(self) -> bool:
-        """Whether a release is pending, and a connection is still open for it."""
-        return bool(self.pending_releases) and not self.all_finishing()
-
-    def has_identified_caller(self) -> bool:
-        """Whether there is a connection that is certainly a caller's."""
-        return self._known_caller() is not None or self._set_up_sender() is not None
-
-    def _caller_for_release(self, waited: float, overdue: bool) -> CallerConnection | None:
-        """Where to send a release that has waited for so many seconds; None: it keeps waiting."""
-        caller = self._known_caller()
-        if caller is None and (self.owner.is_shutting_down() or waited > KNOWN_CALLER_WAIT):
-            caller = self._set_up_sender()
-        if caller is None and waited > SET_UP_SENDER_WAIT:
-            caller = self._caller_in_mid_line()
-        if caller is None and self.listener is None and (overdue or waited > KNOWN_CALLER_WAIT):
-            caller = self._last_caller()
-        return caller
-
-    def _known_caller(self) -> CallerConnection | None:
-        """The latest connection that had established calls; other connections may be of unrelated clients."""
+    def known_caller(self) -> CallerConnection | None:
+        """The latest connection whose peer is certainly a caller; other connections may be of unrelated clients."""
         return next((caller for caller in reversed(self.open) if caller.is_known_caller and caller.can_receive_release()), None)
 
-    def _set_up_sender(self) -> CallerConnection | None:
+    def set_up_sender(self) -> CallerConnection | None:
+        """The latest connection on which a valid set-up came."""
         return next((caller for caller in reversed(self.open) if caller.has_sent_set_up and caller.can_receive_release()), None)
 
-    def _caller_in_mid_line(self) -> CallerConnection | None:
-        """The latest connection with an incomplete line that begins as callers' lines do."""
-        candidates = (caller for caller in reversed(self.open) if caller.parser.buffer.startswith(LINE_PREFIX))
-        return next((caller for caller in candidates if caller.can_receive_release()), None)
-
-    def _last_caller(self) -> CallerConnection | None:
+    def last_caller(self) -> CallerConnection | None:
         """Any connection left at the end; one with part of a line in preference to one that may be a health check."""
         left = [caller for caller in self.open if not (caller.finishing or caller.peer_state() is PeerState.CLOSED)]
         return max(left, key=lambda caller: (caller.has_sent_message, len(caller.parser.buffer)), default=None)
 
+    def can_deliver_releases(self) -> bool:
+        """Whether there is a connection on which the end of a call can be told, as its peer is a caller or may be one."""
+        return any(self._may_be_caller(caller) and caller.can_receive_release() for caller in reversed(self.open))
+
+    def _may_be_caller(self, caller: CallerConnection) -> bool:
+        if caller.is_known_caller or caller.has_sent_set_up or caller.has_named_call:
+            return True
+        if self.owner.is_shutting_down():
+            return False
+        now = self.owner.seconds()
+        return caller.is_unknown_sender(now)
+
     # --- closing ---
 
     def close_if_reset(self, id: str) -> None:
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -163,6 +163,7 @@
         ):
             self.set_up_invalid(now, conn, id, "field left, width or dest is out of range")
             return
+        self.wire.set_up_taken(conn)
         size = SET_UP_BYTES + 2 * len(sdp)  # it stands in the set-up and in its INVITE
         if not (self.open_share.admits(conn) and self.bytes_share.admits(conn, size) and self.ended_set_ups.admits(conn)):
             self.refuse_set_up(now, conn, id, "too many open")
@@ -258,6 +259,9 @@
     def call_announced(self, now: int, conn: Conn, id: str, traffic_type: str, number: str, switch: str) -> None:
         """A caller names a call that was established before this process started; it may be known already."""
         self.now = now
+        if self._is_known_end(id) or id in self.by_id and self.by_id[id].established and not self.by_id[id].announced:
+            self.wire.caller_identified(conn)
+            return
         if id in self.by_id or id in self.ended_set_ups:
             return
         if not self.named_calls.admits(conn):
@@ -278,6 +282,11 @@
             self.named_calls.wait_for_list(id, now + UNLISTED_TIMEOUT)
         self._review_announced(call)
 
+    def _is_known_end(self, id: str) -> bool:
+        """Whether a call of that id has stood and is over."""
+        ended = self.ended_set_ups.get(id)
+        return ended is not None and ended.stood or self.wire.is_release_pending(id)
+
     def _drop_named(self, call: Call) -> None:
         """Forget a call that a caller named, without a word to either side: it may stand."""
         self.increment("named calls not kept")
@@ -291,13 +300,14 @@
         call = self.by_id.get(id)
         if call is None:
             self.wire.log_call("release-of-unknown-set-up", id, cause=cause)
-            ended = self.ended_set_ups.get(id)
-            if ended is not None and ended.stood:  # its release crosses that of its switch, which may wait for a caller
+            if self._is_known_end(id):  # its release crosses that of its switch, which may wait for a caller
+                self.wire.settle_release(id)
                 self.wire.caller_identified(conn)
             return
         if call.established:
             self.wire.log_call("call-ended", id, by="caller", cause=cause, switch=self.switches.ids[call.gw])
-            self.wire.caller_identified(conn)
+            if not call.announced:  # a faulty client may name and release a call that no switch knows
+                self.wire.caller_identified(conn)
             self.wire.send_to_caller(conn, json_lines.encode_released(id))
             self._send_bye(call, cause)
             self._end_call(call, LegEnd.ENDED)
@@ -516,11 +526,11 @@
             if not self.ended_set_ups.knows_release(id):  # established before this process started
                 self.ended_set_ups.add(now, id, EndOfSetUp.ELSEWHERE, stood=True, owner=gw)
                 self.wire.log_call("release-of-unknown-call", id, switch=self.switches.ids[gw])
-                self.wire.send_release(None, id, cause, unknown_from=gw)
+                self.wire.send_release(None, id, cause, gw, is_known=False)
         elif call.established and self.switch_processes.share_address(gw, call.gw):
             # A BYE of another switch ends an earlier leg that this proxy had given up.
             self.wire.log_call("call-ended", id, by="switch", cause=cause, switch=self.switches.ids[gw])
-            self.wire.send_release(call.conn, id, cause)
+            self.wire.send_release(call.conn, id, cause, gw)
             if gw in call.doubtful_gws and not call.unreleased_legs:  # it is unknown which of the legs there has ended
                 call.unreleased_legs.append(CancelledLeg(gw, call.leg_count, call.number))
             self._end_call(call, LegEnd.ENDED if cause == NORMAL_CLEARING else LegEnd.CUT)
--- a/gingergap/service/ended_set_ups.py
+++ b/gingergap/service/ended_set_ups.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self.by_id: dict[str, EndedSetUp] = {}
         self.forwarded_share = FairShare(MAX_FORWARDED)
-        self.released: dict[str, int] = {}  # calls that stood here: until when their release may be repeated
+        self.released: dict[str, int] = {}  # calls that stood: until when their release may be repeated
         self.others: dict[str, None] = {}  # ids of those that were not forwarded
         self.others_by_owner: dict[Owner, dict[str, None]] = {}
 
@@ -91,7 +91,7 @@
         owner = conn if owner is None else owner
         connections = (conn,) if conn is not None else ()
         self.by_id[id] = EndedSetUp(reason, connections, forwarded, stood, owner, now + RETENTION_TIME)
-        if forwarded and stood:
+        if stood:
             self.released[id] = now + RELEASE_RETENTION_TIME
             if len(self.released) > MAX_RELEASED:
                 del self.released[next(iter(self.released))]
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -40,7 +40,7 @@
 SHUTDOWN_LOG_TICKS = 50  # ticks between two log lines about a shutdown
 IDLE_LINKS_EIGHTHS = 3  # of all descriptors, for idle connections to switches; callers may hold half
 MAX_HELD_PINGS = 1000  # until the process is ready; connections share them
-READY_TIMEOUT = 0.7  # seconds after the start for which pings are held until all switches have reported their trunk groups
+READY_TIMEOUT = 0.7  # seconds after the start for which pings are held until the switches that are being connected to have reported
 SWITCH_HALF_CLOSE_TIMEOUT = 0.05  # seconds at a shutdown in which switches may close their side of half-closed connections
 
 
@@ -62,6 +62,7 @@
         self.held_pings_share = FairShare(MAX_HELD_PINGS)
         self.started = self.seconds()
         self.ready = False
+        self.has_met_callers = False  # somebody could be told of the end of a call since the start
         self.shutdown_started: float | None = None  # seconds
         self.schedule: ShutdownSchedule | None = None  # during a shutdown
         self.stopped = Event()
@@ -122,8 +123,16 @@
     def send_to_caller(self, conn: CallerConnection, data: bytes) -> bool:
         return conn.send_line(data)
 
-    def send_release(self, conn: CallerConnection | None, id: str, cause: int, unknown_from: int | None = None) -> None:
-        self.callers.send_release(conn, id, cause, unknown_from)
+    def send_release(
+        self, conn: CallerConnection | None, id: str, cause: int, told_by: int | None = None, is_known: bool = True
+    ) -> None:
+        self.callers.releases.send(conn, id, cause, told_by, is_known)
+
+    def is_release_pending(self, id: str) -> bool:
+        return id in self.callers.releases.by_id
+
+    def settle_release(self, id: str) -> None:
+        self.callers.releases.settle(id)
 
     def half_close_unused(self, conn: CallerConnection) -> None:
         self.callers.half_close_unused(conn)
@@ -134,8 +143,11 @@
     def call_established(self, conn: CallerConnection) -> None:
         self.callers.call_established(conn)
 
+    def set_up_taken(self, conn: CallerConnection) -> None:
+        self.callers.releases.set_up_taken(conn)
+
     def caller_identified(self, conn: CallerConnection) -> None:
-        conn.is_known_caller = True
+        self.callers.releases.caller_identified(conn)
 
     def choose_link(self, gw: int, used_links: set[Any]) -> SwitchConnection | None:
         switch = self.switches.get(gw)
@@ -294,7 +306,7 @@
             try:
                 self.callers.check_half_closed()
                 self.calls.tick(self.clock())
-                if ticks % CHECK_TICKS == 0 or not self.ready:
+                if ticks % CHECK_TICKS == 0 or not self.ready or self._meets_first_caller():
                     self._check_connections()
                 if self.schedule is not None:
                     self._continue_shutdown()
@@ -308,22 +320,23 @@
 
                 traceback.print_exc()
 
+    def _meets_first_caller(self) -> bool:
+        """Whether connections to switches are opened now that a caller is there for the first time."""
+        return not self.has_met_callers and self.callers.can_deliver_releases()
+
     def _check_connections(self) -> None:
-        # With no caller left, a new connection to a switch would only bring releases that cannot be delivered; the switch
-        # will send them to the next process instead.
-        no_callers = self.is_shutting_down() and self.callers.listener is None and not self.callers.has_identified_caller()
+        can_deliver = self.callers.can_deliver_releases()
+        self.has_met_callers = self.has_met_callers or can_deliver
+        owing = {self.switches[gw].address for gw in self.callers.releases.switches_owing() if gw in self.switches}
         for switch in list(self.switches.values()):
-            if no_callers:
-                switch.close_unused_opening_links()
-            else:
-                switch.check()
+            switch.check(can_deliver or self._may_connect_without_callers(switch, owing))
             if not switch.listed and not switch.links and not self.established_calls(switch):
                 del self.switches[switch.gw]
         self.callers.check_timeouts()
-        self.callers.send_pending_releases()
+        self.callers.releases.send_pending()
         if not self.ready and (
             self.seconds() - self.started > READY_TIMEOUT
-            or all(switch.reporting_link is not None and switch.reporting_link.last_report for switch in self.switches.values())
+            or all(switch.has_reported() for switch in self.switches.values() if switch.links)
         ):
             self.ready = True
             for caller, id in self.held_pings:
@@ -331,6 +344,13 @@
             self.held_pings.clear()
             self.held_pings_share.clear()
 
+    def _may_connect_without_callers(self, switch: SwitchConnections, owing: set[tuple[str, int]]) -> bool:
+        """Whether a connection may be opened although the end of a call could be told to nobody. A switch sends a release once
+        more on the next connection that is opened, and nothing that is told to this process outlives it. So it is not opened
+        where a release may wait for it: at any switch before the first connection, at the addresses `owing`, which told of
+        calls whose release is not settled, and during a shutdown. Otherwise it shows whether calls there still stand."""
+        return switch.was_connected and switch.address not in owing and not self.is_shutting_down()
+
     # --- signals and shutdown ---
 
     def reload(self) -> None:
@@ -358,7 +378,7 @@
                 "ending",
                 open=len(self.calls.by_dialog),
                 callers=len(self.callers),
-                untold=len(self.callers.pending_releases),
+                untold=len(self.callers.releases.by_id),
             )
 
     def _log_shutdown(self) -> None:
@@ -370,7 +390,7 @@
             set_ups=len(open_set_ups),
             oldest=",".join(open_set_ups[:3]) or "none",
             queued=sum(caller.queued for caller in self.callers.open),
-            untold=len(self.callers.pending_releases),
+            untold=len(self.callers.releases.by_id),
         )
 
     def _end_calls_of_dead_switches(self) -> None:
@@ -393,9 +413,9 @@
         self.callers.stop_listening()
         self._end_calls_of_dead_switches()
         overdue = now >= self.schedule.close_by
-        self.callers.send_pending_releases(overdue)
+        self.callers.releases.send_pending(overdue)
         if not overdue and (
-            self.callers.are_active() or self._has_calls_at_unreachable_switch() or self.callers.has_pending_release()
+            self.callers.are_active() or self._has_calls_at_unreachable_switch() or self.callers.releases.is_undelivered()
         ):
             return
         self.callers.half_close_idle(overdue)
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -159,6 +159,7 @@
         self.unsent: list[bytes] = []  # for the next connection
         self.unsent_share = FairShare(MAX_UNSENT)
         self.listed = True  # by the exchange list; else the connections are kept for established calls only
+        self.was_connected = False  # a connection has been made; before that, releases may wait at the switch for the first one
         self.lost_link = False  # a connection was lost: what the switch wrote to it is repeated on the next one
         self.last_read_at = self.last_attempt_at = 0.0
         self.connections_lost_at = 0.0  # when the last open connection was lost
@@ -173,6 +174,10 @@
         for link in list(self.links):
             link.close(True, "the switch has a new address")
 
+    def has_reported(self) -> bool:
+        """Whether its trunk group is known from a connection that is open."""
+        return self.reporting_link is not None and bool(self.reporting_link.last_report)
+
     def has_open_connection(self) -> bool:
         return any(link.up for link in self.links)
 
@@ -225,7 +230,7 @@
         """Close connections that are not up yet and for which no set-up waits."""
         for link in list(self.links):
             if not link.up and self.owner.open_set_ups(link) == 0:
-                link.close(False, "no caller is left to receive releases")
+                link.close(False, "no caller is there to receive releases")
 
     def _open_link(self, is_probe: bool = False) -> SwitchConnection:
         link = SwitchConnection(self)
@@ -238,6 +243,7 @@
 
     def link_up(self, link: SwitchConnection) -> None:
         self.failing_since, self.refused = 0.0, False
+        self.was_connected = True
         link.late = False
         link.note_read()
         link.record.up_at = link.record.last_read_at
@@ -305,8 +311,10 @@
         for link in late[:-MAX_LATE_LINKS]:
             link.close(False, "connect timeout exceeded, and newer attempts are under way")
 
-    def check(self) -> None:
-        """Check for stalled messages, retired connections and whether the switch is reachable; called regularly."""
+    def check(self, may_open: bool = True) -> None:
+        """Check for stalled messages, retired connections and whether the switch is reachable; called regularly. `may_open`:
+        whether a connection may be opened on which the switch would repeat releases. Without it, attempts that no set-up needs
+        are given up, and nothing is concluded from those that failed."""
         now = self.now()
         for link in list(self.links):
             link.retired = link.retired or link.superseded and not link.record.standing_calls
@@ -324,6 +332,10 @@
             if not established_calls:
                 self._retire_unused_links()
             return
+        if not may_open:
+            self.close_unused_opening_links()
+            self.failing_since = 0.0
+            return
         self._check_late_links(now)
         usable = [link for link in self.links if link.up and link.is_usable()]
         opening = any(not link.up and not link.late for link in self.links)
--- a/gingergap/service/wire.py
+++ b/gingergap/service/wire.py
@@ -31,9 +31,15 @@
     def send_to_caller(self, conn: Conn, data: bytes) -> bool:
         """Write to that connection only. Returns whether it can still be written to."""
 
-    def send_release(self, conn: Conn | None, id: str, cause: int, unknown_from: int | None = None) -> None:
+    def send_release(self, conn: Conn | None, id: str, cause: int, told_by: int | None = None, is_known: bool = True) -> None:
         """Report the end of an established call on that connection, else to any caller able to receive it, now or later.
-        `unknown_from`: the gw of the switch that told it, for a call that this process does not know."""
+        `told_by`: the gw of the switch that told it; `is_known`: whether this process knew the call."""
+
+    def is_release_pending(self, id: str) -> bool:
+        """Whether the end of that call is still owed to its caller."""
+
+    def settle_release(self, id: str) -> None:
+        """The end of that call is no longer owed, if it was: its caller has ended it itself."""
 
     def has_unread(self, conn: Conn) -> bool:
         """Whether bytes from the caller wait to be read; they may withdraw its set-up."""
@@ -44,8 +50,12 @@
     def call_established(self, conn: Conn) -> None:
         """A call of this connection is established, so its peer is a caller that may be sent releases of other calls."""
 
+    def set_up_taken(self, conn: Conn) -> None:
+        """A valid set-up came on this connection, so its peer may be sent releases of other calls if no known caller is there."""
+
     def caller_identified(self, conn: Conn) -> None:
-        """This connection ended a call that stands or has stood: its peer is a caller, and may be sent releases of others."""
+        """This connection ended or named a call that stands or has stood: its peer is a caller, and may be sent releases of
+        others."""
 
     def choose_link(self, gw: int, used_links: set[Link]) -> Link | None:
         """A connection to the switch for a new leg, none of `used_links`; it may still be opening. None: unreachable."""
--- /dev/null
+++ b/tests/test_service_owed_releases.py
@@ -0,0 +1,156 @@
+"""The end of a call is told to its caller, whoever closes the caller's connections and whenever the process ends.
+
+A release is owed until it is written on a connection of a caller. Until then it is kept by the process, or by the switch, which
+sends it once more on the next connection that is opened.
+"""
+
+import signal
+import time
+
+import pytest
+import test_service_process as scripted
+
+start = scripted.start
+A, B, C, D = "a" * 16, "b" * 16, "c" * 16, "d" * 16
+PROBE_TIME = 2.0  # seconds in which a process looks whether a quiet switch can still be reached
+QUIET_TIME = 1.5  # seconds in which nothing more may be told
+
+
+class Switch(scripted.Switch):
+    """Sends a release on an open connection, if there is one, and once more on the next that is opened."""
+
+    def __init__(self, *replies):
+        self.owed = []
+        super().__init__(*replies)
+
+    def serve(self, conn):
+        owed, self.owed = self.owed, []
+        for bye in owed:
+            conn.sendall(bye)
+        super().serve(conn)
+
+    def end_call(self, id, on=None):
+        bye = scripted.sip("BYE sip:x@net SIP/2.0", id, "BYE", "Reason: Q.850;cause=16\r\n")
+        if on is not None:
+            on.sendall(bye)
+        self.owed.append(bye)
+
+
+def releases_read(caller, seconds=QUIET_TIME, until=()):
+    """The ids of the calls whose releases are read within so many seconds, or until all of `until` are."""
+    ids = []
+    deadline = time.monotonic() + seconds
+    while not (until and set(until) <= set(ids)):
+        caller.sock.settimeout(max(0.01, deadline - time.monotonic()))
+        try:
+            line = caller.next()
+        except TimeoutError:
+            break
+        if line is None:
+            break
+        if line["type"] == "release":
+            ids.append(line["id"])
+    return ids
+
+
+def set_up_and_close(service, calls):
+    """Calls, by id and their switch's number, of a client that then closes its connection. Returns the connections to switches."""
+    caller = service.caller()
+    conns = {}
+    for id, number in calls.items():
+        caller.set_up(id, destination=number)
+        assert caller.next()["type"] == "answer"
+        conns[id], _ = service.switches[f"s{number}"].next("INVITE")
+    caller.close()
+    time.sleep(0.2)
+    return conns
+
+
+def restart(service, how):
+    service.process.send_signal(how)
+    service.process.wait(scripted.WAIT)
+    service.start_process()
+
+
+# Guards against a release that is lost with the process that it was told to: the process spent the switch's repetition although
+# nobody was there to be told (review, case 7).
+@pytest.mark.parametrize(
+    ("ended", "others", "restarts"),
+    [
+        pytest.param([A], [B], [signal.SIGTERM], id="sigterm"),
+        pytest.param([A], [B], [signal.SIGKILL], id="sigkill"),
+        pytest.param([A], [], [signal.SIGTERM], id="no_other_call"),
+        pytest.param([A], [B], [signal.SIGTERM, signal.SIGTERM], id="two_restarts"),
+        pytest.param([A], [B], [signal.SIGKILL, signal.SIGKILL, signal.SIGTERM], id="two_kills_and_a_restart"),
+        pytest.param([A, C], [B], [signal.SIGTERM], id="several_switches"),
+    ],
+)
+def test_a_release_that_waits_for_a_caller_outlives_the_process(start, ended, others, restarts):
+    service = start(s1=Switch(), s2=Switch())
+    calls = {A: 1, B: 1, C: 2}
+    conns = set_up_and_close(service, {id: calls[id] for id in ended + others})
+    for id in ended:
+        service.switches[f"s{calls[id]}"].end_call(id, on=conns[id])
+    time.sleep(PROBE_TIME)
+    for how in restarts:
+        restart(service, how)
+    caller = service.caller()
+    for id in ended + others:
+        caller.name_call(id, f"s{calls[id]}")
+    assert sorted(releases_read(caller)) == sorted(ended)
+
+
+# Guards against a release that nobody is told: the call ended while no process ran, and the next process was restarted, too.
+def test_the_end_of_a_call_while_no_process_runs_outlives_the_next_process(start):
+    service = start(s1=Switch())
+    set_up_and_close(service, {A: 1})
+    service.process.kill()
+    service.process.wait()
+    service.switches["s1"].end_call(A)
+    service.start_process()
+    restart(service, signal.SIGTERM)
+    caller = service.caller()
+    caller.set_up(D)
+    assert releases_read(caller) == [A]
+
+
+# Guards against a release that is kept from a client that comes to a process which is about to end.
+@pytest.mark.parametrize("names", [True, False])
+def test_a_client_that_comes_during_a_shutdown_is_told_of_an_end(start, names):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1, B: 1})
+    service.switches["s1"].end_call(A, on=conns[A])
+    time.sleep(0.3)
+    service.process.send_signal(signal.SIGTERM)
+    time.sleep(0.1)
+    caller = service.caller()
+    caller.name_call(A, "s1") if names else caller.set_up(D)
+    assert releases_read(caller, scripted.WAIT, until=[A]) == [A]
+
+
+# Guards against a release that is lost where a client comes just before its process is killed.
+@pytest.mark.parametrize("after", [0.0, 0.02, 0.3])
+def test_a_client_that_comes_just_before_the_kill_is_told_by_one_of_the_processes(start, after):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1, B: 1})
+    service.switches["s1"].end_call(A, on=conns[A])
+    time.sleep(0.3)
+    first = service.caller()
+    first.name_call(A, "s1")
+    first.set_up(D)
+    time.sleep(after)
+    restart(service, signal.SIGKILL)
+    second = service.caller()
+    second.name_call(A, "s1")
+    assert A in releases_read(first) + releases_read(second)
+
+
+# Guards against a switch whose end is not noticed any more while nobody is there to be told.
+def test_calls_at_a_switch_that_dies_while_no_caller_is_there_are_told_later(start):
+    service = start(s1=Switch())
+    set_up_and_close(service, {A: 1})
+    service.switches["s1"].die()
+    time.sleep(2.0)
+    caller = service.caller()
+    caller.set_up(D, destination=2)
+    assert releases_read(caller) == [A]
--- a/tests/test_service_switch_connections.py
+++ b/tests/test_service_switch_connections.py
@@ -155,6 +155,23 @@
     assert not any(link.up for link in switch.links)
 
 
+# Guards against a release that is spent on a connection while nobody can be told, and against a switch that counts as lost since
+# attempts to connect were given up for that reason.
+def test_no_connection_is_opened_where_a_release_may_wait_for_it(switch):
+    switch.owner.established = 1
+    switch.check(may_open=False)
+    assert not switch.links and not switch.was_connected
+    switch.check()
+    assert len(switch.links) == 1
+    switch.check(may_open=False)
+    assert not switch.links
+    switch.owner.now += UNREACHABLE_TIMEOUT / 10_000 + 1
+    switch.check()
+    assert len(switch.links) == 1 and not switch.owner.lost_switches
+    connect(switch)
+    assert switch.was_connected
+
+
 NOTIFY = (
     b"NOTIFY sip:x@net SIP/2.0\r\nCall-ID: 0000000000000000\r\nCSeq: 1 NOTIFY\r\nLink-State: idle:1\r\nContent-Length: 0\r\n\r\n"
 )
