Keep a quiet client's connection while its call stands, and tell testers

Cause: a connection counted as idle, or as the one to close for want of room, by its open set-ups alone, whether or not a call stood that was set up or named on it; and one that only tests was never told anything. Evidence: the log has `caller-closed why=idle` 8 s after the last line, and then `release-waits callers=1 known=False` until the end.

Change: a connection is kept while a call stands that was set up or named on it, and the last known caller's while any call stands; those make room last, but do, so that callers are let in. Connections that stay open and only test are copied what nobody else can be told. They may be health checks, so the release stays owed until a caller is told. A new process whose only client tests asks the switches, too.

Why this works: as long as a call stands the process closes no connection that is needed for its end, and a client's next connection is told as well.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -116,8 +116,10 @@
 
     def _least_used(self) -> CallerConnection | None:
         """Of those without open set-ups: the oldest one that has sent nothing, else the one idle for longest; else one whose
-        peer reads nothing. Known callers come last, and not while they are in use: releases can be sent on them only."""
-        by_conn = self.owner.calls.by_conn
+        peer reads nothing. Known callers come last, and not while they are in use: releases can be sent on them only. Of
+        either kind, those with calls that stand come after the others."""
+        calls = self.owner.calls
+        by_conn = calls.by_conn
         without_set_ups = [caller for caller in self.open if caller not in by_conn]
         in_use_after = self.owner.seconds() - CALLER_REST_TIME
         idle = [
@@ -131,7 +133,15 @@
             )
         ]
         if idle:
-            return min(idle, key=lambda caller: (caller.is_known_caller, caller.has_sent_message, caller.last_read_at))
+            return min(
+                idle,
+                key=lambda caller: (
+                    caller.is_known_caller,
+                    calls.holds_calls(caller),
+                    caller.has_sent_message,
+                    caller.last_read_at,
+                ),
+            )
         return max((caller for caller in without_set_ups if caller.queue), key=lambda caller: caller.queued, default=None)
 
     # --- peers that can be told of the end of a call ---
@@ -155,7 +165,9 @@
         return max(left, key=lambda caller: (caller.has_sent_message, len(caller.parser.buffer)), default=None)
 
     def can_deliver_releases(self) -> bool:
-        """Whether there is a connection on which the end of a call can be told, as its peer is a caller or may be one."""
+        """Whether there is a connection on which the end of a call can be told, as its peer is a caller or may be one. One that has
+        only sent tests counts once it stays open for longer than a health check, and not during a shutdown: the end of a call
+        is better told to the next process then, if the switch still can."""
         return any(self._may_be_caller(caller) and caller.can_receive_release() for caller in reversed(self.open))
 
     def _may_be_caller(self, caller: CallerConnection) -> bool:
@@ -164,7 +176,7 @@
         if self.owner.is_shutting_down():
             return False
         now = self.owner.seconds()
-        return caller.is_unknown_sender(now)
+        return caller.is_tester(now) or caller.is_unknown_sender(now)
 
     # --- closing ---
 
@@ -194,9 +206,18 @@
                     caller.close(True, "bytes received, but no complete line")
                 continue
             # Unread bytes count: they may have arrived while the process was suspended.
-            in_use = caller in self.owner.calls.by_conn or caller.is_readable()
-            if not in_use and (not caller.has_sent_message or caller.parser.buffer or silence > IDLE_TIMEOUT):
-                caller.close(True, "no complete line in time" if caller.parser.buffer or not caller.has_sent_message else "idle")
+            if caller in self.owner.calls.by_conn or caller.is_readable():
+                continue
+            if caller.parser.buffer or not caller.has_sent_message:
+                caller.close(True, "no complete line in time")
+            elif silence > IDLE_TIMEOUT and not self._is_needed_for_releases(caller):
+                caller.close(True, "idle")
+
+    def _is_needed_for_releases(self, caller: CallerConnection) -> bool:
+        """Whether its close would leave the end of a call without a connection: a call stands that was set up or named on it, or
+        some call stands and this is the last known caller."""
+        calls = self.owner.calls
+        return calls.holds_calls(caller) or calls.has_established_calls() and caller is self.known_caller()
 
     def half_close_unused(self, caller: CallerConnection) -> None:
         """Half-close a connection, unless set-ups are open on it."""
--- a/gingergap/service/calls.py
+++ b/gingergap/service/calls.py
@@ -67,6 +67,7 @@
         self.by_link: dict[Link, dict[str, Call]] = {}  # calls with a leg out, by its connection and the call's id
         self.by_conn: dict[Conn, dict[str, Call]] = {}  # open set-ups, by the caller's connection and their id
         self.established: dict[int, dict[str, Call]] = {}  # established calls, by gw and id
+        self.established_by_conn: dict[Conn, int] = {}  # how many of them were set up on each connection that is open
         self.switch_processes = SwitchProcesses(now)
         self.gws_to_review: set[int] = set()  # switches with calls that may end without another event
         self.named_calls = NamedCalls()
@@ -357,8 +358,16 @@
                 self._give_up(call, EndOfSetUp.GIVEN_UP if call.resubmitted else EndOfSetUp.CONNECTION_GONE)
         for id in self.named_calls.connection_closed(conn):
             self.by_id[id].conn = None
+        self.established_by_conn.pop(conn, None)
         self._report_leg_ends()
 
+    def holds_calls(self, conn: Conn) -> bool:
+        """Whether calls stand that were set up or named on the connection."""
+        return conn in self.established_by_conn or conn in self.named_calls.by_conn
+
+    def has_established_calls(self) -> bool:
+        return any(self.established.values())
+
     def _give_up(self, call: Call, reason: EndOfSetUp) -> None:
         """End a set-up whose caller no longer waits. Its leg is cancelled without being counted against the destination, since no
         failure of it is known."""
@@ -434,6 +443,7 @@
                 gw, dialog is not None and dialog.destination == self.switches.exchange_numbers.get(gw), "200"
             )
         self.established.setdefault(gw, {})[id] = call
+        self.established_by_conn[call.conn] = self.established_by_conn.get(call.conn, 0) + 1
         if self.switch_processes.is_over(gw) or self.switch_processes.replaced_by(gw) is not None:
             self.gws_to_review.add(gw)
         self.wire.call_established(call.conn)
@@ -790,6 +800,10 @@
             call.connection.standing_calls -= 1
         if call.announced:
             self.named_calls.remove(call.id, call.conn)
+        elif call.conn in self.established_by_conn:
+            self.established_by_conn[call.conn] -= 1
+            if not self.established_by_conn[call.conn]:
+                del self.established_by_conn[call.conn]
         if not calls_there and not self.switches.is_listed(call.gw):
             del self.established[call.gw]
             self.switches.forget_unlisted(call.gw)
--- a/gingergap/service/release_delivery.py
+++ b/gingergap/service/release_delivery.py
@@ -1,13 +1,15 @@
 """Delivery of the ends of calls: the releases that are owed to callers, until each is written on a connection of a caller.
 
 A release is settled once it is written on the connection that the call was set up or named on, on a known caller's, or, after a
-while, on one that a valid set-up came on. As long as there is none of these, a copy goes to another connection whose peer may be a
-caller. It may also be a faulty client, so a copy settles nothing until its connection turns out to be a caller's. Times in seconds.
+while, on one that a valid set-up came on. As long as there is none of these, copies go to other connections whose peers may be
+callers: all those that only tested or named calls, and one of those that wrote something else. They may also be health checks or
+faulty clients, so a copy settles nothing until its connection turns out to be a caller's. Times in seconds.
 """
 
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -25,6 +27,7 @@
 MAX_RELEASE_DELAY = 0.6  # seconds that a release is delayed for that; it is owed within 1 second
 LINE_WAIT = 1.0  # seconds that a peer has for the rest of a line before a copy that it got is told to others
 MAX_COPIES = 400  # written at a time
+MAX_COPIES_OF_ONE = 20  # of those, on one connection
 
 
 @dataclass(slots=True)
@@ -160,6 +163,7 @@
         due = [release for release in self.by_id.values() if release.not_before <= latest]
         able = [caller for caller in self.connections.open if not caller.queue and caller.can_receive_release()]
         waited = [release for release in due if now - release.queued_at >= UNIDENTIFIED_WAIT]
+        self._copy_to_testers([caller for caller in able if caller.is_tester(now)], waited, now)
         sender = next((caller for caller in reversed(able) if caller.is_unknown_sender(now)), None)
         if sender is not None:
             self._copy_to_one(sender, [release for release in waited if not release.is_copied_to_sender], now)
@@ -170,6 +174,17 @@
                 left = [release for release in due if not release.copied_to and now - release.queued_at >= wait]
                 self._copy_to_one(last, left, now)
 
+    def _copy_to_testers(self, testers: list[CallerConnection], releases: list[PendingRelease], now: float) -> None:
+        sequences = [release.sequence for release in releases]
+        room = MAX_COPIES
+        for caller in testers:
+            first = bisect_right(sequences, caller.last_copied_release)
+            for release in releases[first : first + min(room, MAX_COPIES_OF_ONE)]:
+                if not self._copy(caller, release, now):
+                    break
+                caller.last_copied_release = release.sequence
+                room -= 1
+
     def _copy_to_one(self, sender: CallerConnection, releases: list[PendingRelease], now: float) -> None:
         for release in releases[:MAX_COPIES]:
             if sender in release.copied_to:
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -18,11 +18,14 @@
 
     def __init__(self):
         self.now, self.shutting_down = 1000.0, False
+        self.holders = set()  # connections on which calls were set up that stand
         self.calls = SimpleNamespace(
             by_conn={},
             conn_lost=lambda *args: None,
             set_up_invalid=lambda *args: None,
             increment=lambda counter: None,
+            holds_calls=lambda conn: conn in self.holders,
+            has_established_calls=lambda: bool(self.holders),
         )
 
     def clock(self):
@@ -265,3 +268,37 @@
     for other_peer, other in others:
         other_peer.close()
         other.close()
+
+
+# Guards against callers that are turned away because quiet ones, with calls that stand, hold all connections; and against a call
+# whose end can be told to nobody, as the connection was closed that it was set up on and not an unused one.
+@pytest.mark.parametrize("unused", [None, 3])
+def test_quiet_callers_with_calls_make_room_last(connected_caller, monkeypatch, unused):
+    monkeypatch.setattr("gingergap.service.caller_connections.gevent.spawn", lambda *args: None)
+    caller, peer, connections = connected_caller
+    others = [accept_another(connections, connections.listening) for _ in range(connections.max_connections - 1)]
+    callers = list(connections.open)
+    for each in callers:
+        each.is_known_caller = each.has_sent_message = True
+    connections.owner.holders = {each for index, each in enumerate(callers) if index != unused}
+    connections.owner.now += IDLE_TIMEOUT - 1
+    others.append(accept_another(connections, connections.listening))
+    assert others[-1][1] in connections.open
+    assert [index for index, each in enumerate(callers) if each.closed] == [unused or 0]
+    for other_peer, other in others:
+        other_peer.close()
+        other.close()
+
+
+# Guards against a call whose end can be told to nobody: the last connection of a known caller was closed as idle, and the call
+# had been set up on another one.
+def test_the_last_known_caller_is_kept_while_any_call_stands(connected_caller):
+    caller, peer, connections = connected_caller
+    caller.is_known_caller = caller.has_sent_message = True
+    connections.owner.holders = {"a connection that has closed"}
+    connections.owner.now += IDLE_TIMEOUT + 1
+    connections.check_timeouts()
+    assert not caller.closed
+    connections.owner.holders = set()
+    connections.check_timeouts()
+    assert caller.closed
--- a/tests/test_service_owed_releases.py
+++ b/tests/test_service_owed_releases.py
@@ -10,6 +10,8 @@
 import pytest
 import test_service_process as scripted
 
+from gingergap.service.caller_connections import IDLE_TIMEOUT
+
 start = scripted.start
 A, B, C, D = "a" * 16, "b" * 16, "c" * 16, "d" * 16
 PROBE_TIME = 2.0  # seconds in which a process looks whether a quiet switch can still be reached
@@ -154,3 +156,102 @@
     caller = service.caller()
     caller.set_up(D, destination=2)
     assert releases_read(caller) == [A]
+
+
+# Guards against a call whose end is told to nobody: the connection of its quiet client was closed as idle (review, case 8).
+@pytest.mark.parametrize("named", [False, True])
+def test_the_connection_of_a_quiet_client_is_kept_while_its_call_stands(start, named):
+    service = start(s1=Switch())
+    caller = service.caller()
+    if named:
+        caller.name_call(A, "s1")
+    else:
+        caller.set_up(A)
+        assert caller.next()["type"] == "answer"
+    time.sleep(IDLE_TIMEOUT + 1.0)
+    service.switches["s1"].end_call(A, on=service.switches["s1"].conns[0])
+    assert releases_read(caller) == [A]
+    time.sleep(IDLE_TIMEOUT - QUIET_TIME + 0.5)
+    caller.sock.settimeout(scripted.WAIT)
+    assert caller.next() is None  # idle from then on
+
+
+# Guards against a call whose end is told to nobody: its client had closed the connection of its set-up, and sent only tests on the
+# one that it opened then.
+def test_a_client_that_only_tests_is_told_of_an_end_in_time(start):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1})
+    caller = service.caller()
+    caller.send("ping", D)
+    time.sleep(1.0)
+    service.switches["s1"].end_call(A, on=conns[A])
+    assert releases_read(caller, seconds=1.0) == [A]
+
+
+# Guards against a release that is lost as it was told to a health check or a faulty client alone.
+@pytest.mark.parametrize("other", ["tests", "names an unknown call", "sends an invalid set-up", "begins a line"])
+def test_a_release_told_to_another_client_is_told_to_the_caller_that_comes_later(start, other):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1})
+    client = service.caller()
+    match other:
+        case "tests":
+            client.send("ping", D)
+        case "names an unknown call":
+            client.name_call(D, "s1")
+        case "sends an invalid set-up":
+            client.send("setup", D, sdp="x", fields={"class": "no such class", "left": "900", "key": "7f", "extras": "dest:1"})
+        case "begins a line":
+            client.sock.sendall(b'{"type":"setup","id":"')
+    service.switches["s1"].end_call(A, on=conns[A])
+    time.sleep(1.2)
+    caller = service.caller()
+    caller.set_up(B)
+    assert releases_read(caller) == [A]
+
+
+# Guards against a second release on the connection of a caller that was taken for another client at first.
+def test_a_client_that_tests_and_then_sets_a_call_up_is_told_once(start):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1})
+    caller = service.caller()
+    caller.send("ping", D)
+    time.sleep(1.0)
+    service.switches["s1"].end_call(A, on=conns[A])
+    assert releases_read(caller, seconds=scripted.WAIT, until=[A]) == [A]
+    caller.set_up(B)
+    assert releases_read(caller) == []
+
+
+# Guards against a new process that asks no switch for the ends of calls, as its only client sends tests alone.
+def test_a_client_that_only_tests_is_told_by_a_new_process(start):
+    service = start(s1=Switch())
+    set_up_and_close(service, {A: 1})
+    service.process.kill()
+    service.process.wait()
+    service.switches["s1"].end_call(A)
+    service.start_process()
+    caller = service.caller()
+    caller.send("ping", D)
+    assert releases_read(caller, seconds=4.0, until=[A]) == [A]
+
+
+# Guards against callers that are turned away as quiet ones, on whose connections calls stand, hold the descriptors that are left.
+def test_callers_are_let_in_while_quiet_ones_hold_calls(start):
+    service = start(s1=Switch(), s2=Switch())
+    quiet = []
+    for index in range(21):  # a third of the 64 descriptors of the process
+        quiet.append(service.caller())
+        quiet[-1].set_up(f"{index:016x}")
+        assert quiet[-1].next()["type"] == "answer"
+    crowd = [service.caller() for _ in range(30)]
+    late = [service.caller() for _ in range(5)]
+    for index, caller in enumerate(late):
+        caller.set_up(f"{100 + index:016x}", destination=2)
+        assert caller.next()["type"] == "answer"
+    assert len(crowd) == 30
+    conn = service.switches["s1"].conns[0]
+    for index in range(21):
+        service.switches["s1"].end_call(f"{index:016x}", on=conn)
+    for index, caller in enumerate(quiet):
+        assert releases_read(caller, scripted.WAIT, until=[f"{index:016x}"]) == [f"{index:016x}"]
