Look at the listener after the acceptor's pause, so that it ends cleanly

An acceptor whose pause is over is resumed by its timer before the kill reaches it, and called accept on None, since it had looked at the listener before the pause.

Change: it looks after the pause.

Measured: the new test failed with that AttributeError before, passes now.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -72,10 +72,10 @@
 
     def _accept(self) -> None:
         for count in itertools.count(1):
-            if self.listener is None:
-                return
             if count % MAX_ACCEPTED_AT_ONCE == 0:
                 gevent.sleep(YIELD_TIME)
+            if self.listener is None:  # closed during a pause: a greenlet that is killed may still be resumed by its timer
+                return
             try:
                 sock, address = self.listener.accept()
             except OSError:  # for example no file descriptor is left: close an idle connection
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -10,7 +10,7 @@
 
 from gingergap.caller_protocol.json_lines import encode_release
 from gingergap.service.caller_connection import CallerConnection
-from gingergap.service.caller_connections import IDLE_TIMEOUT, LINE_TIMEOUT, CallerConnections
+from gingergap.service.caller_connections import IDLE_TIMEOUT, LINE_TIMEOUT, MAX_ACCEPTED_AT_ONCE, CallerConnections
 
 
 class FakeOwner:
@@ -237,6 +237,27 @@
     assert not connections.are_active()
 
 
+# Guards against a traceback at an end: the acceptor, which was killed during its pause, went on once more, with the listener gone
+# (trials of seeds 1, 22 and 88).
+def test_an_acceptor_that_pauses_while_the_listener_closes_ends(connected_caller, monkeypatch):
+    caller, peer, connections = connected_caller
+    connections.listen(("127.0.0.1", 0))
+    address = connections.listener.getsockname()
+    pauses = []
+
+    def close_during_pause(seconds):
+        pauses.append(seconds)
+        connections.stop_listening()  # it is killed at its next switch to another greenlet, and goes on until then
+
+    monkeypatch.setattr("gingergap.service.caller_connections.gevent.sleep", close_during_pause)
+    connections.start()
+    peers = [socket.create_connection(address) for _ in range(MAX_ACCEPTED_AT_ONCE - 1)]
+    connections.acceptor.join(5)
+    assert pauses and connections.acceptor.successful() and connections.listener is None
+    for each in peers:
+        each.close()
+
+
 def accept_another(connections, listener):
     peer = socket.create_connection(listener.getsockname())
     connections._add(listener.accept()[0], peer.getsockname()[1])
