Keep the verdict of a trial whose process ends just before its SIGKILL

Cause: Node.stop and Node.close called process.kill() on a process that may have ended by itself between the last look and the call; ProcessLookupError then ended the trial without a verdict.

Change: such a process counts as not killed, and the trial goes on.

Measured: the row of a process that has ended failed with ProcessLookupError before, both rows pass now.

--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,9 +1,11 @@
 """The checks of `trial_rules` on hand-written records, and the scripted peers of `trial_peers`."""
 
 import asyncio
+from pathlib import Path
 from random import Random
 
 import pytest
+from trial import Node
 from trial_peers import Caller, CallerClose, CallerFault, EstablishedCall, Leg, Reply, SetUp, Switch, format_message, now
 from trial_rules import Record, Stop, broken_rules
 
@@ -199,3 +201,38 @@
     sent_at = connection_ended_at - 0.2
     record = Record(set_ups={ID: SetUp(ID, "n0", 3.0, sent_at=sent_at, connection_ended_at=connection_ended_at)}, closed_at=9.0)
     assert bool(broken_rules(record, {}, 9.2)) is broken
+
+
+class HangingProcess:
+    """A process that ignores SIGTERM and has ended by itself, or still runs, when SIGKILL is sent."""
+
+    def __init__(self, has_ended):
+        self.has_ended, self.returncode = has_ended, None
+        self.ended = asyncio.Event()
+
+    def send_signal(self, number):
+        pass
+
+    def kill(self):
+        self.ended.set()
+        if self.has_ended:
+            raise ProcessLookupError
+        self.returncode = -9
+
+    async def wait(self):
+        await self.ended.wait()
+
+
+# Guards against a trial that ends with an exception, and not with its verdict, as the process ended just before SIGKILL was sent.
+@pytest.mark.parametrize("has_ended", [True, False])
+def test_a_process_that_ends_just_before_the_kill_was_not_killed(has_ended):
+    async def stop_and_close():
+        record = Record()
+        node = Node("n0", Path(), None, {}, record)
+        node.process = HangingProcess(has_ended)
+        await node.stop(kill_after=0.01)
+        node.process = HangingProcess(has_ended)
+        node.close()
+        return record.stops[0]
+
+    assert asyncio.run(stop_and_close()).killed is not has_ended
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -108,15 +108,22 @@
         try:
             await asyncio.wait_for(self.process.wait(), kill_after)
         except TimeoutError:
-            stop.killed = True
-            self.process.kill()
+            stop.killed = self._kill()
             await self.process.wait()
         stop.ended_at, stop.exit_status = now(), self.process.returncode
         return stop
 
+    def _kill(self) -> bool:
+        """Send SIGKILL. Returns whether the process still ran: it may have ended by itself in this moment."""
+        try:
+            self.process.kill()
+        except ProcessLookupError:
+            return False
+        return True
+
     def close(self) -> None:
         if self.process is not None and self.process.returncode is None:
-            self.process.kill()
+            self._kill()
 
 
 class Trial:
