Copy a release later to senders whose lines show nothing

A copy went to a caller all of whose set-ups were withdrawn, and 0.1 s and 3.4 s later the release was written to another caller, which sent a valid set-up.

Cause: such a sender had its copy once its connection was 4 s old, however short the release had waited; a caller that shows itself comes soon.

Change: it has its copy once the release has waited for 5 s; a release that could not be sent before is owed within 8 s.

--- a/gingergap/service/caller_connection.py
+++ b/gingergap/service/caller_connection.py
@@ -27,7 +27,6 @@
 RESET_TIME = 50  # tenths of a millisecond within which a progress to a caller that has gone is answered by a reset
 ANSWER_SETTLE_TIME = 0.4  # seconds: most releases soon after an answer can still be sent on the connection of the answer
 LINE_PREFIX = b'{"type"'  # of a caller's line, as opposed to bytes of an unrelated client
-SENDER_TIME = 4.0  # seconds in which a caller that sends anything about calls will have sent a valid set-up
 HEALTH_CHECK_TIME = 0.7  # seconds after which a connection counts as one that is kept open
 HALF_CLOSE_TIMEOUT = 0.2  # seconds at a shutdown in which callers may close their side of half-closed connections
 
@@ -175,7 +174,7 @@
 
     def is_unknown_sender(self, now: float) -> bool:
         """Whether it has sent messages about calls, or part of one, that do not show whether its peer is a caller."""
-        return self.is_in_mid_line() or self.has_sent_call_message and now - self.accepted_at > SENDER_TIME
+        return self.is_in_mid_line() or self.has_sent_call_message and now - self.accepted_at > HEALTH_CHECK_TIME
 
     def can_receive_release(self) -> bool:
         """Whether releases of calls may be sent here: its peer still reads, as far as is known."""
--- a/gingergap/service/release_delivery.py
+++ b/gingergap/service/release_delivery.py
@@ -25,6 +25,7 @@
 MAX_PENDING_UNKNOWN = 1000  # releases of calls that this process does not know; switches share them
 ANSWER_READ_TIME = 1.0  # seconds after an answer in which a release on another connection might be read before it
 MAX_RELEASE_DELAY = 0.6  # seconds that a release is delayed for that; it is owed within 1 second
+UNKNOWN_SENDER_WAIT = 5.0  # seconds before one of those whose lines show nothing; owed within 8 if it could not be sent before
 LINE_WAIT = 1.0  # seconds that a peer has for the rest of a line before a copy that it got is told to others
 MAX_COPIES = 400  # written at a time
 MAX_COPIES_OF_ONE = 20  # of those, on one connection
@@ -164,9 +165,13 @@
         able = [caller for caller in self.connections.open if not caller.queue and caller.can_receive_release()]
         waited = [release for release in due if now - release.queued_at >= UNIDENTIFIED_WAIT]
         self._copy_to_testers([caller for caller in able if caller.is_tester(now)], waited, now)
+        in_mid_line = next((caller for caller in reversed(able) if caller.is_in_mid_line()), None)
+        if in_mid_line is not None:
+            self._copy_to_one(in_mid_line, [release for release in waited if not release.is_copied_to_sender], now)
         sender = next((caller for caller in reversed(able) if caller.is_unknown_sender(now)), None)
         if sender is not None:
-            self._copy_to_one(sender, [release for release in waited if not release.is_copied_to_sender], now)
+            late = [release for release in waited if now - release.queued_at >= UNKNOWN_SENDER_WAIT]
+            self._copy_to_one(sender, [release for release in late if not release.is_copied_to_sender], now)
         if self.connections.listener is None:  # no other connection will come
             last = self.connections.last_caller()
             wait = 0.0 if latest == math.inf else KNOWN_CALLER_WAIT
