Leave the end of a call with a switch that has closed its idle connections

Cause: while nobody could be told, a lost connection was replaced at once where no end was owed yet. The switch told the end on the new one, which was its only word.

Change: while nobody can be told, no connection is opened to a switch that has closed all of its own in order. One that resets them may have died, which a new connection shows, as before.

--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -346,10 +346,10 @@
 
     def _may_connect_without_callers(self, switch: SwitchConnections, owing: set[tuple[str, int]]) -> bool:
         """Whether a connection may be opened although the end of a call could be told to nobody. A switch sends a release once
-        more on the next connection that is opened, and nothing that is told to this process outlives it. So it is not opened
-        where a release may wait for it: at any switch before the first connection, at the addresses `owing`, which told of
-        calls whose release is not settled, and during a shutdown. Otherwise it shows whether calls there still stand."""
-        return switch.was_connected and switch.address not in owing and not self.is_shutting_down()
+        more on the next connection that is opened, and nothing that is told to this process outlives it. So none is opened where
+        a release may wait for it: at switches that may hold some, at the addresses `owing`, which told of calls whose release is
+        not settled, and during a shutdown. Elsewhere it shows whether the calls there still stand."""
+        return not (switch.may_hold_releases() or switch.address in owing or self.is_shutting_down())
 
     # --- signals and shutdown ---
 
--- a/gingergap/service/switch_connections.py
+++ b/gingergap/service/switch_connections.py
@@ -159,7 +159,8 @@
         self.unsent: list[bytes] = []  # for the next connection
         self.unsent_share = FairShare(MAX_UNSENT)
         self.listed = True  # by the exchange list; else the connections are kept for established calls only
-        self.was_connected = False  # a connection has been made; before that, releases may wait at the switch for the first one
+        self.was_connected = False  # a connection has been made
+        self.was_closed_in_order = False  # the last one that ended was closed by the switch, and not reset
         self.lost_link = False  # a connection was lost: what the switch wrote to it is repeated on the next one
         self.last_read_at = self.last_attempt_at = 0.0
         self.connections_lost_at = 0.0  # when the last open connection was lost
@@ -178,6 +179,11 @@
         """Whether its trunk group is known from a connection that is open."""
         return self.reporting_link is not None and bool(self.reporting_link.last_report)
 
+    def may_hold_releases(self) -> bool:
+        """Whether the switch may have ended calls while it had no connection: none has been made yet, or it has closed all, as
+        it does with idle ones. A process that dies resets them; a new one then shows whether it runs."""
+        return not self.was_connected or self.was_closed_in_order and not self.has_open_connection()
+
     def has_open_connection(self) -> bool:
         return any(link.up for link in self.links)
 
@@ -265,6 +271,7 @@
             self.failing_since = self.failing_since or self.now()
         if was_up:
             self.connections_lost_at = self.now()
+            self.was_closed_in_order = link.was_read_to_end
         if self.reporting_link is link:
             self._choose_reporting_link()
         self.owner.link_lost(link, was_up)
--- a/tests/test_service_owed_releases.py
+++ b/tests/test_service_owed_releases.py
@@ -116,6 +116,25 @@
     assert releases_read(caller) == [A]
 
 
+# Guards against a release that is lost with a process which was told of it on a connection that nobody needed: the switch had
+# closed its idle connections, before or after the end of the call.
+@pytest.mark.parametrize("closed_first", [False, True])
+def test_the_end_of_a_call_at_a_switch_that_closes_idle_connections_outlives_the_process(start, closed_first):
+    service = start(s1=Switch())
+    conns, switch = set_up_and_close(service, {A: 1, B: 1}), service.switches["s1"]
+    if not closed_first:
+        switch.end_call(A, on=conns[A])
+    for conn in switch.conns:
+        conn.shutdown(scripted.socket.SHUT_RDWR)
+    if closed_first:
+        switch.end_call(A)
+    time.sleep(PROBE_TIME)
+    restart(service, signal.SIGTERM)
+    caller = service.caller()
+    caller.name_call(A, "s1")
+    assert releases_read(caller) == [A]
+
+
 # Guards against a release that is kept from a client that comes to a process which is about to end.
 @pytest.mark.parametrize("names", [True, False])
 def test_a_client_that_comes_during_a_shutdown_is_told_of_an_end(start, names):
