Make room for a new connection only if one waits, where descriptors run out

Cause: without a descriptor left, accept fails whether or not a connection waits. The acceptor took each failure for a connection to make room for.

Change: it looks whether one waits.

Measured: the row [False] of test_room_is_made_only_for_a_connection_that_waits failed before, both pass.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -12,7 +12,7 @@
 import gevent
 from gevent import socket
 
-from ..transport.stream import PeerState, create_listener
+from ..transport.stream import PeerState, create_listener, has_backlog
 from ..transport.turns import YIELD_TIME, TurnQueue
 from .caller_connection import HALF_CLOSE_TIMEOUT, CallerConnection, Owner
 from .release_delivery import ReleaseDelivery
@@ -24,6 +24,7 @@
 OTHERS_SHARE = 2  # and those of other clients one in so many
 MAX_ACCEPTED_AT_ONCE = 8  # connections
 OVERDUE_HALF_CLOSE_TIMEOUT = 0.1  # as HALF_CLOSE_TIMEOUT, where the earliest SIGKILL is near
+ACCEPT_RETRY_INTERVAL = 0.05  # seconds
 CALLERS_QUIET_TIME = 1.0  # seconds without a message after which all callers have left; a slow one pauses for up to 0.5
 
 
@@ -78,9 +79,10 @@
                 return
             try:
                 sock, address = self.listener.accept()
-            except OSError:  # for example no file descriptor is left: close an idle connection
-                self._make_room()
-                gevent.sleep(0.05)
+            except OSError:  # for example no file descriptor is left: close an idle connection, if another one waits
+                if self.listener is not None and has_backlog(self.listener):
+                    self._make_room()
+                gevent.sleep(ACCEPT_RETRY_INTERVAL)
                 continue
             self._add(sock, address[1])
 
--- a/gingergap/transport/stream.py
+++ b/gingergap/transport/stream.py
@@ -36,6 +36,13 @@
     return listener
 
 
+def has_backlog(listener: socket.socket) -> bool:
+    """Whether a connection waits to be accepted."""
+    poll = select.poll()
+    poll.register(listener.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class PeerState(Enum):
     """Whether the peer of a connection can still send and receive."""
 
--- a/tests/test_service_caller_connections.py
+++ b/tests/test_service_caller_connections.py
@@ -1,6 +1,7 @@
 """Connections from callers, without a process: when they are closed, and what is written on them."""
 
 import contextlib
+import errno
 import struct
 from types import SimpleNamespace
 
@@ -258,6 +259,30 @@
         each.close()
 
 
+# Guards against the close of a quiet caller, on whose connection a call may stand, for nobody: without a descriptor left, accept
+# fails whether or not a connection waits.
+@pytest.mark.parametrize("waits", [False, True])
+def test_room_is_made_only_for_a_connection_that_waits(connected_caller, monkeypatch, waits):
+    caller, peer, connections = connected_caller
+    caller.has_sent_message = True
+
+    class ListenerWithoutDescriptors:
+        def fileno(self):
+            return connections.listening.fileno()
+
+        def accept(self):
+            raise OSError(errno.EMFILE, "no descriptor is left")
+
+    connections.listener = ListenerWithoutDescriptors()
+    waiting = [socket.create_connection(connections.listening.getsockname())] if waits else []
+    connections.start()
+    gevent.sleep(0.02)
+    connections.acceptor.kill()
+    assert caller.closed is waits
+    for each in waiting:
+        each.close()
+
+
 def accept_another(connections, listener):
     peer = socket.create_connection(listener.getsockname())
     connections._add(listener.accept()[0], peer.getsockname()[1])
