--- a/gingergap/service/release_delivery.py
+++ b/gingergap/service/release_delivery.py
@@ -95,6 +95,7 @@
         self._settle_copies(conn)
 
     def connection_closed(self, conn: CallerConnection) -> None:
+        """What was copied there alone is copied to others."""
         if conn.has_copies:
             for release in self.by_id.values():
                 release.copied_to.discard(conn)
@@ -173,11 +174,14 @@
             late = [release for release in waited if now - release.queued_at >= UNKNOWN_SENDER_WAIT]
             self._copy_to_one(sender, [release for release in late if not release.is_copied_to_sender], now)
         if self.connections.listener is None:  # no other connection will come
-            last = self.connections.last_caller()
             wait = 0.0 if latest == math.inf else KNOWN_CALLER_WAIT
-            if last is not None:
-                left = [release for release in due if not release.copied_to and now - release.queued_at >= wait]
-                self._copy_to_one(last, left, now)
+            self._copy_to_last([release for release in due if now - release.queued_at >= wait], now)
+
+    def _copy_to_last(self, releases: list[PendingRelease], now: float) -> None:
+        """Copy those that were copied to no open connection, to any that is left."""
+        last = self.connections.last_caller()
+        if last is not None:
+            self._copy_to_one(last, [release for release in releases if not release.copied_to], now)
 
     def _copy_to_testers(self, testers: list[CallerConnection], releases: list[PendingRelease], now: float) -> None:
         sequences = [release.sequence for release in releases]
--- a/tests/test_service_owed_releases.py
+++ b/tests/test_service_owed_releases.py
@@ -68,6 +68,15 @@
     return conns
 
 
+def end_call_while_no_process_runs(service):
+    """A call A stands at s1 and ends there; then the process is started again."""
+    set_up_and_close(service, {A: 1})
+    service.process.kill()
+    service.process.wait()
+    service.switches["s1"].end_call(A)
+    service.start_process()
+
+
 def restart(service, how):
     service.process.send_signal(how)
     service.process.wait(scripted.WAIT)
@@ -105,11 +114,7 @@
 # Guards against a release that nobody is told: the call ended while no process ran, and the next process was restarted, too.
 def test_the_end_of_a_call_while_no_process_runs_outlives_the_next_process(start):
     service = start(s1=Switch())
-    set_up_and_close(service, {A: 1})
-    service.process.kill()
-    service.process.wait()
-    service.switches["s1"].end_call(A)
-    service.start_process()
+    end_call_while_no_process_runs(service)
     restart(service, signal.SIGTERM)
     caller = service.caller()
     caller.set_up(D)
@@ -245,11 +250,7 @@
 # Guards against a new process that asks no switch for the ends of calls, as its only client sends tests alone.
 def test_a_client_that_only_tests_is_told_by_a_new_process(start):
     service = start(s1=Switch())
-    set_up_and_close(service, {A: 1})
-    service.process.kill()
-    service.process.wait()
-    service.switches["s1"].end_call(A)
-    service.start_process()
+    end_call_while_no_process_runs(service)
     caller = service.caller()
     caller.send("ping", D)
     assert releases_read(caller, seconds=4.0, until=[A]) == [A]
