Leave the end of a call with its switch while only health checks are there

Cause: a connection that only tests counted as somebody who can be told, also once it had been. The process looked whether the quiet switch still ran, and took its repetition for the health check alone.

Change: at a switch whose word is still owed, connections are opened for a caller that would settle it, and for nobody else.

--- a/gingergap/service/caller_connections.py
+++ b/gingergap/service/caller_connections.py
@@ -166,6 +166,10 @@
         left = [caller for caller in self.open if not (caller.finishing or caller.peer_state() is PeerState.CLOSED)]
         return max(left, key=lambda caller: (caller.has_sent_message, len(caller.parser.buffer)), default=None)
 
+    def has_likely_caller(self) -> bool:
+        """Whether a release would be settled by writing it to a connection that is open."""
+        return self.known_caller() is not None or self.set_up_sender() is not None
+
     def can_deliver_releases(self) -> bool:
         """Whether there is a connection on which the end of a call can be told, as its peer is a caller or may be one. One that has
         only sent tests counts once it stays open for longer than a health check, and not during a shutdown: the end of a call
--- a/gingergap/service/process.py
+++ b/gingergap/service/process.py
@@ -325,11 +325,14 @@
         return not self.has_met_callers and self.callers.can_deliver_releases()
 
     def _check_connections(self) -> None:
-        can_deliver = self.callers.can_deliver_releases()
+        has_caller = self.callers.has_likely_caller()
+        can_deliver = has_caller or self.callers.can_deliver_releases()
         self.has_met_callers = self.has_met_callers or can_deliver
+        # Told of calls whose release is not settled: they send it once more, on the next connection that is opened.
         owing = {self.switches[gw].address for gw in self.callers.releases.switches_owing() if gw in self.switches}
         for switch in list(self.switches.values()):
-            switch.check(can_deliver or self._may_connect_without_callers(switch, owing))
+            is_owing = switch.address in owing
+            switch.check(has_caller or not is_owing and (can_deliver or self._may_connect_without_callers(switch)))
             if not switch.listed and not switch.links and not self.established_calls(switch):
                 del self.switches[switch.gw]
         self.callers.check_timeouts()
@@ -344,12 +347,11 @@
             self.held_pings.clear()
             self.held_pings_share.clear()
 
-    def _may_connect_without_callers(self, switch: SwitchConnections, owing: set[tuple[str, int]]) -> bool:
+    def _may_connect_without_callers(self, switch: SwitchConnections) -> bool:
         """Whether a connection may be opened although the end of a call could be told to nobody. A switch sends a release once
-        more on the next connection that is opened, and nothing that is told to this process outlives it. So none is opened where
-        a release may wait for it: at switches that may hold some, at the addresses `owing`, which told of calls whose release is
-        not settled, and during a shutdown. Elsewhere it shows whether the calls there still stand."""
-        return not (switch.may_hold_releases() or switch.address in owing or self.is_shutting_down())
+        more on the next connection that is opened, and nothing that is told to this process outlives it. So none is opened to a
+        switch that may hold releases, nor during a shutdown. Elsewhere it shows whether the calls there still stand."""
+        return not (switch.may_hold_releases() or self.is_shutting_down())
 
     # --- signals and shutdown ---
 
--- a/tests/test_service_owed_releases.py
+++ b/tests/test_service_owed_releases.py
@@ -134,6 +134,20 @@
     assert releases_read(caller) == [A]
 
 
+# Guards against a release that is lost as the process took the switch's repetition for a health check, which had been told already.
+def test_a_release_told_to_a_health_check_outlives_the_process(start):
+    service = start(s1=Switch())
+    conns = set_up_and_close(service, {A: 1, B: 1})
+    health_check = service.caller()
+    health_check.send("ping", D)
+    service.switches["s1"].end_call(A, on=conns[A])
+    time.sleep(1.0 + PROBE_TIME)
+    restart(service, signal.SIGTERM)
+    caller = service.caller()
+    caller.name_call(A, "s1")
+    assert releases_read(caller) == [A]
+
+
 # Guards against a release that is lost with a process which was told of it on a connection that nobody needed: the switch had
 # closed its idle connections, before or after the end of the call.
 @pytest.mark.parametrize("closed_first", [False, True])
